--- /dev/null
+++ b/mangospan/platform/store.h
@@ -0,0 +1,129 @@
+// The platform's key-value service: compare-and-swap, leases and watches.
+//
+// Everything that must outlive a process is kept here and nowhere else. Answers
+// arrive through handlers, which are called once, never from inside the call:
+//
+//   store.CompareAndSwap({ "zones/a/hosts", 7, text, {} }, timeout,
+//                        [](result<revision> aResult) { ... });
+//
+// A write that fails with kUnknownResult may have taken effect: read the key
+// and compare before anything else.
+#ifndef MANGOSPAN_PLATFORM_STORE_H
+#define MANGOSPAN_PLATFORM_STORE_H
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mangospan/base/error.h"
+
+namespace mangospan::platform {
+
+// Counts the store's changes, over all keys; 0 stands for "no such key".
+using revision = std::uint64_t;
+
+// Names a lease the store has granted.
+struct lease_id
+{
+  std::uint64_t mValue = 0;
+};
+
+// One key's value as of `mRevision`, the revision of its last change.
+struct record
+{
+  std::string mKey;
+  std::string mValue;
+  revision mRevision = 0;
+};
+
+// Writes `mValue` only if the key's revision is `mExpected` (0: only if the key
+// does not exist). With a lease, the key is deleted when the lease ends.
+struct swap_request
+{
+  std::string mKey;
+  revision mExpected = 0;
+  std::string mValue;
+  std::optional<lease_id> mLease;
+};
+
+// One change that a watch reports.
+struct change
+{
+  record mRecord;
+  bool mDeleted = false;
+};
+
+// All changes after the revision asked for, oldest first, and the revision to
+// ask from next.
+struct change_batch
+{
+  std::vector<change> mChanges;
+  revision mRevision = 0;
+};
+
+template<typename T>
+using handler = std::function<void(result<T>)>;
+
+// Values are at most this many bytes; larger ones are refused with kTooLarge
+// before anything is sent.
+inline constexpr std::size_t kMaxValueBytes = 1000 * 1000;
+
+// Errors common to all calls: kUnavailable (certainly not carried out),
+// kUnknownResult (sent, no answer), kInvalidArgument.
+class store
+{
+public:
+  virtual ~store() = default;
+
+  // Reads one key; no value if it does not exist.
+  virtual void Read(std::string aKey,
+                    std::chrono::milliseconds aTimeout,
+                    handler<std::optional<record>> aHandler) = 0;
+
+  // Reads every key that begins with `aPrefix`, in order of keys.
+  virtual void List(std::string aPrefix,
+                    std::chrono::milliseconds aTimeout,
+                    handler<std::vector<record>> aHandler) = 0;
+
+  // Returns the new revision; kConflict if the key has another revision.
+  virtual void CompareAndSwap(swap_request aRequest,
+                              std::chrono::milliseconds aTimeout,
+                              handler<revision> aHandler) = 0;
+
+  // Deletes the key if its revision is `aExpected`; kConflict otherwise.
+  virtual void Delete(std::string aKey,
+                      revision aExpected,
+                      std::chrono::milliseconds aTimeout,
+                      handler<revision> aHandler) = 0;
+
+  // Grants a lease that lasts `aTtl` unless renewed.
+  virtual void GrantLease(std::chrono::milliseconds aTtl,
+                          std::chrono::milliseconds aTimeout,
+                          handler<lease_id> aHandler) = 0;
+
+  // Extends the lease by its full time; kNotFound once it has ended.
+  virtual void RenewLease(lease_id aLease,
+                          std::chrono::milliseconds aTimeout,
+                          handler<lease_id> aHandler) = 0;
+
+  // Ends the lease and deletes its keys.
+  virtual void RevokeLease(lease_id aLease,
+                           std::chrono::milliseconds aTimeout,
+                           handler<lease_id> aHandler) = 0;
+
+  // Waits up to `aWait` for changes after `aAfter` to keys that begin with
+  // `aPrefix`; answers with an empty batch if there were none. kNotFound if
+  // the store no longer knows that revision: list, then watch again.
+  virtual void Watch(std::string aPrefix,
+                     revision aAfter,
+                     std::chrono::milliseconds aWait,
+                     handler<change_batch> aHandler) = 0;
+};
+
+} // namespace mangospan::platform
+
+#endif // MANGOSPAN_PLATFORM_STORE_H
