interface: fleet::zone_controller, thin: lease, entries, view, configuration

Aim: the daemon around the decisions can be built against a stable header.

Not yet: permits, so no host is drained; waves, sizing, status.

Interface changes, both small: wire::hello gains mTermHeard. A new holder may trust the shares in a hello only if the entry adopts no earlier term's view any more; without the field an entry's shares count as unknown until it has adopted a view of the new term (safe, but costs it its slots for a round trip).

--- /dev/null
+++ b/mangospan/fleet/actions.cc
@@ -0,0 +1,58 @@
+#include "mangospan/fleet/actions.h"
+
+#include <array>
+
+namespace mangospan::fleet {
+
+namespace {
+
+constexpr std::array<const char*, 7> kPurposeNames{
+  "leadership",   "hosts",         "entries", "budget",
+  "silent-zones", "configuration", "status"
+};
+
+} // namespace
+
+const char*
+Name(store_purpose aPurpose)
+{
+  return kPurposeNames.at(static_cast<std::size_t>(aPurpose));
+}
+
+call_id
+action_queue::Store(store_purpose aPurpose, store_operation aOperation)
+{
+  ++mLast;
+  mActions.emplace_back(store_call{ mLast, aPurpose, std::move(aOperation) });
+  return mLast;
+}
+
+call_id
+action_queue::Host(platform::action_request aRequest)
+{
+  ++mLast;
+  mActions.emplace_back(host_call{ mLast, std::move(aRequest) });
+  return mLast;
+}
+
+call_id
+action_queue::ListHosts(platform::revision aKnown)
+{
+  ++mLast;
+  mActions.emplace_back(list_hosts_call{ mLast, aKnown });
+  return mLast;
+}
+
+void
+action_queue::Push(action aAction)
+{
+  mActions.push_back(std::move(aAction));
+}
+
+actions
+action_queue::Take()
+{
+  return std::exchange(mActions, {});
+}
+
+} // namespace mangospan::fleet
--- /dev/null
+++ b/mangospan/fleet/configuration_watch.cc
@@ -0,0 +1,190 @@
+#include "mangospan/fleet/configuration_watch.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangospan::fleet {
+
+configuration_watch::configuration_watch(parse_function aParse,
+                                         const settings& aSettings)
+  : mParse(std::move(aParse))
+  , mSettings(aSettings)
+  , mRetry(aSettings.mStoreRetry)
+{
+}
+
+void
+configuration_watch::Start(platform::revision aRecent, action_queue& aQueue)
+{
+  Stop();
+  mActive = true;
+  // A watch from a revision before the list repeats changes; that is harmless,
+  // while a change between list and watch would be lost.
+  mAfter = aRecent;
+  List(aQueue);
+}
+
+void
+configuration_watch::Stop()
+{
+  mActive = false;
+  mReady = false;
+  mCall = 0;
+  mRetry = mSettings.mStoreRetry;
+  mDrains = {};
+  mWave = {};
+}
+
+void
+configuration_watch::List(action_queue& aQueue)
+{
+  mListing = true;
+  mCall =
+    aQueue.Store(store_purpose::kConfiguration, list_call{ kConfigPrefix });
+}
+
+void
+configuration_watch::Watch(action_queue& aQueue)
+{
+  mListing = false;
+  mCall =
+    aQueue.Store(store_purpose::kConfiguration,
+                 watch_call{ kConfigPrefix, mAfter, mSettings.mWatchWait });
+}
+
+bool
+configuration_watch::OnResult(call_id aCall,
+                              const store_result& aResult,
+                              time_point aNow,
+                              action_queue& aQueue)
+{
+  if (mCall == 0 || aCall != mCall) {
+    return false;
+  }
+  mCall = 0;
+  if (mListing) {
+    OnListed(
+      std::get<result<std::vector<platform::record>>>(aResult), aNow, aQueue);
+  } else {
+    OnWatched(std::get<result<platform::change_batch>>(aResult), aNow, aQueue);
+  }
+  return true;
+}
+
+void
+configuration_watch::OnTick(time_point aNow, action_queue& aQueue)
+{
+  if (!mActive || mCall != 0 || aNow < mRetryAt) {
+    return;
+  }
+  if (mListing) {
+    List(aQueue);
+  } else {
+    Watch(aQueue);
+  }
+}
+
+void
+configuration_watch::OnListed(
+  const result<std::vector<platform::record>>& aResult,
+  time_point aNow,
+  action_queue& aQueue)
+{
+  if (aResult.has_error()) {
+    Retry(aNow);
+    return;
+  }
+  mDrains = {};
+  mWave = {};
+  for (const platform::record& record : aResult.assume_value()) {
+    Apply(record, false);
+    mAfter = std::max(mAfter, record.mRevision);
+  }
+  mReady = true;
+  Watch(aQueue);
+}
+
+void
+configuration_watch::OnWatched(const result<platform::change_batch>& aResult,
+                               time_point aNow,
+                               action_queue& aQueue)
+{
+  if (aResult.has_error()) {
+    // An unknown revision needs a new list; so does nothing else, but a list
+    // is right after any failure.
+    mListing = aResult.assume_error().mCode == error_code::kNotFound;
+    Retry(aNow);
+    return;
+  }
+  mRetry = mSettings.mStoreRetry;
+  const platform::change_batch& batch = aResult.assume_value();
+  for (const platform::change& change : batch.mChanges) {
+    Apply(change.mRecord, change.mDeleted);
+  }
+  mAfter = std::max(mAfter, batch.mRevision);
+  Watch(aQueue);
+}
+
+void
+configuration_watch::Retry(time_point aNow)
+{
+  mRetryAt = aNow + mRetry;
+  mRetry = std::min(mRetry * 2, mSettings.mStoreRetryMax);
+}
+
+void
+configuration_watch::Apply(const platform::record& aRecord, bool aDeleted)
+{
+  if (aRecord.mKey == kDrainsKey) {
+    auto drains = ParseDrains(aRecord.mValue, kDrainsKey);
+    if (aDeleted) {
+      mDrains = {};
+    } else if (drains.has_value()) {
+      mDrains = std::move(drains).assume_value();
+    }
+  } else if (aRecord.mKey == kWaveKey) {
+    auto wave = ParseWave(aRecord.mValue, kWaveKey);
+    if (aDeleted) {
+      mWave = {};
+    } else if (wave.has_value()) {
+      mWave = std::move(wave).assume_value();
+    }
+  } else if (aRecord.mKey == kConfigKey && !aDeleted &&
+             aRecord.mRevision > mHeld.mRevision) {
+    auto record = ParseConfigRecord(aRecord.mValue, kConfigKey);
+    if (record.has_value()) {
+      Adopt(aRecord.mRevision, record.assume_value().mDocument);
+    } else {
+      mRefused = aRecord.mRevision;
+      mRefusal = Describe(record.assume_error());
+    }
+  }
+}
+
+bool
+configuration_watch::Adopt(std::uint64_t aRevision, const std::string& aText)
+{
+  auto document = mParse(aText, kConfigKey);
+  if (document.has_error()) {
+    if (aRevision > mRefused) {
+      mRefused = aRevision;
+      mRefusal = Describe(document.assume_error());
+    }
+    return false;
+  }
+  if (aRevision > mRefused) {
+    mRefusal.clear();
+  }
+  mPatch = mHeld.mRevision == 0 ? std::string() : MakePatch(mHeld.mText, aText);
+  mPatchBase = mPatch.empty() ? 0 : mHeld.mRevision;
+  mHeld = { aRevision, aText, std::move(document).assume_value() };
+  return true;
+}
+
+bool
+configuration_watch::OnPeer(std::uint64_t aRevision, const std::string& aText)
+{
+  return aRevision > mHeld.mRevision && Adopt(aRevision, aText);
+}
+
+} // namespace mangospan::fleet
--- a/mangospan/platform/store.h
+++ b/mangospan/platform/store.h
@@ -70,7 +70,7 @@
 
 // Values are at most this many bytes; larger ones are refused with kTooLarge
 // before anything is sent.
-inline constexpr std::size_t kMaxValueBytes = 1000 * 1000;
+inline constexpr std::size_t kMaxValueBytes = std::size_t{ 1000 } * 1000;
 
 // Errors common to all calls: kUnavailable (certainly not carried out),
 // kUnknownResult (sent, no answer), kInvalidArgument.
--- a/mangospan/wire/message.h
+++ b/mangospan/wire/message.h
@@ -20,7 +20,7 @@
 namespace mangospan::wire {
 
 inline constexpr int kProtocolVersion = 1;
-inline constexpr std::size_t kMaxMessageBytes = 2 * 1024 * 1024;
+inline constexpr std::size_t kMaxMessageBytes = std::size_t{ 2 } * 1024 * 1024;
 
 enum class process_role
 {
@@ -53,6 +53,8 @@
   view::version mView;      // what the sender holds
   std::uint64_t mConfigRevision = 0;
   std::vector<held_share> mShares;
+  // The highest term heard; the sender adopts no view of a lower one.
+  std::uint64_t mTermHeard = 0;
 };
 
 // From the acting fleet process to every process of its zone, twice a second.
