--- /dev/null
+++ b/mangospan/fleet/budget_demand.cc
@@ -0,0 +1,76 @@
+#include "mangospan/fleet/budget_demand.h"
+
+#include <algorithm>
+
+namespace mangospan::fleet {
+
+namespace {
+
+// Operators' drains go first, then maintenance, then moves.
+int
+Urgency(host_purpose aPurpose)
+{
+  switch (aPurpose) {
+    case host_purpose::kOperatorDrain:
+      return 0;
+    case host_purpose::kMaintenance:
+      return 1;
+    default:
+      return 2;
+  }
+}
+
+bool
+IsUp(const host_record& aRecord, const platform::host_info* aHost)
+{
+  return aRecord.mPhase == host_phase::kServing && aHost != nullptr &&
+         aHost->mState == platform::host_state::kLive;
+}
+
+} // namespace
+
+bool
+IsJoining(const host_record& aRecord)
+{
+  return aRecord.mPurpose == host_purpose::kMove &&
+         aRecord.mPool == aRecord.mTarget &&
+         aRecord.mPhase != host_phase::kServing;
+}
+
+budget_demands
+MakeDemands(const zone_hosts& aHosts,
+            const config::document& aDocument,
+            const host_intents& aIntents,
+            std::int64_t aUtc)
+{
+  budget_demands demands;
+  for (const config::pool& pool : aDocument.mPools) {
+    demands[pool.mName].mBudget = pool.mMaxUnavailable;
+  }
+  for (const auto& [host, record] : aHosts.Record().mHosts) {
+    if (IsJoining(record)) {
+      continue;
+    }
+    pool_demand& demand = demands[record.mPool];
+    ++demand.mHosts;
+    const auto intent = aIntents.find(host);
+    if (record.mPhase != host_phase::kServing &&
+        record.mPurpose != host_purpose::kNone) {
+      demand.mHeld.push_back({ host, record.mPurpose, aUtc, record.mFailed });
+    } else if (!IsUp(record, aHosts.Find(host))) {
+      demand.mDown.push_back(host);
+    } else if (intent != aIntents.end()) {
+      demand.mWanted.push_back({ host, intent->second.mPurpose, aUtc, false });
+    }
+  }
+  for (auto& [pool, demand] : demands) {
+    std::stable_sort(demand.mWanted.begin(),
+                     demand.mWanted.end(),
+                     [](const permit& aLeft, const permit& aRight) {
+                       return Urgency(aLeft.mReason) < Urgency(aRight.mReason);
+                     });
+  }
+  return demands;
+}
+
+} // namespace mangospan::fleet
--- a/mangospan/fleet/host_steps.h
+++ b/mangospan/fleet/host_steps.h
@@ -48,6 +48,7 @@
   const host_intents* mIntents = nullptr;
   const std::set<host_name>* mDrains = nullptr; // operators' drains
   std::int64_t mUtc = 0;                        // seconds since 1970
+  std::string mWave; // the last wave that operators started
 
   // True if the permit for the host's drain is in the store.
   std::function<bool(const host_name&, const host_record&)> mPermitted;
--- a/mangospan/fleet/internal/records_json.cc
+++ b/mangospan/fleet/internal/records_json.cc
@@ -218,9 +218,15 @@
   for (const auto& [host, record] : aRecord.mHosts) {
     hosts[host.Str()] = record;
   }
+  json failures = json::object();
+  for (const auto& [host, since] : aRecord.mFailures) {
+    failures[host.Str()] = since;
+  }
   return json{
     { "term", aRecord.mTerm },
     { "write", aRecord.mWrite },
+    { "failures", std::move(failures) },
+    { "failures_wave", aRecord.mFailuresWave },
     { "hosts", std::move(hosts) }
   }.dump();
 }
@@ -293,6 +299,12 @@
       for (const auto& [host, value] : aJson.at("hosts").items()) {
         aRecord.mHosts[host_name(host)] = value.get<host_record>();
       }
+      aRecord.mFailuresWave = Get<std::string>(aJson, "failures_wave");
+      if (aJson.contains("failures")) {
+        for (const auto& [host, since] : aJson["failures"].items()) {
+          aRecord.mFailures[host_name(host)] = since.get<std::int64_t>();
+        }
+      }
     });
 }
 
--- a/mangospan/fleet/leadership.cc
+++ b/mangospan/fleet/leadership.cc
@@ -63,8 +63,7 @@
       aQueue.Store(store_purpose::kLeadership, read_call{ LeaderKey(mZone) });
     return;
   }
-  if (aNow >= mValidUntil && mStep != step::kGranting) {
-    Lose(aNow);
+  if (Expire(aNow)) {
     return;
   }
   if (mStep == step::kHolding && mCall == 0 && aNow >= mRenewAt) {
@@ -81,6 +80,9 @@
   if (mCall == 0 || aCall != mCall) {
     return false;
   }
+  if (Expire(aNow)) {
+    return true;
+  }
   mCall = 0;
   switch (mStep) {
     case step::kGranting:
@@ -101,6 +103,20 @@
   return true;
 }
 
+// A renewal that is answered after the lease has lapsed here must not revive
+// it: views would be numbered anew under a term that entries have heard.
+bool
+leadership::Expire(time_point aNow)
+{
+  const bool holds = mStep == step::kClaiming || mStep == step::kReadingBack ||
+                     mStep == step::kHolding;
+  if (!holds || aNow < mValidUntil) {
+    return false;
+  }
+  Lose(aNow);
+  return true;
+}
+
 void
 leadership::Grant(time_point aNow, action_queue& aQueue)
 {
--- a/mangospan/fleet/leadership.h
+++ b/mangospan/fleet/leadership.h
@@ -63,6 +63,7 @@
     kHolding,
   };
 
+  bool Expire(time_point aNow);
   void Grant(time_point aNow, action_queue& aQueue);
   void Claim(action_queue& aQueue);
   void Renew(time_point aNow, action_queue& aQueue);
--- /dev/null
+++ b/mangospan/fleet/pool_budgets.cc
@@ -0,0 +1,286 @@
+#include "mangospan/fleet/pool_budgets.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace mangospan::fleet {
+
+namespace {
+
+// Keeps 0.07 of 100 hosts at 7 in spite of binary fractions.
+constexpr double kRoundingSlack = 1e-9;
+
+const permit*
+FindPermit(const std::vector<permit>& aPermits, const host_name& aHost)
+{
+  const auto found =
+    std::find_if(aPermits.begin(), aPermits.end(), [&](const permit& aPermit) {
+      return aPermit.mHost == aHost;
+    });
+  return found == aPermits.end() ? nullptr : &*found;
+}
+
+// The permit as recorded earlier, so that its date stays.
+permit
+WithRecordedDate(permit aPermit, const zone_share& aRecorded)
+{
+  if (const permit* old = FindPermit(aRecorded.mPermits, aPermit.mHost)) {
+    aPermit.mSince = old->mSince;
+  }
+  return aPermit;
+}
+
+std::size_t
+Unavailable(const zone_share& aShare)
+{
+  return aShare.mPermits.size() + aShare.mDown.size();
+}
+
+} // namespace
+
+std::size_t
+AllowedDown(const config::availability_budget& aBudget, std::size_t aHosts)
+{
+  if (aBudget.mCount) {
+    return std::min(*aBudget.mCount, aHosts);
+  }
+  const double share = std::clamp(aBudget.mShare.value_or(0), 0.0, 1.0);
+  return static_cast<std::size_t>(
+    std::floor(share * static_cast<double>(aHosts) + kRoundingSlack));
+}
+
+pool_budgets::pool_budgets(zone_name aZone,
+                           const settings& aSettings,
+                           std::uint64_t aSeed)
+  : mZone(std::move(aZone))
+  , mSettings(aSettings)
+  , mRandom(static_cast<std::minstd_rand::result_type>(aSeed))
+  , mSilent(aSettings)
+{
+}
+
+void
+pool_budgets::Reset()
+{
+  mPools.clear();
+  mSilent.Reset();
+}
+
+pool_budgets::pool_state&
+pool_budgets::At(const pool_name& aPool)
+{
+  return mPools
+    .try_emplace(aPool,
+                 pool_state{ { BudgetKey(aPool),
+                               store_purpose::kBudget,
+                               mSettings.mStoreRetry,
+                               mSettings.mStoreRetryMax },
+                             {},
+                             {},
+                             {} })
+    .first->second;
+}
+
+bool
+pool_budgets::OnResult(call_id aCall,
+                       const store_result& aResult,
+                       time_point aNow,
+                       action_queue& aQueue)
+{
+  if (mSilent.OnResult(aCall, aResult, aNow)) {
+    return true;
+  }
+  for (auto& [pool, state] : mPools) {
+    if (state.mRecord.OnResult(aCall, aResult, aNow, aQueue) ==
+        record_event::kNone) {
+      continue;
+    }
+    auto parsed = ParseBudget(state.mRecord.Value(), BudgetKey(pool));
+    state.mConfirmed =
+      parsed.has_value() ? std::move(parsed).assume_value() : budget_record{};
+    state.mReloadAt = aNow + ReloadDelay();
+    return true;
+  }
+  return false;
+}
+
+void
+pool_budgets::OnTick(time_point aNow, action_queue& aQueue)
+{
+  for (auto& [pool, state] : mPools) {
+    state.mRecord.OnTick(aNow, aQueue);
+  }
+}
+
+void
+pool_budgets::Step(const budget_demands& aDemands,
+                   std::uint64_t aTerm,
+                   write_ids& aIds,
+                   time_point aNow,
+                   action_queue& aQueue)
+{
+  for (const auto& [pool, demand] : aDemands) {
+    if (mPools.count(pool) != 0 || demand.mHosts != 0) {
+      StepPool(pool, demand, aTerm, aIds, aNow, aQueue);
+    }
+  }
+}
+
+void
+pool_budgets::StepPool(const pool_name& aPool,
+                       const pool_demand& aDemand,
+                       std::uint64_t aTerm,
+                       write_ids& aIds,
+                       time_point aNow,
+                       action_queue& aQueue)
+{
+  pool_state& state = At(aPool);
+  if (!state.mRecord.Known()) {
+    state.mRecord.Load(aQueue);
+    return;
+  }
+  if (!state.mRecord.Idle()) {
+    return;
+  }
+  const zone_share& now = state.mConfirmed.mZones[mZone];
+  zone_share next = NextShare(state, aDemand, aTerm, aNow, aQueue);
+  // A permit counts only under this term, whose write makes any that a former
+  // holder has under way fail. Without permits there is nothing to fence.
+  if (next.mPermits.empty() && now.mPermits.empty()) {
+    next.mTerm = now.mTerm;
+  }
+  if (!(next == now)) {
+    budget_record record = state.mConfirmed;
+    record.mWrite = aIds.Next();
+    record.mZones[mZone] = std::move(next);
+    state.mRecord.Write(ToText(record), aQueue);
+  } else if (!state.mWaitReason.empty() && aNow >= state.mReloadAt) {
+    state.mRecord.Load(aQueue);
+  }
+}
+
+zone_share
+pool_budgets::NextShare(pool_state& aState,
+                        const pool_demand& aDemand,
+                        std::uint64_t aTerm,
+                        time_point aNow,
+                        action_queue& aQueue)
+{
+  const budget_record& record = aState.mConfirmed;
+  const zone_share& now = aState.mConfirmed.mZones[mZone];
+  zone_share next{ aTerm, aDemand.mHosts, aDemand.mDown, {} };
+  for (const permit& held : aDemand.mHeld) {
+    next.mPermits.push_back(WithRecordedDate(held, now));
+  }
+  std::size_t hosts = aDemand.mHosts;
+  for (const zone_name& zone : OtherZones(record)) {
+    hosts += record.mZones.at(zone).mHosts;
+  }
+  const std::size_t allowed = AllowedDown(aDemand.mBudget, hosts);
+  aState.mWaitReason.clear();
+  for (const permit& wanted : aDemand.mWanted) {
+    const bool granted = FindPermit(now.mPermits, wanted.mHost) != nullptr;
+    const std::size_t known =
+      UnavailableElsewhere(record, false) + Unavailable(next);
+    if (known + 1 > allowed) {
+      aState.mWaitReason =
+        "waits for the availability budget: " + std::to_string(known) + " of " +
+        std::to_string(allowed) + " hosts unavailable";
+      continue;
+    }
+    if (!granted && !mSilent.Check(OtherZones(record), aNow, aQueue)) {
+      aState.mWaitReason = "waits to learn which zones are silent";
+      continue;
+    }
+    const std::size_t unavailable =
+      UnavailableElsewhere(record, true) + Unavailable(next);
+    if (!granted && unavailable + 1 > allowed) {
+      aState.mWaitReason =
+        "waits for the availability budget: " + std::to_string(unavailable) +
+        " of " + std::to_string(allowed) +
+        " hosts unavailable, silent zones included";
+      continue;
+    }
+    next.mPermits.push_back(WithRecordedDate(wanted, now));
+  }
+  std::sort(next.mPermits.begin(),
+            next.mPermits.end(),
+            [](const permit& aLeft, const permit& aRight) {
+              return aLeft.mHost < aRight.mHost;
+            });
+  return next;
+}
+
+std::vector<zone_name>
+pool_budgets::OtherZones(const budget_record& aRecord) const
+{
+  std::vector<zone_name> zones;
+  for (const auto& [zone, share] : aRecord.mZones) {
+    if (zone != mZone && share.mHosts != 0) {
+      zones.push_back(zone);
+    }
+  }
+  return zones;
+}
+
+std::size_t
+pool_budgets::UnavailableElsewhere(const budget_record& aRecord,
+                                   bool aWithSilence) const
+{
+  std::size_t count = 0;
+  for (const zone_name& zone : OtherZones(aRecord)) {
+    const zone_share& share = aRecord.mZones.at(zone);
+    count += aWithSilence && mSilent.IsSilent(zone) ? share.mHosts
+                                                    : Unavailable(share);
+  }
+  return count;
+}
+
+bool
+pool_budgets::Permitted(const pool_name& aPool,
+                        const host_name& aHost,
+                        std::uint64_t aTerm) const
+{
+  const auto found = mPools.find(aPool);
+  if (found == mPools.end() || !found->second.mRecord.Idle()) {
+    return false;
+  }
+  const auto share = found->second.mConfirmed.mZones.find(mZone);
+  return share != found->second.mConfirmed.mZones.end() &&
+         share->second.mTerm == aTerm &&
+         FindPermit(share->second.mPermits, aHost) != nullptr;
+}
+
+std::string
+pool_budgets::WaitReason(const pool_name& aPool) const
+{
+  const auto found = mPools.find(aPool);
+  return found == mPools.end() ? std::string() : found->second.mWaitReason;
+}
+
+std::size_t
+pool_budgets::Failures(const pool_name& aPool) const
+{
+  const auto found = mPools.find(aPool);
+  if (found == mPools.end()) {
+    return 0;
+  }
+  std::size_t failures = 0;
+  for (const auto& [zone, share] : found->second.mConfirmed.mZones) {
+    for (const permit& each : share.mPermits) {
+      failures += each.mFailed && each.mReason == host_purpose::kMaintenance;
+    }
+  }
+  return failures;
+}
+
+std::chrono::milliseconds
+pool_budgets::ReloadDelay()
+{
+  const std::int64_t span = mSettings.mBudgetRetry.count();
+  return std::chrono::milliseconds(
+    std::uniform_int_distribution<std::int64_t>(span / 2, span)(mRandom));
+}
+
+} // namespace mangospan::fleet
--- a/mangospan/fleet/records.h
+++ b/mangospan/fleet/records.h
@@ -94,6 +94,10 @@
   std::uint64_t mTerm = 0;
   write_id mWrite;
   std::map<host_name, host_record> mHosts;
+  // Hosts that failed in maintenance since `mFailuresWave` was started, with
+  // the time in seconds since 1970.
+  std::map<host_name, std::int64_t> mFailures;
+  std::string mFailuresWave;
 };
 
 // `zones/<z>/entries`: the entries whose acknowledgement moves wait for.
--- /dev/null
+++ b/mangospan/fleet/records_test.cc
@@ -0,0 +1,73 @@
+#include "mangospan/fleet/records.h"
+
+#include <gtest/gtest.h>
+
+namespace mangospan::fleet {
+namespace {
+
+TEST(records, TheHostsRecordKeepsEveryField)
+{
+  hosts_record record;
+  record.mTerm = 7;
+  record.mWrite = { { 5 }, 3 };
+  host_record host;
+  host.mPool = pool_name("work");
+  host.mPhase = host_phase::kStopping;
+  host.mPurpose = host_purpose::kMove;
+  host.mTarget = pool_name("spare");
+  host.mEpoch = 4;
+  host.mAction = { { 5 }, 2 };
+  host.mMaintained = 100;
+  host.mWave = "w1";
+  host.mFailed = true;
+  record.mHosts[host_name("a-0")] = host;
+  record.mFailures[host_name("a-1")] = 200;
+  record.mFailuresWave = "w1";
+  const hosts_record read = ParseHosts(ToText(record), "hosts").value();
+  EXPECT_EQ(read.mHosts, record.mHosts);
+  EXPECT_EQ(read.mFailures, record.mFailures);
+  EXPECT_EQ(ToText(read), ToText(record));
+}
+
+TEST(records, TheBudgetRecordKeepsEveryField)
+{
+  budget_record record;
+  record.mWrite = { { 5 }, 3 };
+  zone_share& share = record.mZones[zone_name("a")];
+  share.mTerm = 7;
+  share.mHosts = 12;
+  share.mDown = { host_name("a-2") };
+  share.mPermits = {
+    { host_name("a-1"), host_purpose::kMaintenance, 9, true }
+  };
+  const budget_record read = ParseBudget(ToText(record), "budget").value();
+  EXPECT_EQ(read.mZones, record.mZones);
+}
+
+TEST(records, ADocumentMayStandAsJsonOrAsText)
+{
+  const auto nested =
+    ParseConfigRecord(R"({"change_id":"c","document":{"pools":[]}})", "k");
+  EXPECT_EQ(nested.value().mDocument, R"({"pools":[]})");
+  const auto text = ParseConfigRecord(R"({"document":"{}"})", "k");
+  EXPECT_EQ(text.value().mDocument, "{}");
+}
+
+TEST(records, BadTextIsAnErrorThatNamesTheKey)
+{
+  for (const char* text : { "", "{", "[]", R"({"term":1})" }) {
+    const auto parsed = ParseHosts(text, "zones/a/hosts");
+    ASSERT_TRUE(parsed.has_error()) << text;
+    EXPECT_EQ(parsed.assume_error().mPeer, "zones/a/hosts");
+  }
+}
+
+TEST(records, APatchLeadsFromOneDocumentToTheNext)
+{
+  EXPECT_EQ(MakePatch(R"({"a":1,"b":2})", R"({"a":1,"b":3})"),
+            R"([{"op":"replace","path":"/b","value":3}])");
+  EXPECT_EQ(MakePatch("not JSON", "{}"), "");
+}
+
+} // namespace
+} // namespace mangospan::fleet
--- a/mangospan/fleet/settings.h
+++ b/mangospan/fleet/settings.h
@@ -31,10 +31,13 @@
   std::chrono::milliseconds mSilentAfter{ 2500 }; // without an entry's report
   std::chrono::milliseconds mEntryFence{ 60000 }; // list lag, longest deadline
   std::chrono::milliseconds mHostFence{ 60000 };  // a gone host leaves its pool
+  std::chrono::milliseconds mListLag{ 10000 };    // of the platform's list
   std::chrono::milliseconds mBudgetRetry{ 2000 }; // while a permit is refused
   std::chrono::milliseconds mZoneCheckFor{ 3000 }; // a silence check is valid
   std::chrono::milliseconds mSizingEvery{ 1000 };
+  std::chrono::milliseconds mSizingLearn{ 30000 };  // before the first move
   std::chrono::milliseconds mMoveInterval{ 10000 }; // between a pool's moves
+  std::chrono::milliseconds mSurplusFor{ 30000 };   // before it is given back
 };
 
 // The process that decides: one run of a fleet process on an entry host.
--- a/mangospan/fleet/zone_controller.cc
+++ b/mangospan/fleet/zone_controller.cc
@@ -4,16 +4,22 @@
 #include <set>
 #include <utility>
 
+#include "mangospan/fleet/budget_demand.h"
 #include "mangospan/fleet/configuration_watch.h"
+#include "mangospan/fleet/demand_history.h"
 #include "mangospan/fleet/drain_acknowledgements.h"
 #include "mangospan/fleet/entry_table.h"
 #include "mangospan/fleet/leadership.h"
+#include "mangospan/fleet/maintenance_waves.h"
 #include "mangospan/fleet/membership.h"
+#include "mangospan/fleet/pool_budgets.h"
+#include "mangospan/fleet/pool_sizing.h"
 #include "mangospan/fleet/records.h"
 #include "mangospan/fleet/share_allocation.h"
 #include "mangospan/fleet/view_builder.h"
 #include "mangospan/fleet/write_ids.h"
 #include "mangospan/fleet/zone_hosts.h"
+#include "mangospan/fleet/zone_status.h"
 
 namespace mangospan::fleet {
 
@@ -21,6 +27,8 @@
 
 // A push that an entry has not acknowledged is repeated after this time.
 constexpr std::chrono::milliseconds kRepeatPush{ 2000 };
+// Time alone changes plans no faster than this.
+constexpr std::chrono::milliseconds kStepEvery{ 100 };
 
 std::string
 TextOf(std::uint64_t aValue)
@@ -57,6 +65,10 @@
     , mMembership(mZone, aSettings)
     , mConfiguration(std::move(aParse), aSettings)
     , mHosts(mZone, aSettings)
+    , mBudgets(mZone, aSettings, aSeed)
+    , mDemand(aSettings.mSizingEvery)
+    , mSizing(aSettings)
+    , mStatus(mZone, aSettings)
   {
   }
 
@@ -68,6 +80,8 @@
   void CheckSuperseded(time_point aNow);
   void StepRecords(time_point aNow);
   step_inputs StepInputs();
+  void PlanIntents(time_point aNow);
+  void WriteStatus(time_point aNow);
   void PushView(time_point aNow);
   void PushViewTo(const view::entry_id& aEntry,
                   known_entry& aKnown,
@@ -88,6 +102,10 @@
   zone_hosts mHosts;
   share_allocation mShares;
   drain_acknowledgements mDrained;
+  pool_budgets mBudgets;
+  demand_history mDemand;
+  pool_sizing mSizing;
+  status_writer mStatus;
   entry_table mEntries;
 
   bool mActing = false;
@@ -98,6 +116,9 @@
   view::zone_view mView;
   host_intents mIntents;
   std::set<host_name> mDrains;
+  std::vector<wave_progress> mWaves;
+  bool mChanged = false; // something that plans and views are made of
+  time_point mStepAt;
 };
 
 zone_controller::zone_controller(zone_name aZone,
@@ -119,17 +140,22 @@
 zone_controller::state::Step(time_point aNow)
 {
   const bool acting = mLeadership.Acting(aNow);
+  const bool due = mChanged || aNow >= mStepAt;
   if (mActing && (!acting || mLeadership.Term() != mTerm)) {
     EndActing("lease lost");
   }
   if (acting && !mActing) {
     BeginActing(aNow);
   }
-  if (mActing) {
+  if (mActing && due) {
+    mChanged = false;
+    mStepAt = aNow + kStepEvery;
     StepRecords(aNow);
+    if (mActing) {
+      PushView(aNow);
+    }
   }
   if (mActing) {
-    PushView(aNow);
     Heartbeat(aNow);
   }
   PushConfiguration(aNow);
@@ -146,10 +172,15 @@
   mView = {};
   mShares.Reset();
   mDrained.Reset();
+  mBudgets.Reset();
+  mDemand.Reset();
+  mSizing.Reset();
+  mIntents.clear();
   mQueue.Push(start_acting{ mTerm });
   mHosts.Start(mQueue);
   mMembership.Start(mQueue);
   mConfiguration.Start(mTerm, mQueue);
+  mStatus.Start(mQueue);
 }
 
 void
@@ -159,6 +190,8 @@
   mHosts.Stop();
   mMembership.Stop();
   mConfiguration.Stop();
+  mBudgets.Reset();
+  mStatus.Stop();
   mQueue.Push(stop_acting{ aReason });
 }
 
@@ -184,8 +217,10 @@
   inputs.mIntents = &mIntents;
   inputs.mDrains = &mDrains;
   inputs.mUtc = mUtc;
-  inputs.mPermitted = [](const host_name&, const host_record&) {
-    return false;
+  inputs.mWave = mConfiguration.Wave().mId;
+  inputs.mPermitted = [this](const host_name& aHost,
+                             const host_record& aRecord) {
+    return mBudgets.Permitted(aRecord.mPool, aHost, mTerm);
   };
   inputs.mEmptied = [this](const host_name& aHost, const host_record& aRecord) {
     return mMembership.Ready(mTerm) &&
@@ -207,12 +242,69 @@
   }
   mDrained.Prune(mHosts.Record());
   mMembership.Step(mTerm, mIds, aNow, mQueue);
+  const config::document& document = mConfiguration.Held().mDocument;
+  const bool ready = mHosts.Ready(mTerm) && mHosts.Listed() &&
+                     mMembership.Ready(mTerm) && mConfiguration.Ready() &&
+                     mConfiguration.Held().mRevision != 0;
+  if (ready && mHosts.Settled()) {
+    PlanIntents(aNow);
+    mBudgets.Step(
+      MakeDemands(mHosts, document, mIntents, mUtc), mTerm, mIds, aNow, mQueue);
+  }
   mHosts.Step(StepInputs(), mTerm, mIds, aNow, mQueue);
   if (mHosts.Ready(mTerm)) {
-    mHosts.Act(mConfiguration.Held().mDocument, aNow, mQueue);
+    mHosts.Act(document, aNow, mQueue);
+  }
+  if (ready) {
+    WriteStatus(aNow);
   }
 }
 
+void
+zone_controller::state::PlanIntents(time_point aNow)
+{
+  const config::document& document = mConfiguration.Held().mDocument;
+  mDemand.OnTick(aNow);
+  mSizing.OnTick(mHosts, document, mDemand, aNow);
+  wave_plan plan = PlanWaves(
+    { document,
+      mConfiguration.Wave(),
+      mHosts,
+      mUtc,
+      [this](const pool_name& aPool) { return mSizing.Needed(aPool); },
+      [this](const pool_name& aPool) { return mBudgets.Failures(aPool); } });
+  mWaves = std::move(plan.mProgress);
+  // An operator's drain goes before a wave, and a wave before a move.
+  mIntents.clear();
+  mDrains = { mConfiguration.Drains().begin(), mConfiguration.Drains().end() };
+  for (const host_name& host : mDrains) {
+    mIntents[host] = { host_purpose::kOperatorDrain, {}, {} };
+  }
+  mIntents.insert(plan.mIntents.begin(), plan.mIntents.end());
+  mIntents.insert(mSizing.Moves().begin(), mSizing.Moves().end());
+}
+
+void
+zone_controller::state::WriteStatus(time_point aNow)
+{
+  mStatus.Step(
+    [&] {
+      return MakeStatus({ mConfiguration,
+                          mHosts,
+                          mMembership,
+                          mDrained,
+                          mBudgets,
+                          mEntries,
+                          mIntents,
+                          mWaves,
+                          aNow - mSettings.mSilentAfter });
+    },
+    mTerm,
+    mIds,
+    aNow,
+    mQueue);
+}
+
 void
 zone_controller::state::PushView(time_point aNow)
 {
@@ -349,6 +441,8 @@
   if (self.mActing && self.mLeadership.Acting(aNow)) {
     self.mHosts.OnTick(aNow, self.mQueue);
     self.mConfiguration.OnTick(aNow, self.mQueue);
+    self.mBudgets.OnTick(aNow, self.mQueue);
+    self.mStatus.OnTick(aNow, self.mQueue);
   }
   return self.Step(aNow);
 }
@@ -359,13 +453,16 @@
                                time_point aNow)
 {
   state& self = *mState;
+  self.mChanged = true;
   if (self.mLeadership.OnResult(aCall, aResult, aNow, self.mQueue)) {
     return self.Step(aNow);
   }
   if (!self.mActing || !self.mLeadership.Acting(aNow)) {
     return self.Step(aNow);
   }
-  if (self.mConfiguration.OnResult(aCall, aResult, aNow, self.mQueue)) {
+  if (self.mConfiguration.OnResult(aCall, aResult, aNow, self.mQueue) ||
+      self.mBudgets.OnResult(aCall, aResult, aNow, self.mQueue) ||
+      self.mStatus.OnResult(aCall, aResult, aNow, self.mQueue)) {
     return self.Step(aNow);
   }
   const record_event members =
@@ -386,6 +483,7 @@
   state& self = *mState;
   if (self.mHosts.OnHostList(aCall, aResult, aNow) && aResult.has_value()) {
     self.mMembership.OnHostList(self.mHosts.List(), aNow);
+    self.mChanged = self.mChanged || !aResult.assume_value().mHosts.empty();
   }
   return self.Step(aNow);
 }
@@ -396,6 +494,7 @@
                                 time_point aNow)
 {
   mState->mHosts.OnActionResult(aCall, aResult, aNow);
+  mState->mChanged = true;
   return mState->Step(aNow);
 }
 
@@ -406,6 +505,7 @@
 {
   state& self = *mState;
   known_entry& entry = self.Hear(aEntry, aNow);
+  self.mChanged = true;
   entry.mView = aHello.mView;
   entry.mConfigRevision = aHello.mConfigRevision;
   entry.mPushedConfig = 0;
@@ -424,10 +524,14 @@
 {
   state& self = *mState;
   known_entry& entry = self.Hear(aEntry, aNow);
+  self.mChanged =
+    self.mChanged || entry.mView < aReport.mView || !aReport.mEmptied.empty();
   entry.mView = std::max(entry.mView, aReport.mView);
   entry.mConfigRevision =
     std::max(entry.mConfigRevision, aReport.mConfigRevision);
   if (self.mActing) {
+    self.mDemand.OnReport(
+      aEntry, aReport.mDemand, self.mConfiguration.Held().mDocument);
     for (const wire::emptied_host& host : aReport.mEmptied) {
       self.mDrained.OnEmptied(aEntry, host, self.mHosts.Record());
       if (IsListedDraining(self.mView, host)) {
@@ -446,6 +550,7 @@
 {
   mState->mEntries.erase(aEntry);
   mState->mMembership.OnGoodbye(aEntry);
+  mState->mChanged = true;
   return mState->Step(aNow);
 }
 
@@ -473,7 +578,8 @@
                                  const std::string& aText,
                                  time_point aNow)
 {
-  mState->mConfiguration.OnPeer(aRevision, aText);
+  mState->mChanged =
+    mState->mConfiguration.OnPeer(aRevision, aText) || mState->mChanged;
   return mState->Step(aNow);
 }
 
@@ -519,7 +625,8 @@
          "\",\"acting\":" + (self.mActing ? "true" : "false") +
          ",\"term\":" + TextOf(Term()) +
          ",\"configuration\":" + TextOf(self.mConfiguration.Held().mRevision) +
-         ",\"hosts\":" + ToText(self.mHosts.Record()) + "}";
+         ",\"hosts\":" + ToText(self.mHosts.Record()) +
+         ",\"status\":" + ToText(self.mStatus.Last()) + "}";
 }
 
 } // namespace mangospan::fleet
--- /dev/null
+++ b/mangospan/fleet/zone_controller_test.cc
@@ -0,0 +1,201 @@
+#include "mangospan/fleet/zone_controller.h"
+
+#include <string>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include "mangospan/fleet/testing/fake_fleet.h"
+
+namespace mangospan::fleet {
+namespace {
+
+using testing::fake_entry;
+using testing::fake_fleet;
+using testing::fake_process;
+using testing::fleet_options;
+using ::testing::IsEmpty;
+using testing::milliseconds;
+
+class zone_controller_test : public ::testing::Test
+{
+protected:
+  zone_controller_test()
+    : mFleet(Options(), kSeed)
+  {
+    mFleet.Apply(testing::TwoPools(1));
+    mFleet.Run(milliseconds(3000));
+  }
+
+  ~zone_controller_test() override
+  {
+    EXPECT_THAT(mFleet.Violations(), IsEmpty()) << "seed " << kSeed;
+  }
+
+  static fleet_options Options()
+  {
+    fleet_options options;
+    options.mSettings = testing::ShortSettings();
+    return options;
+  }
+
+  zone_name Zone() const { return mFleet.Zone(0); }
+  fake_process& Acting() { return *mFleet.Acting(Zone()); }
+  host_record Host(const char* aHost) const
+  {
+    return mFleet.Hosts(Zone()).mHosts.at(host_name(aHost));
+  }
+
+  static constexpr std::uint64_t kSeed = 7;
+  fake_fleet mFleet;
+};
+
+TEST_F(zone_controller_test, OneProcessActsAndAdoptsTheListedHosts)
+{
+  ASSERT_NE(mFleet.Acting(Zone()), nullptr);
+  EXPECT_EQ(Host("a-0").mPool, pool_name("work"));
+  EXPECT_EQ(Host("a-3").mPool, pool_name("spare"));
+  EXPECT_EQ(mFleet.Hosts(Zone()).mTerm, Acting().mController->Term());
+}
+
+TEST_F(zone_controller_test, EveryEntryGetsViewSharesAndConfiguration)
+{
+  for (const auto& entry : mFleet.Entries()) {
+    EXPECT_TRUE(entry->mRegistered);
+    EXPECT_EQ(entry->mReported, Acting().mController->View().mVersion);
+    EXPECT_EQ(entry->mConfigRevision, mFleet.mStore.RevisionOf(kConfigKey));
+    EXPECT_EQ(entry->mInFlight.at(host_name("a-0")), 2U);
+  }
+}
+
+TEST_F(zone_controller_test, AnotherProcessTakesOverFromAKilledOne)
+{
+  const std::uint64_t term = Acting().mController->Term();
+  mFleet.Kill(Acting());
+  mFleet.Run(milliseconds(3500));
+  ASSERT_NE(mFleet.Acting(Zone()), nullptr);
+  EXPECT_GT(Acting().mController->Term(), term);
+  for (const auto& entry : mFleet.Entries()) {
+    EXPECT_EQ(entry->mReported.mTerm, Acting().mController->Term());
+    EXPECT_EQ(entry->mInFlight.at(host_name("a-0")), 2U);
+  }
+}
+
+TEST_F(zone_controller_test, AWokenHolderStopsBeforeItSaysAnything)
+{
+  fake_process& old = Acting();
+  mFleet.Freeze(old);
+  mFleet.Run(milliseconds(4000));
+  ASSERT_NE(mFleet.Acting(Zone()), nullptr);
+  mFleet.Thaw(old);
+  EXPECT_FALSE(old.mController->Acting());
+  EXPECT_NE(&Acting(), &old);
+}
+
+TEST_F(zone_controller_test, WithoutTheStoreNobodyActsAndEntriesKeepTheirView)
+{
+  mFleet.mStore.mDown = true;
+  mFleet.Run(milliseconds(5000));
+  EXPECT_EQ(mFleet.Acting(Zone()), nullptr);
+  EXPECT_EQ(mFleet.Entries()[0]->mInFlight.at(host_name("a-0")), 2U);
+  mFleet.mStore.mDown = false;
+  mFleet.Run(milliseconds(5000));
+  EXPECT_NE(mFleet.Acting(Zone()), nullptr);
+}
+
+TEST_F(zone_controller_test, ADrainedHostIsStoppedOnceEveryEntryIsEmpty)
+{
+  mFleet.Drain({ host_name("a-0") });
+  mFleet.Run(milliseconds(3000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kDrained);
+  mFleet.Drain({});
+  mFleet.Run(milliseconds(3000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kServing);
+  EXPECT_EQ(Host("a-0").mEpoch, 2U);
+  EXPECT_THAT(mFleet.Budget(pool_name("work")).mZones.at(Zone()).mPermits,
+              IsEmpty());
+}
+
+TEST_F(zone_controller_test, AFrozenEntryDelaysADrainAndIsNamedInTheStatus)
+{
+  mFleet.Entries()[1]->mFrozen = true;
+  mFleet.Drain({ host_name("a-0") });
+  mFleet.Run(milliseconds(8000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kDraining);
+  const auto status =
+    ParseStatus(mFleet.mStore.Get(StatusKey(Zone())), "status").value();
+  ASSERT_EQ(status.mWaiting.size(), 1U);
+  EXPECT_EQ(status.mWaiting[0].mReason, "waits for entry a-e1 to acknowledge");
+  EXPECT_EQ(status.mSilent, std::vector{ host_name("a-e1") });
+  mFleet.Entries()[1]->mFrozen = false;
+  mFleet.Run(milliseconds(5000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kDrained);
+}
+
+TEST_F(zone_controller_test, ALeavingHostGetsNoWorkButIsNotCut)
+{
+  mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kLeaving);
+  mFleet.Run(milliseconds(3000));
+  EXPECT_EQ(mFleet.Entries()[0]->mInFlight.at(host_name("a-0")), 0U);
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kServing);
+  EXPECT_EQ(mFleet.Budget(pool_name("work")).mZones.at(Zone()).mDown,
+            std::vector{ host_name("a-0") });
+}
+
+TEST_F(zone_controller_test, AWaveRebootsEveryHostWithinTheBudget)
+{
+  mFleet.StartWave("w1", false);
+  mFleet.Run(milliseconds(12000));
+  for (const char* host : { "a-0", "a-1", "a-2" }) {
+    EXPECT_EQ(Host(host).mWave, "w1");
+    EXPECT_EQ(Host(host).mPhase, host_phase::kServing);
+    EXPECT_EQ(mFleet.mHosts.At(host_name(host)).mBootCount, 1U);
+  }
+  EXPECT_EQ(mFleet.mDrains, 3U);
+}
+
+TEST_F(zone_controller_test, APausedWaveDrainsNoMoreHosts)
+{
+  mFleet.StartWave("w1", true);
+  mFleet.Run(milliseconds(5000));
+  EXPECT_EQ(mFleet.mDrains, 0U);
+}
+
+TEST_F(zone_controller_test, FailuresStopAWaveUntilAnotherIsStarted)
+{
+  mFleet.Apply(testing::TwoPools(3));
+  mFleet.mHosts.mFailures = 1;
+  mFleet.StartWave("w1", false);
+  mFleet.Run(milliseconds(4000));
+  mFleet.mHosts.mFailures = 0;
+  mFleet.Run(milliseconds(6000));
+  const auto status =
+    ParseStatus(mFleet.mStore.Get(StatusKey(Zone())), "status").value();
+  ASSERT_FALSE(status.mWaves.empty());
+  EXPECT_EQ(status.mWaves[0].mState, "stopped: 2 hosts failed");
+  mFleet.StartWave("w2", false);
+  mFleet.Run(milliseconds(8000));
+  EXPECT_EQ(Host("a-0").mWave, "w2");
+}
+
+TEST_F(zone_controller_test, ABudgetOfNoHostDrainsNothing)
+{
+  mFleet.Apply(testing::TwoPools(0));
+  mFleet.StartWave("w1", false);
+  mFleet.Run(milliseconds(5000));
+  EXPECT_EQ(mFleet.mDrains, 0U);
+}
+
+TEST_F(zone_controller_test, DemandMovesHostsFromTheSparePoolAndBack)
+{
+  mFleet.mDemand = true;
+  mFleet.mDemandRate = 40;
+  mFleet.Run(milliseconds(8000));
+  EXPECT_EQ(Host("a-3").mPool, pool_name("work"));
+  mFleet.mDemandRate = 0;
+  mFleet.Run(milliseconds(500000));
+  EXPECT_GT(mFleet.mMoves, 1U);
+}
+
+} // namespace
+} // namespace mangospan::fleet
--- a/mangospan/fleet/zone_hosts.cc
+++ b/mangospan/fleet/zone_hosts.cc
@@ -1,5 +1,7 @@
 #include "mangospan/fleet/zone_hosts.h"
 
+#include <chrono>
+#include <iterator>
 #include <utility>
 
 namespace mangospan::fleet {
@@ -45,6 +47,8 @@
   mRecord.Reset();
   mConfirmed = {};
   mActions.clear();
+  mGoneSince.clear();
+  mServingSince.clear();
   mListCall = 0;
   mListed = false;
   mListRevision = 0;
@@ -63,6 +67,12 @@
     auto parsed = ParseHosts(mRecord.Value(), HostsKey(mZone));
     mConfirmed =
       parsed.has_value() ? std::move(parsed).assume_value() : hosts_record{};
+    // A host that has just returned is given the list's lag anew.
+    for (const auto& [host, record] : mConfirmed.mHosts) {
+      if (record.mPhase != host_phase::kServing) {
+        mServingSince.erase(host);
+      }
+    }
   }
   return event;
 }
@@ -82,6 +92,7 @@
   }
   const platform::host_list& list = aResult.assume_value();
   if (mListed && list.mRevision <= mListRevision) {
+    TrackPresence(aNow);
     return true;
   }
   mListed = true;
@@ -94,6 +105,7 @@
       mList.push_back(host);
     }
   }
+  TrackPresence(aNow);
   return true;
 }
 
@@ -116,29 +128,136 @@
   if (!mRecord.Idle()) {
     return;
   }
-  hosts_record next = mConfirmed;
+  const bool fenced = mConfirmed.mTerm == aTerm;
+  hosts_record next = fenced && mListed && aInputs.mDocument != nullptr
+                        ? Next(aInputs, aNow, aIds)
+                        : mConfirmed;
   next.mTerm = aTerm;
-  if (mConfirmed.mTerm == aTerm && mListed && aInputs.mDocument != nullptr) {
-    for (auto& [host, record] : next.mHosts) {
-      record = NextStep(host, record, aInputs, aNow, aIds);
+  if (fenced && next.mHosts == mConfirmed.mHosts &&
+      next.mFailures == mConfirmed.mFailures &&
+      next.mFailuresWave == mConfirmed.mFailuresWave) {
+    return;
+  }
+  next.mWrite = aIds.Next();
+  mRecord.Write(ToText(next), aQueue);
+}
+
+hosts_record
+zone_hosts::Next(const step_inputs& aInputs,
+                 time_point aNow,
+                 write_ids& aIds) const
+{
+  hosts_record next = mConfirmed;
+  for (auto& [host, record] : next.mHosts) {
+    const bool serving = record.mPhase == host_phase::kServing;
+    record = NextStep(host, record, aInputs, aNow, aIds);
+    if (serving) {
+      RestartRunner(host, record, aInputs, aNow, aIds);
     }
-    for (const platform::host_info& host : mList) {
-      if (host.mRole != platform::host_role::kWorker ||
-          host.mState != platform::host_state::kLive ||
-          next.mHosts.count(host.mHost) != 0) {
-        continue;
-      }
-      host_record adopted = Adopt(*aInputs.mDocument, host, aInputs.mUtc, aIds);
-      if (!adopted.mPool.Empty()) {
-        next.mHosts[host.mHost] = std::move(adopted);
-      }
+  }
+  NoteFailures(next, aInputs);
+  RemoveGone(next, aNow);
+  AdoptNew(next, aInputs, aIds);
+  return next;
+}
+
+void
+zone_hosts::AdoptNew(hosts_record& aNext,
+                     const step_inputs& aInputs,
+                     write_ids& aIds) const
+{
+  for (const platform::host_info& host : mList) {
+    if (host.mRole != platform::host_role::kWorker ||
+        host.mState != platform::host_state::kLive ||
+        aNext.mHosts.count(host.mHost) != 0) {
+      continue;
+    }
+    host_record adopted = Adopt(*aInputs.mDocument, host, aInputs.mUtc, aIds);
+    if (!adopted.mPool.Empty()) {
+      aNext.mHosts[host.mHost] = std::move(adopted);
+    }
+  }
+}
+
+void
+zone_hosts::NoteFailures(hosts_record& aNext, const step_inputs& aInputs)
+{
+  if (aNext.mFailuresWave != aInputs.mWave) {
+    aNext.mFailuresWave = aInputs.mWave;
+    aNext.mFailures.clear();
+  }
+  const std::int64_t period =
+    std::chrono::seconds(aInputs.mDocument->mMaintenance.mPeriod).count();
+  for (auto each = aNext.mFailures.begin(); each != aNext.mFailures.end();) {
+    each = each->second + period <= aInputs.mUtc ? aNext.mFailures.erase(each)
+                                                 : std::next(each);
+  }
+  for (const auto& [host, record] : aNext.mHosts) {
+    if (record.mFailed && record.mPurpose == host_purpose::kMaintenance) {
+      aNext.mFailures.try_emplace(host, aInputs.mUtc);
     }
   }
-  if (next.mTerm == mConfirmed.mTerm && next.mHosts == mConfirmed.mHosts) {
+}
+
+void
+zone_hosts::RemoveGone(hosts_record& aNext, time_point aNow) const
+{
+  for (const auto& [host, since] : mGoneSince) {
+    const auto found = aNext.mHosts.find(host);
+    if (found == aNext.mHosts.end() || aNow - since < mSettings.mHostFence) {
+      continue;
+    }
+    // A host that reboots may be off the list for as long as the limit allows.
+    const host_record& record = found->second;
+    const bool rebooting = record.mPhase == host_phase::kRebooting ||
+                           record.mPhase == host_phase::kStarting;
+    if (!rebooting || record.mFailed) {
+      aNext.mHosts.erase(found);
+    }
+  }
+}
+
+void
+zone_hosts::RestartRunner(const host_name& aHost,
+                          host_record& aRecord,
+                          const step_inputs& aInputs,
+                          time_point aNow,
+                          write_ids& aIds) const
+{
+  const auto since = mServingSince.find(aHost);
+  const platform::host_info* info = Find(aHost);
+  if (aRecord.mPhase != host_phase::kServing || info == nullptr ||
+      info->mState != platform::host_state::kLive || !info->mService.Empty() ||
+      since == mServingSince.end() ||
+      aNow - since->second < mSettings.mListLag ||
+      FindPool(*aInputs.mDocument, aRecord.mPool) == nullptr) {
     return;
   }
-  next.mWrite = aIds.Next();
-  mRecord.Write(ToText(next), aQueue);
+  // The host has restarted by itself: nothing is in flight there.
+  aRecord.mPhase = host_phase::kStarting;
+  aRecord.mAction = aIds.Next();
+}
+
+void
+zone_hosts::TrackPresence(time_point aNow)
+{
+  std::map<host_name, time_point> gone;
+  std::map<host_name, time_point> idle;
+  const auto keep = [aNow](const auto& aOld, auto& aNew, const auto& aHost) {
+    const auto old = aOld.find(aHost);
+    aNew[aHost] = old == aOld.end() ? aNow : old->second;
+  };
+  for (const auto& [host, record] : mConfirmed.mHosts) {
+    const platform::host_info* info = Find(host);
+    if (info == nullptr || info->mState == platform::host_state::kGone) {
+      keep(mGoneSince, gone, host);
+    } else if (record.mPhase == host_phase::kServing &&
+               info->mService.Empty()) {
+      keep(mServingSince, idle, host);
+    }
+  }
+  mGoneSince = std::move(gone);
+  mServingSince = std::move(idle);
 }
 
 void
--- a/mangospan/fleet/zone_hosts.h
+++ b/mangospan/fleet/zone_hosts.h
@@ -82,6 +82,21 @@
   action_progress Progress(const host_name& aHost) const;
 
 private:
+  hosts_record Next(const step_inputs& aInputs,
+                    time_point aNow,
+                    write_ids& aIds) const;
+  void AdoptNew(hosts_record& aNext,
+                const step_inputs& aInputs,
+                write_ids& aIds) const;
+  static void NoteFailures(hosts_record& aNext, const step_inputs& aInputs);
+  void RemoveGone(hosts_record& aNext, time_point aNow) const;
+  void RestartRunner(const host_name& aHost,
+                     host_record& aRecord,
+                     const step_inputs& aInputs,
+                     time_point aNow,
+                     write_ids& aIds) const;
+  void TrackPresence(time_point aNow);
+
   struct tracked_action
   {
     write_id mId;
@@ -103,6 +118,8 @@
   time_point mListAt;
 
   std::map<host_name, tracked_action> mActions;
+  std::map<host_name, time_point> mGoneSince;
+  std::map<host_name, time_point> mServingSince; // without a runner as listed
 };
 
 } // namespace mangospan::fleet
--- /dev/null
+++ b/mangospan/fleet/zone_status.cc
@@ -0,0 +1,154 @@
+#include "mangospan/fleet/zone_status.h"
+
+#include <string>
+#include <utility>
+
+namespace mangospan::fleet {
+
+namespace {
+
+// Entries named in one host's reason, so that the record stays small.
+constexpr std::size_t kMaxNamed = 3;
+
+std::string
+WaitsForEntries(const std::vector<view::entry_id>& aMissing)
+{
+  std::string text =
+    aMissing.size() == 1 ? "waits for entry " : "waits for entries ";
+  for (std::size_t i = 0; i < aMissing.size() && i < kMaxNamed; ++i) {
+    text += (i == 0 ? "" : ", ") + aMissing[i].mHost.Str();
+  }
+  if (aMissing.size() > kMaxNamed) {
+    text += " and " + std::to_string(aMissing.size() - kMaxNamed) + " more";
+  }
+  return text + " to acknowledge";
+}
+
+std::string
+Reason(const status_inputs& aInputs,
+       const host_name& aHost,
+       const host_record& aRecord)
+{
+  if (aRecord.mPhase == host_phase::kDraining) {
+    return WaitsForEntries(aInputs.mDrained.Missing(
+      aHost, aRecord.mEpoch, aInputs.mMembership.Registered()));
+  }
+  if (aRecord.mPhase == host_phase::kDrained) {
+    return "drained";
+  }
+  return std::string(aRecord.mFailed ? "failed, still " : "") +
+         Name(aRecord.mPhase);
+}
+
+std::vector<waiting_host>
+WaitingHosts(const status_inputs& aInputs)
+{
+  std::vector<waiting_host> waiting;
+  for (const auto& [host, record] : aInputs.mHosts.Record().mHosts) {
+    if (record.mPhase != host_phase::kServing) {
+      waiting.push_back(
+        { host, record.mPurpose, Reason(aInputs, host, record) });
+      continue;
+    }
+    const auto intent = aInputs.mIntents.find(host);
+    if (intent == aInputs.mIntents.end()) {
+      continue;
+    }
+    std::string reason = aInputs.mBudgets.WaitReason(record.mPool);
+    waiting.push_back({ host,
+                        intent->second.mPurpose,
+                        reason.empty() ? "waits for its permit" : reason });
+  }
+  return waiting;
+}
+
+} // namespace
+
+status_record
+MakeStatus(const status_inputs& aInputs)
+{
+  status_record status;
+  status.mConfigRevision = aInputs.mConfiguration.Held().mRevision;
+  status.mConfigError = aInputs.mConfiguration.Refusal();
+  for (const view::entry_member& member : aInputs.mMembership.Registered()) {
+    const auto entry = aInputs.mEntries.find(member.mId);
+    if (entry == aInputs.mEntries.end() ||
+        entry->second.mHeard < aInputs.mHeardSince) {
+      status.mSilent.push_back(member.mId.mHost);
+    } else if (entry->second.mConfigRevision >= status.mConfigRevision) {
+      status.mAcknowledged.push_back(member.mId.mHost);
+    }
+  }
+  status.mUnregistered = aInputs.mMembership.Unregistered();
+  status.mWaves = aInputs.mWaves;
+  status.mWaiting = WaitingHosts(aInputs);
+  return status;
+}
+
+status_writer::status_writer(const zone_name& aZone, const settings& aSettings)
+  : mSettings(aSettings)
+  , mRecord(StatusKey(aZone),
+            store_purpose::kStatus,
+            aSettings.mStoreRetry,
+            aSettings.mStoreRetryMax)
+{
+}
+
+void
+status_writer::Start(action_queue& aQueue)
+{
+  Stop();
+  mRecord.Load(aQueue);
+}
+
+void
+status_writer::Stop()
+{
+  mRecord.Reset();
+  mLast = {};
+  mLastContent.clear();
+}
+
+bool
+status_writer::OnResult(call_id aCall,
+                        const store_result& aResult,
+                        time_point aNow,
+                        action_queue& aQueue)
+{
+  const record_event event = mRecord.OnResult(aCall, aResult, aNow, aQueue);
+  if (event == record_event::kLoaded) {
+    mLastContent.clear(); // of another writer: to be written over
+  }
+  return event != record_event::kNone;
+}
+
+void
+status_writer::OnTick(time_point aNow, action_queue& aQueue)
+{
+  mRecord.OnTick(aNow, aQueue);
+}
+
+void
+status_writer::Step(const std::function<status_record()>& aMake,
+                    std::uint64_t aTerm,
+                    write_ids& aIds,
+                    time_point aNow,
+                    action_queue& aQueue)
+{
+  if (!mRecord.Idle() || aNow < mNext) {
+    return;
+  }
+  mNext = aNow + mSettings.mStatusEvery;
+  status_record status = aMake();
+  status.mTerm = aTerm;
+  std::string content = ToText(status);
+  if (content == mLastContent) {
+    return;
+  }
+  mLastContent = std::move(content);
+  status.mWrite = aIds.Next();
+  mRecord.Write(ToText(status), aQueue);
+  mLast = std::move(status);
+}
+
+} // namespace mangospan::fleet
