HTTP server and client: whole messages, strict framing, truthful errors

Aim: callers, endpoints, the platform and operators are all reached by HTTP/1.1; the rest of the code sees plain values only.

The client tells kUnavailable (no byte written) from kUnknownResult, peeks at a kept-alive connection before writing, and refuses answers whose end only the close of the connection shows, because a cut looks the same.

--- /dev/null
+++ b/mangospan/http/client.cc
@@ -0,0 +1,255 @@
+#include "mangospan/http/client.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "mangospan/http/address.h"
+#include "mangospan/http/internal/exchange.h"
+#include "mangospan/http/internal/header_check.h"
+
+namespace mangospan::http {
+
+namespace asio = boost::asio;
+namespace bhttp = boost::beast::http;
+
+namespace {
+
+using internal::exchange;
+
+bool
+IsFraming(const std::string& aName)
+{
+  static constexpr const char* kNames[] = {
+    "Connection", "Transfer-Encoding", "Content-Length", "Expect"
+  };
+  return std::any_of(
+    std::begin(kNames), std::end(kNames), [&aName](const char* aFraming) {
+      return boost::algorithm::iequals(aName, aFraming);
+    });
+}
+
+result<exchange::library_request>
+ToLibrary(const std::string& aAddress, request aRequest)
+{
+  const bool isSafe = internal::IsSafeToken(aRequest.mMethod) &&
+                      internal::IsSafeToken(aRequest.mTarget) &&
+                      std::all_of(aRequest.mHeaders.begin(),
+                                  aRequest.mHeaders.end(),
+                                  internal::IsSafeHeader);
+  if (!isSafe) {
+    return error{ error_code::kInvalidArgument,
+                  "http.write",
+                  aAddress,
+                  "method, target or a header can not be sent as HTTP" };
+  }
+  exchange::library_request out;
+  out.version(11);
+  out.method_string(aRequest.mMethod);
+  out.target(aRequest.mTarget);
+  for (const header& each : aRequest.mHeaders) {
+    if (!IsFraming(each.mName)) {
+      out.insert(each.mName, each.mValue);
+    }
+  }
+  if (out.find(bhttp::field::host) == out.end()) {
+    out.set(bhttp::field::host, aAddress);
+  }
+  out.body() = std::move(aRequest.mBody);
+  out.prepare_payload();
+  return out;
+}
+
+} // namespace
+
+class client::impl : public std::enable_shared_from_this<client::impl>
+{
+public:
+  impl(asio::io_context& aIo, client_options aOptions)
+    : mIo(aIo)
+    , mOptions(aOptions)
+  {
+  }
+
+  void Send(const std::string& aAddress,
+            request aRequest,
+            std::chrono::milliseconds aTimeout,
+            response_handler aHandler)
+  {
+    auto message = ToLibrary(aAddress, std::move(aRequest));
+    if (message.has_error()) {
+      Refuse(std::move(message).assume_error(), std::move(aHandler));
+      return;
+    }
+    auto connection = Take(aAddress);
+    if (connection.has_error()) {
+      Refuse(std::move(connection).assume_error(), std::move(aHandler));
+      return;
+    }
+    const auto exchange = connection.assume_value();
+    mPools[aAddress].mBusy.push_back(exchange);
+    exchange->Run(std::move(message).assume_value(),
+                  std::chrono::steady_clock::now() + aTimeout,
+                  [weak = weak_from_this(), exchange, aHandler](
+                    result<response> aResult, bool aCanReuse) {
+                    if (const auto self = weak.lock()) {
+                      self->GiveBack(exchange, aCanReuse);
+                      aHandler(std::move(aResult));
+                    }
+                  });
+  }
+
+  std::size_t OpenConnections(const std::string& aAddress) const
+  {
+    const auto found = mPools.find(aAddress);
+    return found == mPools.end()
+             ? 0
+             : found->second.mBusy.size() + found->second.mIdle.size();
+  }
+
+  void CloseIdle(const std::string& aAddress)
+  {
+    const auto found = mPools.find(aAddress);
+    if (found == mPools.end()) {
+      return;
+    }
+    for (const auto& each : found->second.mIdle) {
+      each->Close();
+    }
+    found->second.mIdle.clear();
+    DropIfEmpty(aAddress);
+  }
+
+  void Destroy()
+  {
+    for (auto& [address, pool] : mPools) {
+      for (const auto& each : pool.mIdle) {
+        each->Close();
+      }
+      for (const auto& each : pool.mBusy) {
+        each->Close();
+      }
+    }
+    mPools.clear();
+  }
+
+private:
+  struct pool
+  {
+    std::vector<std::shared_ptr<exchange>> mIdle; // the freshest last
+    std::vector<std::shared_ptr<exchange>> mBusy;
+  };
+
+  void Refuse(error aError, response_handler aHandler)
+  {
+    asio::post(mIo,
+               [weak = weak_from_this(),
+                failure = std::move(aError),
+                handler = std::move(aHandler)] {
+                 if (weak.lock()) {
+                   handler(failure);
+                 }
+               });
+  }
+
+  result<std::shared_ptr<exchange>> Take(const std::string& aAddress)
+  {
+    const auto found = mPools.find(aAddress);
+    while (found != mPools.end() && !found->second.mIdle.empty()) {
+      auto connection = std::move(found->second.mIdle.back());
+      found->second.mIdle.pop_back();
+      if (connection->IsFresh()) {
+        return connection;
+      }
+      connection->Close();
+    }
+    BOOST_OUTCOME_TRY(endpoint, ParseAddress(aAddress));
+    return std::make_shared<exchange>(mIo, mOptions, aAddress, endpoint);
+  }
+
+  void GiveBack(const std::shared_ptr<exchange>& aExchange, bool aCanReuse)
+  {
+    pool& addressPool = mPools[aExchange->Address()];
+    auto& busy = addressPool.mBusy;
+    busy.erase(std::remove(busy.begin(), busy.end(), aExchange), busy.end());
+    if (!aCanReuse || addressPool.mIdle.size() >= mOptions.mMaxIdlePerAddress) {
+      aExchange->Close();
+      DropIfEmpty(aExchange->Address());
+      return;
+    }
+    addressPool.mIdle.push_back(aExchange);
+    aExchange->Rest(mOptions.mIdleTimeout,
+                    [weak = weak_from_this(), raw = aExchange.get()] {
+                      if (const auto self = weak.lock()) {
+                        self->DropIdle(raw);
+                      }
+                    });
+  }
+
+  void DropIdle(exchange* aExchange)
+  {
+    const std::string address = aExchange->Address();
+    auto& idle = mPools[address].mIdle;
+    const auto found =
+      std::find_if(idle.begin(), idle.end(), [aExchange](const auto& aEach) {
+        return aEach.get() == aExchange;
+      });
+    if (found != idle.end()) {
+      (*found)->Close();
+      idle.erase(found);
+    }
+    DropIfEmpty(address);
+  }
+
+  void DropIfEmpty(const std::string& aAddress)
+  {
+    const auto found = mPools.find(aAddress);
+    if (found != mPools.end() && found->second.mIdle.empty() &&
+        found->second.mBusy.empty()) {
+      mPools.erase(found);
+    }
+  }
+
+  asio::io_context& mIo;
+  const client_options mOptions;
+  std::map<std::string, pool> mPools;
+};
+
+client::client(asio::io_context& aIo, client_options aOptions)
+  : mImpl(std::make_shared<impl>(aIo, aOptions))
+{
+}
+
+client::~client()
+{
+  mImpl->Destroy();
+}
+
+void
+client::Send(const std::string& aAddress,
+             request aRequest,
+             std::chrono::milliseconds aTimeout,
+             response_handler aHandler)
+{
+  mImpl->Send(aAddress, std::move(aRequest), aTimeout, std::move(aHandler));
+}
+
+std::size_t
+client::OpenConnections(const std::string& aAddress) const
+{
+  return mImpl->OpenConnections(aAddress);
+}
+
+void
+client::CloseIdle(const std::string& aAddress)
+{
+  mImpl->CloseIdle(aAddress);
+}
+
+} // namespace mangospan::http
--- a/mangospan/http/client.h
+++ b/mangospan/http/client.h
@@ -28,8 +28,8 @@
 
 struct client_options
 {
-  std::size_t mMaxHeaderBytes = 16 * 1024;
-  std::size_t mMaxBodyBytes = 8 * 1024 * 1024;
+  std::size_t mMaxHeaderBytes = std::size_t{ 16 } * 1024;
+  std::size_t mMaxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
   std::size_t mMaxIdlePerAddress = 8;
   std::chrono::milliseconds mConnectTimeout{ 1'000 };
   std::chrono::milliseconds mIdleTimeout{ 30'000 };
--- /dev/null
+++ b/mangospan/http/client_test.cc
@@ -0,0 +1,280 @@
+#include "mangospan/http/client.h"
+
+#include <array>
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "mangospan/http/server.h"
+
+namespace mangospan::http {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// Accepts connections one after another and answers each with raw bytes.
+class raw_endpoint
+{
+public:
+  using script = std::function<void(tcp::socket&)>;
+
+  explicit raw_endpoint(std::vector<script> aScripts)
+    : mAcceptor(mIo, { asio::ip::address_v4::loopback(), 0 })
+    , mThread([this, scripts = std::move(aScripts)] {
+      for (const script& each : scripts) {
+        tcp::socket socket(mIo);
+        boost::system::error_code failure;
+        mAcceptor.accept(socket, failure);
+        if (!failure) {
+          each(socket);
+        }
+      }
+    })
+  {
+  }
+  ~raw_endpoint() { mThread.join(); }
+
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(mAcceptor.local_endpoint().port());
+  }
+
+  static std::string ReadRequest(tcp::socket& aSocket)
+  {
+    std::string received;
+    std::array<char, 4096> chunk{};
+    boost::system::error_code failure;
+    while (!failure && received.find("\r\n\r\n") == std::string::npos) {
+      const std::size_t size = aSocket.read_some(asio::buffer(chunk), failure);
+      received.append(chunk.data(), size);
+    }
+    return received;
+  }
+
+  static script Answer(std::string aBytes)
+  {
+    return [bytes = std::move(aBytes)](tcp::socket& aSocket) {
+      ReadRequest(aSocket);
+      boost::system::error_code ignored;
+      asio::write(aSocket, asio::buffer(bytes), ignored);
+    };
+  }
+
+private:
+  asio::io_context mIo;
+  tcp::acceptor mAcceptor;
+  std::thread mThread;
+};
+
+class http_client : public testing::Test
+{
+protected:
+  result<response> Send(const std::string& aAddress,
+                        request aRequest = {},
+                        milliseconds aTimeout = milliseconds(5'000))
+  {
+    std::optional<result<response>> outcome;
+    mClient.Send(aAddress,
+                 std::move(aRequest),
+                 aTimeout,
+                 [&outcome](result<response> aResult) {
+                   outcome.emplace(std::move(aResult));
+                 });
+    EXPECT_FALSE(outcome) << "the handler ran inside the call";
+    mIo.restart();
+    while (!outcome && mIo.run_one() > 0) {
+    }
+    return *outcome;
+  }
+
+  error_code CodeOf(const std::string& aBytes, milliseconds aTimeout)
+  {
+    raw_endpoint endpoint({ raw_endpoint::Answer(aBytes) });
+    const auto outcome = Send(endpoint.Address(), {}, aTimeout);
+    EXPECT_EQ(mClient.OpenConnections(endpoint.Address()), 0U)
+      << aBytes.substr(0, 80);
+    EXPECT_TRUE(outcome.has_error()) << aBytes.substr(0, 80);
+    return outcome.has_error() ? outcome.assume_error().mCode
+                               : error_code::kInternal;
+  }
+
+  asio::io_context mIo;
+  client_options mOptions{ 1024,
+                           1000,
+                           8,
+                           milliseconds(1'000),
+                           milliseconds(30'000) };
+  client mClient{ mIo, mOptions };
+};
+
+const char* const kOk = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+TEST_F(http_client, ReusesConnectionAndPassesWholeRequest)
+{
+  int requests = 0;
+  server target(
+    mIo, {}, [&requests](const request& aRequest, const responder& aRespond) {
+      ++requests;
+      aRespond(JsonResponse(201,
+                            aRequest.mMethod + aRequest.mBody +
+                              std::string(aRequest.Get("X-Name"))));
+    });
+  ASSERT_TRUE(target.Listen("127.0.0.1:0").has_value());
+  const std::string address = "127.0.0.1:" + std::to_string(target.Port());
+  for (int i = 0; i < 3; ++i) {
+    request message;
+    message.mMethod = "PURGE";
+    message.mBody = "body";
+    message.Set("X-Name", "value");
+    const auto outcome = Send(address, message);
+    ASSERT_TRUE(outcome.has_value());
+    EXPECT_EQ(outcome.assume_value().mStatus, 201);
+    EXPECT_EQ(outcome.assume_value().mBody, "PURGEbodyvalue");
+  }
+  EXPECT_EQ(requests, 3);
+  EXPECT_EQ(target.OpenConnections(), 1U);
+  EXPECT_EQ(mClient.OpenConnections(address), 1U);
+  mClient.CloseIdle(address);
+  EXPECT_EQ(mClient.OpenConnections(address), 0U);
+}
+
+TEST_F(http_client, ReadsHeadChunkedAndInterimResponses)
+{
+  raw_endpoint endpoint(
+    { raw_endpoint::Answer("HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n"),
+      raw_endpoint::Answer("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"
+                           "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n") });
+  request head;
+  head.mMethod = "HEAD";
+  const auto first = Send(endpoint.Address(), head);
+  ASSERT_TRUE(first.has_value());
+  EXPECT_EQ(first.assume_value().Get("Content-Length"), "999");
+  EXPECT_EQ(first.assume_value().mBody, "");
+  mClient.CloseIdle(endpoint.Address());
+  const auto second = Send(endpoint.Address());
+  ASSERT_TRUE(second.has_value());
+  EXPECT_EQ(second.assume_value().mBody, "abc");
+}
+
+TEST_F(http_client, ReportsUnavailableWhenNothingWasWritten)
+{
+  tcp::acceptor unused(mIo, { asio::ip::address_v4::loopback(), 0 });
+  const std::string address =
+    "127.0.0.1:" + std::to_string(unused.local_endpoint().port());
+  unused.close();
+  const auto outcome = Send(address);
+  ASSERT_TRUE(outcome.has_error());
+  EXPECT_EQ(outcome.assume_error().mCode, error_code::kUnavailable);
+  EXPECT_EQ(outcome.assume_error().mPeer, address);
+  EXPECT_EQ(mClient.OpenConnections(address), 0U);
+}
+
+TEST_F(http_client, RefusesWhatCanNotBeSent)
+{
+  request injected;
+  injected.Set("X", "a\r\nY: b");
+  EXPECT_EQ(Send("127.0.0.1:9", injected).assume_error().mCode,
+            error_code::kInvalidArgument);
+  request spaced;
+  spaced.mTarget = "/a b";
+  EXPECT_EQ(Send("127.0.0.1:9", spaced).assume_error().mCode,
+            error_code::kInvalidArgument);
+  EXPECT_EQ(Send("somewhere").assume_error().mCode,
+            error_code::kInvalidArgument);
+}
+
+TEST_F(http_client, ReportsUnknownResultForCutMalformedAndOversizedAnswers)
+{
+  const milliseconds timeout(5'000);
+  for (const std::string& bad :
+       { std::string(),
+         std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"),
+         std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "5\r\nab"),
+         std::string("HTTP/1.1 200 OK\r\n\r\nperhaps cut"),
+         std::string("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+         std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n"
+                     "\r\n0\r\n\r\n"),
+         std::string("nonsense\r\n\r\n"),
+         "HTTP/1.1 200 OK\r\nX: " + std::string(5'000, 'x') + "\r\n\r\n",
+         "HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" +
+           std::string(5'000, 'x') }) {
+    EXPECT_EQ(CodeOf(bad, timeout), error_code::kUnknownResult)
+      << bad.substr(0, 80);
+  }
+}
+
+TEST_F(http_client, NeverGivesLateAnswerToAnotherRequest)
+{
+  raw_endpoint endpoint(
+    { [](tcp::socket& aSocket) {
+       raw_endpoint::ReadRequest(aSocket);
+       std::this_thread::sleep_for(milliseconds(300));
+       boost::system::error_code ignored;
+       asio::write(aSocket, asio::buffer(std::string(kOk)), ignored);
+     },
+      raw_endpoint::Answer(
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine") });
+  const auto late = Send(endpoint.Address(), {}, milliseconds(100));
+  ASSERT_TRUE(late.has_error());
+  EXPECT_EQ(late.assume_error().mCode, error_code::kUnknownResult);
+  EXPECT_EQ(mClient.OpenConnections(endpoint.Address()), 0U);
+  EXPECT_EQ(Send(endpoint.Address()).assume_value().mBody, "mine");
+}
+
+TEST_F(http_client, ClosesConnectionThatCarriesMoreThanTheAnswer)
+{
+  raw_endpoint endpoint(
+    { raw_endpoint::Answer(std::string(kOk) + kOk),
+      raw_endpoint::Answer(
+        "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nmine") });
+  EXPECT_EQ(Send(endpoint.Address()).assume_value().mBody, "ok");
+  EXPECT_EQ(Send(endpoint.Address()).assume_value().mBody, "mine");
+}
+
+TEST_F(http_client, NoticesConnectionClosedWhileIdleBeforeWriting)
+{
+  raw_endpoint endpoint(
+    { raw_endpoint::Answer(kOk), raw_endpoint::Answer(kOk) });
+  for (int i = 0; i < 2; ++i) {
+    EXPECT_TRUE(Send(endpoint.Address()).has_value());
+    std::this_thread::sleep_for(milliseconds(50)); // the endpoint closes
+  }
+}
+
+TEST_F(http_client, DropsIdleConnectionOnceThePeerClosesIt)
+{
+  raw_endpoint endpoint({ raw_endpoint::Answer(kOk) });
+  EXPECT_TRUE(Send(endpoint.Address()).has_value());
+  mIo.restart();
+  mIo.run_for(milliseconds(200));
+  EXPECT_EQ(mClient.OpenConnections(endpoint.Address()), 0U);
+}
+
+TEST_F(http_client, ReportsUnknownResultWhenReusedConnectionFailsAfterWriting)
+{
+  raw_endpoint endpoint({ [](tcp::socket& aSocket) {
+    raw_endpoint::ReadRequest(aSocket);
+    asio::write(aSocket, asio::buffer(std::string(kOk)));
+    raw_endpoint::ReadRequest(aSocket); // and closes without an answer
+  } });
+  EXPECT_TRUE(Send(endpoint.Address()).has_value());
+  const auto second = Send(endpoint.Address());
+  ASSERT_TRUE(second.has_error());
+  EXPECT_EQ(second.assume_error().mCode, error_code::kUnknownResult);
+}
+
+} // namespace
+} // namespace mangospan::http
--- /dev/null
+++ b/mangospan/http/internal/exchange.cc
@@ -0,0 +1,246 @@
+#include "mangospan/http/internal/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "mangospan/http/internal/header_check.h"
+
+namespace mangospan::http::internal {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = beast::http;
+
+namespace {
+
+constexpr std::size_t kBodyBufferBytes = std::size_t{ 64 } * 1024;
+
+response
+FromLibrary(bhttp::response<bhttp::string_body> aResponse)
+{
+  response out;
+  out.mStatus = static_cast<int>(aResponse.result_int());
+  for (const auto& field : aResponse) {
+    out.mHeaders.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  out.mBody = std::move(aResponse.body());
+  return out;
+}
+
+} // namespace
+
+exchange::exchange(asio::io_context& aIo,
+                   const client_options& aOptions,
+                   std::string aAddress,
+                   asio::ip::tcp::endpoint aEndpoint)
+  : mStream(aIo)
+  , mRestTimer(aIo)
+  , mOptions(aOptions)
+  , mAddress(std::move(aAddress))
+  , mEndpoint(std::move(aEndpoint))
+  , mBuffer(aOptions.mMaxHeaderBytes + kBodyBufferBytes)
+{
+}
+
+void
+exchange::Run(library_request aRequest, deadline aDeadline, done_handler aDone)
+{
+  ++mRests;
+  mRestTimer.cancel();
+  mRequest = std::move(aRequest);
+  mDeadline = aDeadline;
+  mDone = std::move(aDone);
+  if (mIsConnected) {
+    error_type ignored;
+    mStream.socket().cancel(ignored); // the wait of `Rest`
+    Write();
+  } else {
+    Connect();
+  }
+}
+
+void
+exchange::Connect()
+{
+  mStream.expires_at(std::min(
+    mDeadline, std::chrono::steady_clock::now() + mOptions.mConnectTimeout));
+  mStream.async_connect(
+    mEndpoint, [self = shared_from_this()](const error_type& aError) {
+      if (!self->mDone) {
+        return;
+      }
+      if (aError) {
+        self->Fail(error_code::kUnavailable, "http.connect", aError.message());
+        return;
+      }
+      self->mIsConnected = true;
+      error_type ignored;
+      self->mStream.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+      self->Write();
+    });
+}
+
+void
+exchange::Write()
+{
+  mStream.expires_at(mDeadline);
+  bhttp::async_write(mStream,
+                     mRequest,
+                     [self = shared_from_this()](const error_type& aError,
+                                                 std::size_t aWritten) {
+                       if (!self->mDone) {
+                         return;
+                       }
+                       if (aError) {
+                         self->Fail(aWritten == 0 ? error_code::kUnavailable
+                                                  : error_code::kUnknownResult,
+                                    "http.write",
+                                    aError.message());
+                         return;
+                       }
+                       self->Read();
+                     });
+}
+
+void
+exchange::Read()
+{
+  mParser.emplace();
+  mParser->header_limit(static_cast<std::uint32_t>(mOptions.mMaxHeaderBytes));
+  mParser->body_limit(mOptions.mMaxBodyBytes);
+  mParser->skip(mRequest.method() == bhttp::verb::head);
+  // The header is read by itself: the library forgets that the body's length is
+  // over the limit if it goes on to the body at once.
+  bhttp::async_read_header(
+    mStream,
+    mBuffer,
+    *mParser,
+    [self = shared_from_this()](const error_type& aError, std::size_t) {
+      if (!self->mDone) {
+        return;
+      }
+      if (aError || self->mParser->is_done()) {
+        self->OnRead(aError);
+      } else {
+        self->ReadBody();
+      }
+    });
+}
+
+void
+exchange::ReadBody()
+{
+  bhttp::async_read(
+    mStream,
+    mBuffer,
+    *mParser,
+    [self = shared_from_this()](const error_type& aError, std::size_t) {
+      if (self->mDone) {
+        self->OnRead(aError);
+      }
+    });
+}
+
+void
+exchange::OnRead(const error_type& aError)
+{
+  if (aError) {
+    Fail(error_code::kUnknownResult, "http.read", aError.message());
+    return;
+  }
+  const auto& message = mParser->get();
+  if (message.result_int() >= 100 && message.result_int() < 200) {
+    if (message.result() == bhttp::status::switching_protocols) {
+      Fail(error_code::kUnknownResult, "http.read", "unexpected 101");
+    } else {
+      Read(); // an interim response: the real one follows
+    }
+    return;
+  }
+  const bool isHead = mRequest.method() == bhttp::verb::head;
+  const auto coding = message[bhttp::field::transfer_encoding];
+  if (!coding.empty() && !boost::algorithm::iequals(coding, "chunked")) {
+    Fail(error_code::kUnknownResult,
+         "http.read",
+         "transfer coding is not supported");
+    return;
+  }
+  // Such a response is whole only by the end of the connection, which a cut
+  // looks like too.
+  if (!isHead && mParser->need_eof()) {
+    Fail(error_code::kUnknownResult,
+         "http.read",
+         "the response has neither a length nor chunks, so it may be cut");
+    return;
+  }
+  const bool canReuse = mParser->keep_alive() && mBuffer.size() == 0;
+  Finish(FromLibrary(mParser->release()), canReuse);
+}
+
+bool
+exchange::IsFresh()
+{
+  if (!mIsConnected || !mStream.socket().is_open()) {
+    return false;
+  }
+  auto& socket = mStream.socket();
+  char byte = 0;
+  error_type failure;
+  socket.non_blocking(true, failure);
+  socket.receive(
+    asio::buffer(&byte, 1), asio::socket_base::message_peek, failure);
+  return failure == asio::error::would_block;
+}
+
+void
+exchange::Rest(std::chrono::milliseconds aTimeout, std::function<void()> aOnEnd)
+{
+  mStream.expires_never();
+  const unsigned long rest = ++mRests;
+  const auto end = [weak = weak_from_this(), rest, onEnd = std::move(aOnEnd)](
+                     const error_type& aError) {
+    const auto self = weak.lock();
+    if (!self || self->mRests != rest ||
+        aError == asio::error::operation_aborted) {
+      return;
+    }
+    ++self->mRests;
+    onEnd();
+  };
+  mRestTimer.expires_after(aTimeout);
+  mRestTimer.async_wait(end);
+  mStream.socket().async_wait(asio::socket_base::wait_read, end);
+}
+
+void
+exchange::Close()
+{
+  ++mRests;
+  mDone = nullptr;
+  mRestTimer.cancel();
+  mStream.close();
+}
+
+void
+exchange::Fail(error_code aCode, const char* aStep, const std::string& aMessage)
+{
+  Finish(error{ aCode, aStep, mAddress, aMessage }, false);
+}
+
+void
+exchange::Finish(result<response> aResult, bool aCanReuse)
+{
+  mParser.reset();
+  mRequest = {};
+  const done_handler done = std::move(mDone);
+  mDone = nullptr;
+  done(std::move(aResult), aCanReuse);
+}
+
+} // namespace mangospan::http::internal
--- a/mangospan/http/server.h
+++ b/mangospan/http/server.h
@@ -29,8 +29,8 @@
 
 struct server_options
 {
-  std::size_t mMaxHeaderBytes = 16 * 1024;
-  std::size_t mMaxBodyBytes = 8 * 1024 * 1024;
+  std::size_t mMaxHeaderBytes = std::size_t{ 16 } * 1024;
+  std::size_t mMaxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
   std::size_t mMaxConnections = 4096; // further ones get 503 and are closed
   std::chrono::milliseconds mReadTimeout{ 10'000 };  // one whole request
   std::chrono::milliseconds mIdleTimeout{ 60'000 };  // between two requests
