Settings and the checked JSON reader under them

The reader has its own directory (mangospan/json) because the operators' configuration needs the same checks.

Boost 1.74 declares the variable of BOOST_OUTCOME_TRY itself, so the examples in the headers no longer write 'auto'.

--- a/mangospan/base/error.h
+++ b/mangospan/base/error.h
@@ -4,7 +4,7 @@
 //
 //   result<int> ParsePort(std::string_view aText);
 //   ...
-//   BOOST_OUTCOME_TRY(auto port, ParsePort(text));
+//   BOOST_OUTCOME_TRY(port, ParsePort(text));
 #ifndef MANGOSPAN_BASE_ERROR_H
 #define MANGOSPAN_BASE_ERROR_H
 
--- a/mangospan/config/document.h
+++ b/mangospan/config/document.h
@@ -4,7 +4,7 @@
 // nor addresses. `Parse` in config/parser.h makes a `document` from JSON with
 // comments, and refuses anything it does not know:
 //
-//   BOOST_OUTCOME_TRY(auto document, config::Parse(text, "fleet.json"));
+//   BOOST_OUTCOME_TRY(document, config::Parse(text, "fleet.json"));
 //   for (const config::pool& pool : document.mPools) { ... }
 #ifndef MANGOSPAN_CONFIG_DOCUMENT_H
 #define MANGOSPAN_CONFIG_DOCUMENT_H
--- /dev/null
+++ b/mangospan/settings/settings.cc
@@ -0,0 +1,43 @@
+#include "mangospan/settings/settings.h"
+
+#include <fstream>
+#include <iterator>
+#include <string>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "mangospan/base/error.h"
+#include "mangospan/json/checked_json.h"
+#include "mangospan/settings/internal/fields.h"
+
+namespace mangospan::settings {
+
+result<process_settings>
+Load(const std::string& aFile, program aProgram)
+{
+  std::ifstream stream(aFile, std::ios::binary);
+  if (!stream) {
+    return error{
+      error_code::kNotFound, "settings.read", aFile, "can not be opened"
+    };
+  }
+  const std::string text((std::istreambuf_iterator<char>(stream)),
+                         std::istreambuf_iterator<char>());
+  if (stream.bad()) {
+    return error{
+      error_code::kNotFound, "settings.read", aFile, "can not be read"
+    };
+  }
+  return Parse(text, aFile, aProgram);
+}
+
+result<process_settings>
+Parse(std::string_view aText, std::string_view aSource, program aProgram)
+{
+  const json::location where{ "settings.parse", std::string(aSource), "" };
+  BOOST_OUTCOME_TRY(value, json::ParseText(aText, where));
+  return internal::ReadSettings(value, where, aProgram);
+}
+
+} // namespace mangospan::settings
--- a/mangospan/settings/settings.h
+++ b/mangospan/settings/settings.h
@@ -3,7 +3,7 @@
 // A process learns its addresses and its availability zone from here, and
 // nothing else about the fleet:
 //
-//   BOOST_OUTCOME_TRY(auto settings, settings::Load("entry.json"));
+//   BOOST_OUTCOME_TRY(settings, settings::Load("entry.json"));
 #ifndef MANGOSPAN_SETTINGS_SETTINGS_H
 #define MANGOSPAN_SETTINGS_SETTINGS_H
 
@@ -38,9 +38,9 @@
   std::chrono::milliseconds mHeartbeat{ 500 };        // fleet only
   std::chrono::milliseconds mHostListPeriod{ 1'000 }; // fleet only
   std::chrono::milliseconds mStopTimeout{ 30'000 };   // graceful shutdown
-  std::size_t mMaxBodyBytes = 8 * 1024 * 1024;        // entry only
-  std::size_t mMaxConnections = 4096;                 // entry only
-  std::size_t mMaxQueuedPerPool = 2048;               // entry only
+  std::size_t mMaxBodyBytes = std::size_t{ 8 } * 1024 * 1024; // entry only
+  std::size_t mMaxConnections = 4096;                         // entry only
+  std::size_t mMaxQueuedPerPool = 2048;                       // entry only
 };
 
 enum class program
