Daemon basics: metrics, operators' endpoint, arguments, stop signals

The logging library printed to standard output although base/log.h promises standard error; it now goes there (the new test failed before). The endpoint's own test waits for the HTTP library.

interface: operator_endpoint gets Port(), for listeners on any port.

--- a/mangospan/base/log_test.cc
+++ b/mangospan/base/log_test.cc
@@ -1,5 +1,7 @@
 #include "mangospan/base/log.h"
 
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace mangospan {
@@ -23,5 +25,20 @@
   EXPECT_NE(wrong.assume_error().mMessage.find("warning"), std::string::npos);
 }
 
+TEST(Log, EventsGoToStandardErrorAsOneLine)
+{
+  ConfigureLog("entry", log_level::kInfo);
+  testing::internal::CaptureStdout();
+  testing::internal::CaptureStderr();
+  LogEvent(log_level::kDebug, "hidden", {});
+  LogEvent(log_level::kInfo, "view.adopted", { { "revision", 7 } });
+  EXPECT_EQ(testing::internal::GetCapturedStdout(), "");
+  const std::string line = testing::internal::GetCapturedStderr();
+  const std::string expected =
+    " level=info process=entry event=view.adopted revision=7\n";
+  EXPECT_EQ(line.rfind("ts=", 0), 0U) << line;
+  EXPECT_EQ(line.find(expected), line.size() - expected.size()) << line;
+}
+
 } // namespace
 } // namespace mangospan
--- a/mangospan/daemon/operator_endpoint.h
+++ b/mangospan/daemon/operator_endpoint.h
@@ -40,10 +40,17 @@
 
   // As http::server::Listen.
   status Listen(std::string_view aAddress);
+
+  // The bound port, once listening.
+  unsigned short Port() const;
+
   void Stop();
 
 private:
   http::response Answer(const http::request& aRequest);
+  http::response Metrics();
+  http::response State();
+  http::response Health();
 
   metrics& mMetrics;
   operator_handlers mHandlers;
--- /dev/null
+++ b/mangospan/daemon/signals.cc
@@ -0,0 +1,96 @@
+#include "mangospan/daemon/signals.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/system/error_code.hpp>
+
+#include "mangospan/base/log.h"
+
+namespace mangospan::daemon {
+
+class stop_signals::impl : public std::enable_shared_from_this<impl>
+{
+public:
+  impl(boost::asio::io_context& aIo,
+       std::function<void()> aOnStop,
+       std::function<void()> aOnSecond)
+    : mSignals(aIo, SIGTERM, SIGINT)
+    , mOnStop(std::move(aOnStop))
+    , mOnSecond(std::move(aOnSecond))
+  {
+  }
+
+  void Wait()
+  {
+    mSignals.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& aFailure,
+                                  int aSignal) {
+        if (!aFailure) {
+          self->OnSignal(aSignal);
+        }
+      });
+  }
+
+  void Cancel()
+  {
+    boost::system::error_code ignored;
+    mSignals.cancel(ignored);
+  }
+
+private:
+  void OnSignal(int aSignal)
+  {
+    LogEvent(log_level::kInfo,
+             mStopping ? "stop.forced" : "stop.asked",
+             { { "signal", aSignal } });
+    if (mStopping) {
+      EndAtOnce();
+      return;
+    }
+    mStopping = true;
+    Wait(); // before the handler, which may cancel
+    mOnStop();
+  }
+
+  // The graceful stop may be what hangs, so destructors are not run.
+  void EndAtOnce()
+  {
+    if (mOnSecond) {
+      mOnSecond();
+      return;
+    }
+    std::_Exit(EXIT_FAILURE);
+  }
+
+  boost::asio::signal_set mSignals;
+  std::function<void()> mOnStop;
+  std::function<void()> mOnSecond;
+  bool mStopping = false;
+};
+
+stop_signals::stop_signals(boost::asio::io_context& aIo,
+                           std::function<void()> aOnStop,
+                           std::function<void()> aOnSecond)
+  : mImpl(std::make_shared<impl>(aIo, std::move(aOnStop), std::move(aOnSecond)))
+{
+  mImpl->Wait();
+}
+
+stop_signals::~stop_signals()
+{
+  mImpl->Cancel();
+}
+
+void
+stop_signals::Cancel()
+{
+  mImpl->Cancel();
+}
+
+} // namespace mangospan::daemon
--- /dev/null
+++ b/mangospan/daemon/signals_test.cc
@@ -0,0 +1,51 @@
+#include "mangospan/daemon/signals.h"
+
+#include <csignal>
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+namespace mangospan::daemon {
+namespace {
+
+TEST(StopSignals, FirstStopsGracefullyAndSecondEndsAtOnce)
+{
+  boost::asio::io_context io;
+  int stops = 0;
+  int ends = 0;
+  stop_signals signals(
+    io,
+    [&] {
+      ++stops;
+      std::raise(SIGINT);
+    },
+    [&] { ++ends; });
+  std::raise(SIGTERM);
+  io.run();
+  EXPECT_EQ(stops, 1);
+  EXPECT_EQ(ends, 1);
+}
+
+TEST(StopSignals, SecondSignalEndsTheProcess)
+{
+  EXPECT_EXIT(
+    {
+      boost::asio::io_context io;
+      stop_signals signals(io, [] { std::raise(SIGTERM); });
+      std::raise(SIGTERM);
+      io.run();
+    },
+    testing::ExitedWithCode(1),
+    "stop.forced");
+}
+
+TEST(StopSignals, CancelLetsTheLoopEnd)
+{
+  boost::asio::io_context io;
+  stop_signals signals(io, [] {});
+  signals.Cancel();
+  io.run(); // returns
+}
+
+} // namespace
+} // namespace mangospan::daemon
