--- a/mangospan/base/log.cc
+++ b/mangospan/base/log.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <easylogging++.h>
 
@@ -71,6 +72,32 @@
   return "info";
 }
 
+template<typename Fields>
+std::string
+Join(const Fields& aFields)
+{
+  std::string line;
+  for (const log_field& field : aFields) {
+    line += (line.empty() ? "" : " ") + field.mKey + "=" + field.mValue;
+  }
+  return line;
+}
+
+template<typename Fields>
+void
+Print(log_level aLevel, std::string_view aEvent, const Fields& aFields)
+{
+  if (aLevel < gLowest) {
+    return;
+  }
+  std::string line = "level=" + std::string(LevelName(aLevel)) +
+                     " process=" + gProcess + " event=" + std::string(aEvent);
+  if (aFields.size() > 0) {
+    line += " " + Join(aFields);
+  }
+  LOG(INFO) << line;
+}
+
 } // namespace
 
 result<log_level>
@@ -138,11 +165,7 @@
 std::string
 FormatFields(std::initializer_list<log_field> aFields)
 {
-  std::string line;
-  for (const log_field& field : aFields) {
-    line += (line.empty() ? "" : " ") + field.mKey + "=" + field.mValue;
-  }
-  return line;
+  return Join(aFields);
 }
 
 void
@@ -150,15 +173,15 @@
          std::string_view aEvent,
          std::initializer_list<log_field> aFields)
 {
-  if (aLevel < gLowest) {
-    return;
-  }
-  std::string line = "level=" + std::string(LevelName(aLevel)) +
-                     " process=" + gProcess + " event=" + std::string(aEvent);
-  if (aFields.size() > 0) {
-    line += " " + FormatFields(aFields);
-  }
-  LOG(INFO) << line;
+  Print(aLevel, aEvent, aFields);
+}
+
+void
+LogEvent(log_level aLevel,
+         std::string_view aEvent,
+         const std::vector<log_field>& aFields)
+{
+  Print(aLevel, aEvent, aFields);
 }
 
 void
--- a/mangospan/base/log.h
+++ b/mangospan/base/log.h
@@ -11,6 +11,7 @@
 #include <initializer_list>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "mangospan/base/error.h"
 
@@ -55,6 +56,12 @@
          std::string_view aEvent,
          std::initializer_list<log_field> aFields);
 
+// The same with fields that were collected at run time.
+void
+LogEvent(log_level aLevel,
+         std::string_view aEvent,
+         const std::vector<log_field>& aFields);
+
 // Prints an event for a failure, with its code, step, peer and message.
 void
 LogError(std::string_view aEvent, const error& aError);
