request: classes, admission, deadline queue, slot router, retries, demand

The pipeline now decides on the whole request path. Admission predicts the wait from the slot time queued ahead under earliest deadline first and the usable slots, and keeps one share of the queue free for callers to come. The router never exceeds the view's whole-slot shares and keeps a slot occupied for a while after its request was given up on.

--- /dev/null
+++ b/mangospan/request/internal/slot_router_test.cc
@@ -0,0 +1,256 @@
+#include "mangospan/request/internal/slot_router.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace mangospan::request {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const view::entry_id kOwn{ host_name("entry-1"), boot_id{ 1 } };
+const view::entry_id kOtherEntry{ host_name("entry-2"), boot_id{ 2 } };
+constexpr attempt_end kGood{ attempt_end_kind::kAnswered, 200 };
+constexpr attempt_end kServerError{ attempt_end_kind::kAnswered, 500 };
+constexpr attempt_end kNotSent{ attempt_end_kind::kNotSent, 0 };
+constexpr attempt_end kTimedOut{ attempt_end_kind::kTimedOut, 0 };
+
+class slot_router_test : public ::testing::Test
+{
+protected:
+  void Adopt(std::size_t aEndpoints, std::size_t aShare)
+  {
+    mView.mVersion.mSequence += 1;
+    mView.mEndpoints.clear();
+    for (std::size_t i = 0; i < aEndpoints; ++i) {
+      view::endpoint each;
+      each.mHost = host_name("host-" + std::to_string(i));
+      each.mAddress = "10.0.0." + std::to_string(i) + ":80";
+      each.mService = mService;
+      each.mEpoch = 1;
+      each.mShares = { { kOtherEntry, 8 - aShare }, { kOwn, aShare } };
+      mView.mEndpoints.push_back(each);
+    }
+    AdoptAgain();
+  }
+  void AdoptAgain()
+  {
+    mRouter.Adopt(mView, kOwn, mClock.Now());
+    mPool = mRouter.PoolOf(mService);
+  }
+  placement Take()
+  {
+    auto placed = mRouter.Take(mPool, true, nullptr, mClock.Now());
+    EXPECT_TRUE(placed);
+    return placed.value_or(placement{});
+  }
+  void Release(const placement& aPlaced, const attempt_end& aEnd)
+  {
+    mRouter.Release(*aPlaced.mSlot, aEnd, mClock.Now());
+  }
+  void Advance(milliseconds aBy)
+  {
+    mClock.Advance(aBy);
+    mRouter.Advance(mClock.Now());
+  }
+  // Lets each request end as its host's number says.
+  void Serve(int aRequests, const attempt_end& aOfHost0)
+  {
+    for (int i = 0; i < aRequests; ++i) {
+      const placement placed = Take();
+      const bool first = placed.mHost == host_name("host-0");
+      Release(placed, first ? aOfHost0 : kGood);
+      Advance(milliseconds(20));
+    }
+  }
+  std::vector<placement> TakeAll()
+  {
+    std::vector<placement> all;
+    while (auto placed = mRouter.Take(mPool, true, nullptr, mClock.Now())) {
+      all.push_back(*placed);
+    }
+    return all;
+  }
+
+  manual_clock mClock;
+  std::mt19937_64 mRandom{ 7 };
+  pipeline_options mOptions;
+  slot_router mRouter{ mOptions, mRandom };
+  service_name mService{ "permits" };
+  view::zone_view mView;
+  pool_index mPool = 0;
+};
+
+TEST_F(slot_router_test, UsesTheWholeShareAndNeverMore)
+{
+  Adopt(3, 2);
+  EXPECT_EQ(mRouter.Slots(mPool), 6U);
+  EXPECT_EQ(TakeAll().size(), 6U);
+  EXPECT_EQ(mRouter.Free(mPool), 0U);
+}
+
+TEST_F(slot_router_test, AShareThatShrinksBelowWhatIsInFlightIsAppliedLater)
+{
+  Adopt(1, 4);
+  const auto taken = TakeAll();
+  const view::version before = mView.mVersion;
+  Adopt(1, 1);
+  EXPECT_EQ(mRouter.AppliedVersion(), before);
+  EXPECT_EQ(mRouter.Shares().front().mSlots, 4U);
+  for (int i = 0; i < 3; ++i) {
+    Release(taken[i], kGood);
+    EXPECT_FALSE(mRouter.Take(mPool, true, nullptr, mClock.Now()));
+  }
+  EXPECT_EQ(mRouter.AppliedVersion(), mView.mVersion);
+  EXPECT_EQ(mRouter.Shares().front().mSlots, 1U);
+  Release(taken[3], kGood);
+  EXPECT_EQ(TakeAll().size(), 1U);
+}
+
+TEST_F(slot_router_test, OlderViewsAreIgnored)
+{
+  Adopt(2, 2);
+  view::zone_view old = mView;
+  old.mVersion.mSequence = 0;
+  old.mEndpoints.clear();
+  mRouter.Adopt(old, kOwn, mClock.Now());
+  EXPECT_EQ(mRouter.Slots(mPool), 4U);
+}
+
+TEST_F(slot_router_test, ADrainingHostIsEmptiedOnceItsLastRequestHasEnded)
+{
+  Adopt(1, 2);
+  const placement first = Take();
+  const placement second = Take();
+  mView.mVersion.mSequence += 1;
+  mView.mEndpoints[0].mState = view::endpoint_state::kDraining;
+  AdoptAgain();
+  EXPECT_FALSE(mRouter.Take(mPool, true, nullptr, mClock.Now()));
+  EXPECT_TRUE(mRouter.TakeEmptied().empty());
+  Release(first, kGood);
+  EXPECT_TRUE(mRouter.TakeEmptied().empty());
+  Release(second, kTimedOut); // may still be running there
+  EXPECT_TRUE(mRouter.TakeEmptied().empty());
+  Advance(mOptions.mAbandonedSlotHold);
+  ASSERT_EQ(mRouter.TakeEmptied().size(), 1U);
+  AdoptAgain();
+  EXPECT_TRUE(mRouter.TakeEmptied().empty());
+  EXPECT_EQ(mRouter.Emptied().size(), 1U);
+}
+
+TEST_F(slot_router_test, ASlotWhoseRequestTimedOutStaysOccupiedForABound)
+{
+  Adopt(1, 2);
+  Release(Take(), kTimedOut);
+  EXPECT_EQ(mRouter.Slots(mPool), 1U);
+  EXPECT_EQ(TakeAll().size(), 1U);
+  EXPECT_EQ(mRouter.NextWake(), mClock.Now() + mOptions.mAbandonedSlotHold);
+  Advance(mOptions.mAbandonedSlotHold);
+  EXPECT_EQ(TakeAll().size(), 1U);
+}
+
+TEST_F(slot_router_test, RequestsOfAHostThatLeftAndCameBackStillCount)
+{
+  Adopt(1, 2);
+  const placement placed = Take();
+  mView.mVersion.mSequence += 1;
+  const auto endpoints = mView.mEndpoints;
+  mView.mEndpoints.clear();
+  AdoptAgain();
+  EXPECT_EQ(mRouter.Slots(mPool), 0U);
+  mView.mVersion.mSequence += 1;
+  mView.mEndpoints = endpoints;
+  mView.mEndpoints[0].mEpoch = 2;
+  AdoptAgain();
+  EXPECT_EQ(mRouter.Free(mPool), 1U);
+  Release(placed, kGood);
+  EXPECT_EQ(mRouter.Free(mPool), 2U);
+}
+
+TEST_F(slot_router_test, AnEndpointThatFailsEverythingIsEjectedAndProbed)
+{
+  for (const attempt_end& end : { kServerError, kNotSent, kTimedOut }) {
+    Adopt(4, 4);
+    mView.mEndpoints[0].mEpoch += 1; // forget the round before
+    mView.mVersion.mSequence += 1;
+    AdoptAgain();
+    Serve(300, end);
+    ASSERT_EQ(mRouter.Ejected(), std::vector<host_name>{ host_name("host-0") });
+    Advance(seconds(40));
+    int probes = 0;
+    for (int i = 0; i < 20; ++i) {
+      const placement placed = Take();
+      probes += placed.mHost == host_name("host-0") ? 1 : 0;
+      Release(placed, placed.mHost == host_name("host-0") ? end : kGood);
+    }
+    EXPECT_EQ(probes, 1);
+    Advance(seconds(40));
+    Serve(20, kGood);
+    EXPECT_TRUE(mRouter.Ejected().empty());
+  }
+}
+
+TEST_F(slot_router_test, NoMoreThanTheirShareOfEndpointsIsEjected)
+{
+  Adopt(5, 4);
+  for (int i = 0; i < 500; ++i) {
+    const placement placed = Take();
+    Release(placed, placed.mHost < host_name("host-3") ? kNotSent : kGood);
+    Advance(milliseconds(5));
+    ASSERT_LE(mRouter.Ejected().size(), 2U);
+  }
+  EXPECT_EQ(mRouter.Ejected().size(), 2U);
+  mView.mVersion.mSequence += 1;
+  mView.mEndpoints.resize(3);
+  AdoptAgain(); // leaves only failing ones
+  EXPECT_LE(mRouter.Ejected().size(), 1U);
+  EXPECT_GT(mRouter.Slots(mPool), 0U);
+}
+
+TEST_F(slot_router_test, RequestsThatFailEverywhereEjectNoEndpoint)
+{
+  Adopt(4, 4);
+  for (int i = 0; i < 500; ++i) {
+    Release(Take(), kServerError);
+  }
+  EXPECT_TRUE(mRouter.Ejected().empty());
+}
+
+TEST_F(slot_router_test, ADeadEndpointDoesNotDrawTheTrafficToItself)
+{
+  Adopt(2, 8);
+  std::vector<placement> busy;
+  int notSent = 0;
+  while (busy.size() < 8) {
+    const placement placed = Take();
+    if (placed.mHost == host_name("host-0")) {
+      Release(placed, kNotSent);
+      ++notSent;
+      Advance(milliseconds(1));
+    } else {
+      busy.push_back(placed);
+    }
+  }
+  EXPECT_LE(notSent, 3);
+}
+
+TEST_F(slot_router_test, TheLessBusyOfTwoIsTaken)
+{
+  Adopt(10, 8);
+  std::vector<int> perHost(10);
+  for (int i = 0; i < 40; ++i) {
+    const placement placed = Take();
+    ++perHost[static_cast<std::size_t>(placed.mHost.Str().back() - '0')];
+  }
+  for (const int count : perHost) {
+    EXPECT_GE(count, 1);
+    EXPECT_LE(count, 7);
+  }
+}
+
+} // namespace
+} // namespace mangospan::request
--- a/mangospan/request/pipeline.cc
+++ b/mangospan/request/pipeline.cc
@@ -1,209 +1,619 @@
 #include "mangospan/request/pipeline.h"
 
 #include <algorithm>
-#include <deque>
 #include <map>
+#include <random>
 #include <unordered_map>
 #include <utility>
 
+#include "mangospan/request/internal/classifier.h"
+#include "mangospan/request/internal/pool_state.h"
+#include "mangospan/request/internal/refusals.h"
+
 namespace mangospan::request {
 
 namespace {
 
-struct open_request
-{
-  arrival mArrival;
-  host_name mHost;
-  std::uint32_t mAttempt = 0;
-  time_point mDeadline;
-};
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
 
-struct endpoint_record
+constexpr milliseconds kShortestRetry{ 50 };
+constexpr milliseconds kLongestRetry{ 10000 };
+
+refusal_code
+CodeOf(attempt_end_kind aKind)
 {
-  view::endpoint mEndpoint;
-  std::size_t mShare = 0;
-  std::size_t mInFlight = 0;
-  bool mInView = true;
-};
+  switch (aKind) {
+    case attempt_end_kind::kTimedOut:
+      return refusal_code::kEndpointTimedOut;
+    case attempt_end_kind::kUnknown:
+      return refusal_code::kConnectionLost;
+    default:
+      return refusal_code::kEndpointFailed;
+  }
+}
 
 } // namespace
 
-const char*
-Name(request_outcome aOutcome)
+class pipeline::impl
+{
+public:
+  impl(const pipeline_options& aOptions, std::uint64_t aSeed)
+    : mOptions(aOptions)
+    , mRandom(aSeed)
+    , mRouter(aOptions, mRandom)
+  {
+  }
+
+  void Configure(const config::document& aDocument, time_point aNow);
+  void Adopt(const view::zone_view& aView,
+             const view::entry_id& aOwn,
+             time_point aNow);
+  void Arrive(const arrival& aArrival, time_point aNow);
+  void CallerGone(request_id aRequest, time_point aNow);
+  void EndAttempt(request_id aRequest,
+                  std::uint32_t aAttempt,
+                  const attempt_end& aEnd,
+                  time_point aNow);
+  void Dispatching(bool aDispatching, time_point aNow);
+  void Tick(time_point aNow);
+
+  // The actions that the input has led to.
+  actions Finish();
+
+  std::optional<time_point> NextWake() const;
+  std::vector<class_demand> TakeDemand();
+  pipeline_snapshot Snapshot() const;
+
+  bool mAccepting = true;
+
+  const slot_router& Router() const { return mRouter; }
+  bool Idle() const { return mOpen.empty(); }
+
+private:
+  using open_requests = std::unordered_map<request_id, open_request>;
+
+  service_state& ServiceOf(const service_name& aName);
+  void AdoptClass(const config::work_class& aWork);
+  void ForgetUnusedClasses();
+  void RefuseUnserved();
+
+  std::optional<refusal> Admit(const arrival& aArrival,
+                               const class_state& aClass,
+                               time_point aNow);
+  std::optional<refusal> CheckServing() const;
+  std::optional<refusal> CheckBounds(const arrival& aArrival,
+                                     const class_state& aClass) const;
+  void Open(const arrival& aArrival,
+            class_state& aClass,
+            bool aIdempotent,
+            time_point aNow);
+
+  void Enqueue(request_id aId, open_request& aRequest);
+  void Dequeued(const open_request& aRequest);
+  void Pump(service_state& aService, time_point aNow);
+  void PumpAll(time_point aNow);
+  void Expire(service_state& aService, time_point aNow);
+  void Dispatch(request_id aId,
+                open_request& aRequest,
+                const placement& aPlaced,
+                time_point aNow);
+  nanoseconds AttemptTimeout(const open_request& aRequest,
+                             time_point aNow) const;
+
+  void Observe(open_request& aRequest,
+               const attempt_end& aEnd,
+               time_point aNow);
+  bool MayRetry(const open_request& aRequest,
+                attempt_end_kind aKind,
+                time_point aNow);
+  void Deliver(open_requests::iterator aAt, time_point aNow);
+  void Refuse(open_requests::iterator aAt, refusal_code aCode);
+  void Close(open_requests::iterator aAt);
+  milliseconds Spread(nanoseconds aRetryAfter);
+
+  pipeline_options mOptions;
+  std::mt19937_64 mRandom;
+  slot_router mRouter;
+  classifier mClassifier;
+  team_rates mTeamRates;
+  std::vector<config::team> mTeams;
+  std::size_t mEntries = 1;
+  bool mDispatching = false;
+  std::map<service_name, std::unique_ptr<service_state>> mServices;
+  std::map<std::pair<service_name, class_name>, std::unique_ptr<class_state>>
+    mClasses;
+  std::unordered_map<const config::work_class*, class_state*> mClassOf;
+  open_requests mOpen;
+  actions mActions;
+};
+
+service_state&
+pipeline::impl::ServiceOf(const service_name& aName)
 {
-  return aOutcome == request_outcome::kNotRun ? "not-run" : "unknown";
+  auto& held = mServices[aName];
+  if (!held) {
+    held =
+      std::make_unique<service_state>(aName, mRouter.PoolOf(aName), mOptions);
+  }
+  return *held;
 }
 
-const char*
-Name(refusal_code aCode)
+void
+pipeline::impl::Configure(const config::document& aDocument, time_point aNow)
 {
-  static constexpr const char* kNames[] = {
-    "no_such_service", "no_such_class",     "not_serving",
-    "stopping",        "no_endpoint",       "target_out_of_reach",
-    "over_share",      "queue_full",        "deadline_passed",
-    "caller_gone",     "endpoint_failed",   "endpoint_timed_out",
-    "connection_lost", "duplicate_request",
-  };
-  return kNames[static_cast<std::size_t>(aCode)];
+  mClassifier = classifier(aDocument);
+  mTeams = aDocument.mTeams;
+  mTeamRates.Configure(mTeams, mEntries, aNow);
+  mClassOf.clear();
+  for (auto& [key, held] : mClasses) {
+    held->mConfigured = false;
+  }
+  for (const config::work_class* work : mClassifier.Classes()) {
+    AdoptClass(*work);
+  }
+  RefuseUnserved();
+  ForgetUnusedClasses();
+  PumpAll(aNow);
 }
 
-class pipeline::impl
+void
+pipeline::impl::AdoptClass(const config::work_class& aWork)
 {
-public:
-  explicit impl(const pipeline_options& aOptions)
-    : mOptions(aOptions)
-  {
+  const service_name& service = aWork.mMatch.mService;
+  auto& held = mClasses[{ service, aWork.mName }];
+  if (!held) {
+    held = std::make_unique<class_state>(aWork, ServiceOf(service));
   }
+  held->mConfigured = true;
+  held->mWork = aWork;
+  held->UpdateLane();
+  mClassOf[&aWork] = held.get();
+}
 
-  actions OnView(const view::zone_view& aView,
-                 const view::entry_id& aOwn,
-                 time_point aNow)
-  {
-    actions result;
-    if (aView.mVersion < mVersion) {
-      return result;
+void
+pipeline::impl::RefuseUnserved()
+{
+  for (auto& [name, service] : mServices) {
+    if (mClassifier.Serves(name)) {
+      continue;
     }
-    mVersion = aView.mVersion;
-    for (auto& [host, record] : mEndpoints) {
-      record.mInView = false;
+    for (const request_id id : service->mQueue.TakeAll()) {
+      const auto at = mOpen.find(id);
+      Dequeued(at->second);
+      Refuse(at, refusal_code::kNoSuchService);
     }
-    for (const view::endpoint& endpoint : aView.mEndpoints) {
-      endpoint_record& record = mEndpoints[endpoint.mHost];
-      record.mEndpoint = endpoint;
-      record.mInView = true;
-      record.mShare = 0;
-      for (const view::slot_share& share : endpoint.mShares) {
-        if (share.mEntry == aOwn) {
-          record.mShare = share.mSlots;
-        }
-      }
-      NoteEmptied(record, result);
+  }
+}
+
+// Classes that are no longer configured stay until their last request is over
+// and their demand was reported.
+void
+pipeline::impl::ForgetUnusedClasses()
+{
+  for (auto at = mClasses.begin(); at != mClasses.end();) {
+    class_state& held = *at->second;
+    if (held.mConfigured || held.mOpen != 0 || held.mDemand.Pending()) {
+      ++at;
+      continue;
     }
-    Pump(aNow, result);
-    return result;
+    held.mService.mFreeLanes.push_back(held.mLane);
+    at = mClasses.erase(at);
   }
+}
 
-  actions OnArrival(const arrival& aArrival, time_point aNow)
-  {
-    actions result;
-    if (!mAccepting || !mDispatching || mOpen.size() >= mOptions.mMaxOpen) {
-      refusal why;
-      why.mCode =
-        mAccepting ? refusal_code::kNotServing : refusal_code::kStopping;
-      why.mStep = "admit";
-      result.emplace_back(refuse{ aArrival.mId, why });
-      return result;
+void
+pipeline::impl::Adopt(const view::zone_view& aView,
+                      const view::entry_id& aOwn,
+                      time_point aNow)
+{
+  mRouter.Adopt(aView, aOwn, aNow);
+  if (mRouter.Version() == aView.mVersion &&
+      mEntries != aView.mEntries.size()) {
+    mEntries = aView.mEntries.size();
+    mTeamRates.Configure(mTeams, mEntries, aNow);
+  }
+  PumpAll(aNow);
+}
+
+void
+pipeline::impl::Arrive(const arrival& aArrival, time_point aNow)
+{
+  if (mRouter.Advance(aNow)) {
+    PumpAll(aNow);
+  }
+  const classification found = mClassifier.Classify(aArrival);
+  if (found.mWork == nullptr) {
+    // Without a configuration, no service is known yet.
+    const auto refused = CheckServing();
+    mActions.emplace_back(
+      refuse{ aArrival.mId, refused.value_or(MakeRefusal(found.mProblem)) });
+    return;
+  }
+  class_state& work = *mClassOf.at(found.mWork);
+  work.mDemand.OnArrival();
+  Expire(work.mService, aNow);
+  if (auto refused = Admit(aArrival, work, aNow)) {
+    work.mDemand.OnRefused();
+    refused->mRetryAfter = Spread(refused->mRetryAfter);
+    mActions.emplace_back(refuse{ aArrival.mId, std::move(*refused) });
+    return;
+  }
+  Open(aArrival, work, found.mIdempotent, aNow);
+}
+
+std::optional<refusal>
+pipeline::impl::CheckServing() const
+{
+  if (!mAccepting) {
+    return MakeRefusal(refusal_code::kStopping);
+  }
+  if (!mDispatching) {
+    return MakeRefusal(refusal_code::kNotServing);
+  }
+  return std::nullopt;
+}
+
+std::optional<refusal>
+pipeline::impl::CheckBounds(const arrival& aArrival,
+                            const class_state& aClass) const
+{
+  if (auto refused = CheckServing()) {
+    return refused;
+  }
+  if (mOpen.count(aArrival.mId) != 0) {
+    return MakeRefusal(refusal_code::kDuplicateRequest);
+  }
+  if (mOpen.size() >= mOptions.mMaxOpen ||
+      aClass.mService.mQueue.Size() >= mOptions.mMaxQueuedPerPool) {
+    return MakeRefusal(refusal_code::kQueueFull);
+  }
+  return std::nullopt;
+}
+
+std::optional<refusal>
+pipeline::impl::Admit(const arrival& aArrival,
+                      const class_state& aClass,
+                      time_point aNow)
+{
+  if (auto refused = CheckBounds(aArrival, aClass)) {
+    return refused;
+  }
+  const service_state& service = aClass.mService;
+  const time_point deadline = aArrival.mArrived + aClass.Within();
+  if (aNow >= deadline) {
+    return MakeRefusal(refusal_code::kDeadlinePassed);
+  }
+  pool_load load;
+  load.mSlots = mRouter.Slots(service.mPool);
+  load.mFree = mRouter.Free(service.mPool) > 0 && service.mQueue.Size() == 0;
+  load.mWorkAhead = service.mQueue.WorkAhead(aClass.mLane, deadline);
+  load.mMean = aClass.mAnswerTime.Mean();
+  load.mBudget = aClass.WaitBudget(deadline - aNow);
+  const auto no =
+    service.mAdmission.Check(load, aArrival.mCaller, aArrival.mTeam);
+  if (!no) {
+    if (mTeamRates.Allow(aArrival.mTeam, aNow)) {
+      return std::nullopt;
     }
-    open_request request;
-    request.mArrival = aArrival;
-    request.mDeadline = aArrival.mArrived + std::chrono::seconds(10);
-    mOpen.emplace(aArrival.mId, std::move(request));
-    mQueue.push_back(aArrival.mId);
-    Pump(aNow, result);
-    return result;
+    return MakeRefusal(refusal_code::kOverShare);
   }
+  refusal refused = MakeRefusal(no->mCode);
+  refused.mRetryAfter =
+    std::chrono::duration_cast<milliseconds>(no->mRetryAfter);
+  return refused;
+}
 
-  actions OnAttemptEnded(request_id aRequest,
-                         std::uint32_t aAttempt,
-                         const attempt_end& aEnd,
-                         time_point aNow)
-  {
-    actions result;
-    auto found = mOpen.find(aRequest);
-    if (found == mOpen.end() || found->second.mAttempt != aAttempt) {
-      return result;
+void
+pipeline::impl::Open(const arrival& aArrival,
+                     class_state& aClass,
+                     bool aIdempotent,
+                     time_point aNow)
+{
+  open_request request;
+  request.mClass = &aClass;
+  request.mCaller = aArrival.mCaller;
+  request.mTeam = aArrival.mTeam;
+  request.mDeadline = aArrival.mArrived + aClass.Within();
+  request.mGiveUp =
+    aArrival.mArrived + aClass.Within() * mOptions.mTimeoutFactor;
+  request.mIdempotent = aIdempotent;
+  ++aClass.mOpen;
+  const auto at = mOpen.emplace(aArrival.mId, std::move(request)).first;
+  Enqueue(at->first, at->second);
+  Pump(aClass.mService, aNow);
+}
+
+void
+pipeline::impl::Enqueue(request_id aId, open_request& aRequest)
+{
+  service_state& service = aRequest.mClass->mService;
+  service.mQueue.Push(aRequest.mClass->mLane, aRequest.mDeadline, aId);
+  service.mAdmission.Entered(aRequest.mCaller, aRequest.mTeam);
+}
+
+void
+pipeline::impl::Dequeued(const open_request& aRequest)
+{
+  aRequest.mClass->mService.mAdmission.Left(aRequest.mCaller, aRequest.mTeam);
+}
+
+void
+pipeline::impl::Expire(service_state& aService, time_point aNow)
+{
+  for (const request_id id : aService.mQueue.TakeExpired(aNow)) {
+    const auto at = mOpen.find(id);
+    Dequeued(at->second);
+    Refuse(at, refusal_code::kDeadlinePassed);
+  }
+}
+
+void
+pipeline::impl::Pump(service_state& aService, time_point aNow)
+{
+  Expire(aService, aNow);
+  while (mDispatching) {
+    const auto next = aService.mQueue.Front();
+    if (!next) {
+      return;
     }
-    endpoint_record& record = mEndpoints[found->second.mHost];
-    --record.mInFlight;
-    if (aEnd.mKind == attempt_end_kind::kAnswered) {
-      result.emplace_back(deliver{ aRequest });
-    } else {
-      refusal why;
-      why.mStep = "dispatch";
-      why.mPeer = record.mEndpoint.mAddress;
-      why.mCode = refusal_code::kEndpointFailed;
-      why.mHttpStatus = 502;
-      if (aEnd.mKind == attempt_end_kind::kUnknown ||
-          aEnd.mKind == attempt_end_kind::kTimedOut) {
-        why.mOutcome = request_outcome::kUnknown;
-        why.mCode = refusal_code::kConnectionLost;
-      }
-      result.emplace_back(refuse{ aRequest, why });
+    open_request& request = mOpen.at(*next);
+    const auto placed =
+      mRouter.Take(aService.mPool, request.mIdempotent, request.mTried, aNow);
+    if (!placed) {
+      return;
     }
-    mOpen.erase(found);
-    NoteEmptied(record, result);
-    Pump(aNow, result);
-    return result;
+    aService.mQueue.PopFront();
+    Dequeued(request);
+    Dispatch(*next, request, *placed, aNow);
   }
+}
 
-  actions SetDispatching(bool aDispatching, time_point aNow)
-  {
-    actions result;
-    mDispatching = aDispatching;
-    Pump(aNow, result);
-    return result;
+void
+pipeline::impl::PumpAll(time_point aNow)
+{
+  for (auto& [name, service] : mServices) {
+    if (service->mQueue.Size() != 0) {
+      Pump(*service, aNow);
+    }
   }
+}
 
-  pipeline_options mOptions;
-  view::version mVersion;
-  bool mAccepting = true;
-  bool mDispatching = false;
-  std::map<host_name, endpoint_record> mEndpoints;
-  std::unordered_map<request_id, open_request> mOpen;
-  std::deque<request_id> mQueue;
+void
+pipeline::impl::Dispatch(request_id aId,
+                         open_request& aRequest,
+                         const placement& aPlaced,
+                         time_point aNow)
+{
+  ++aRequest.mAttempt;
+  aRequest.mSlot = aPlaced.mSlot;
+  aRequest.mDispatched = aNow;
+  if (aRequest.mAttempt == 1) {
+    aRequest.mClass->mService.mRetries.OnFirstAttempt(aNow);
+  }
+  mActions.emplace_back(dispatch{ aId,
+                                  aRequest.mAttempt,
+                                  aPlaced.mHost,
+                                  aPlaced.mAddress,
+                                  AttemptTimeout(aRequest, aNow) });
+}
 
-private:
-  static void NoteEmptied(const endpoint_record& aRecord, actions& aResult)
-  {
-    if (aRecord.mEndpoint.mState == view::endpoint_state::kDraining &&
-        aRecord.mInFlight == 0) {
-      aResult.emplace_back(
-        emptied{ aRecord.mEndpoint.mHost, aRecord.mEndpoint.mEpoch });
+// An attempt that can be repeated is cut short when it takes far longer than
+// usual, to leave time for another; one that can not be repeated goes on as
+// long as an answer may be of use.
+nanoseconds
+pipeline::impl::AttemptTimeout(const open_request& aRequest,
+                               time_point aNow) const
+{
+  const nanoseconds longest = aRequest.mGiveUp - aNow;
+  if (!aRequest.mIdempotent || aRequest.mAttempt >= mOptions.mMaxAttempts) {
+    return longest;
+  }
+  const nanoseconds half = (aRequest.mDeadline - aNow) / 2;
+  return std::min(longest, std::max(half, aRequest.mClass->Patience()));
+}
+
+void
+pipeline::impl::EndAttempt(request_id aRequest,
+                           std::uint32_t aAttempt,
+                           const attempt_end& aEnd,
+                           time_point aNow)
+{
+  const auto at = mOpen.find(aRequest);
+  if (at == mOpen.end() || at->second.mAttempt != aAttempt ||
+      at->second.mSlot == nullptr) {
+    return;
+  }
+  open_request& request = at->second;
+  Observe(request, aEnd, aNow);
+  mRouter.Advance(aNow);
+  if (aEnd.mKind == attempt_end_kind::kAnswered) {
+    Deliver(at, aNow);
+  } else if (MayRetry(request, aEnd.mKind, aNow)) {
+    Enqueue(aRequest, request);
+  } else {
+    Refuse(at, CodeOf(aEnd.mKind));
+  }
+  PumpAll(aNow);
+}
+
+void
+pipeline::impl::Observe(open_request& aRequest,
+                        const attempt_end& aEnd,
+                        time_point aNow)
+{
+  const nanoseconds elapsed = aNow - aRequest.mDispatched;
+  aRequest.mClass->mDemand.OnSlotFreed(elapsed);
+  if (aEnd.mKind == attempt_end_kind::kTimedOut) {
+    aRequest.mClass->OnTimedOut(elapsed);
+  } else if (!IsFailure(aEnd)) {
+    aRequest.mClass->OnAnswered(elapsed);
+  }
+  if (aEnd.mKind != attempt_end_kind::kAnswered) {
+    aRequest.mPeer = mRouter.AddressOf(*aRequest.mSlot);
+  }
+  aRequest.mMayHaveRun = aRequest.mMayHaveRun || MayHaveRun(aEnd.mKind);
+  aRequest.mTried = aRequest.mSlot;
+  mRouter.Release(*std::exchange(aRequest.mSlot, nullptr), aEnd, aNow);
+}
+
+bool
+pipeline::impl::MayRetry(const open_request& aRequest,
+                         attempt_end_kind aKind,
+                         time_point aNow)
+{
+  const class_state& work = *aRequest.mClass;
+  return MayRepeat(aKind, aRequest.mIdempotent) && !aRequest.mCallerGone &&
+         aRequest.mAttempt < mOptions.mMaxAttempts &&
+         mClassifier.Serves(work.mService.mName) &&
+         aNow + work.mAnswerTime.Mean() < aRequest.mDeadline &&
+         work.mService.mRetries.Take(aNow);
+}
+
+void
+pipeline::impl::Deliver(open_requests::iterator aAt, time_point aNow)
+{
+  aAt->second.mClass->mDemand.OnDelivered(aNow > aAt->second.mDeadline);
+  mActions.emplace_back(deliver{ aAt->first });
+  Close(aAt);
+}
+
+void
+pipeline::impl::Refuse(open_requests::iterator aAt, refusal_code aCode)
+{
+  const open_request& request = aAt->second;
+  refusal why = MakeRefusal(aCode);
+  why.mPeer = request.mPeer;
+  why.mRetryAfter = Spread(why.mRetryAfter);
+  if (request.mMayHaveRun) {
+    why.mOutcome = request_outcome::kUnknown;
+    if (!request.mIdempotent) {
+      why.mRetryAfter = milliseconds(0);
     }
   }
+  request.mClass->mDemand.OnRefused();
+  mActions.emplace_back(refuse{ aAt->first, std::move(why) });
+  Close(aAt);
+}
+
+void
+pipeline::impl::Close(open_requests::iterator aAt)
+{
+  --aAt->second.mClass->mOpen;
+  mOpen.erase(aAt);
+}
+
+// Spreads the return of callers that were refused at the same time.
+milliseconds
+pipeline::impl::Spread(nanoseconds aRetryAfter)
+{
+  if (aRetryAfter.count() == 0) {
+    return milliseconds(0);
+  }
+  const auto base =
+    std::clamp(std::chrono::duration_cast<milliseconds>(aRetryAfter),
+               kShortestRetry,
+               kLongestRetry);
+  const auto half = static_cast<std::uint64_t>(base.count() / 2 + 1);
+  return base + milliseconds(static_cast<std::int64_t>(mRandom() % half));
+}
 
-  endpoint_record* Pick(const service_name& aService)
-  {
-    endpoint_record* best = nullptr;
-    for (auto& [host, record] : mEndpoints) {
-      const bool usable =
-        record.mInView && record.mEndpoint.mService == aService &&
-        record.mEndpoint.mState == view::endpoint_state::kServing &&
-        record.mInFlight < record.mShare;
-      if (usable && (best == nullptr || record.mInFlight < best->mInFlight)) {
-        best = &record;
-      }
+void
+pipeline::impl::CallerGone(request_id aRequest, time_point aNow)
+{
+  const auto at = mOpen.find(aRequest);
+  if (at == mOpen.end()) {
+    return;
+  }
+  open_request& request = at->second;
+  if (request.mSlot != nullptr) {
+    request.mCallerGone = true;
+    return;
+  }
+  request.mClass->mService.mQueue.Remove(
+    request.mClass->mLane, request.mDeadline, aRequest);
+  Dequeued(request);
+  Refuse(at, refusal_code::kCallerGone);
+  PumpAll(aNow);
+}
+
+void
+pipeline::impl::Dispatching(bool aDispatching, time_point aNow)
+{
+  mDispatching = aDispatching;
+  Tick(aNow);
+}
+
+void
+pipeline::impl::Tick(time_point aNow)
+{
+  mRouter.Advance(aNow);
+  PumpAll(aNow);
+}
+
+actions
+pipeline::impl::Finish()
+{
+  for (emptied& each : mRouter.TakeEmptied()) {
+    mActions.emplace_back(std::move(each));
+  }
+  return std::exchange(mActions, {});
+}
+
+std::optional<time_point>
+pipeline::impl::NextWake() const
+{
+  std::optional<time_point> next = mRouter.NextWake();
+  for (const auto& [name, service] : mServices) {
+    const auto expiry = service->mQueue.NextExpiry();
+    if (expiry && (!next || *expiry < *next)) {
+      next = expiry;
     }
-    return best;
   }
+  return next;
+}
 
-  void Pump(time_point aNow, actions& aResult)
-  {
-    std::deque<request_id> waiting;
-    while (mDispatching && !mQueue.empty()) {
-      const request_id id = mQueue.front();
-      mQueue.pop_front();
-      open_request& request = mOpen.at(id);
-      endpoint_record* record = Pick(request.mArrival.mService);
-      if (record == nullptr) {
-        waiting.push_back(id);
-        continue;
-      }
-      ++record->mInFlight;
-      request.mHost = record->mEndpoint.mHost;
-      request.mAttempt = 1;
-      aResult.emplace_back(dispatch{ id,
-                                     1,
-                                     request.mHost,
-                                     record->mEndpoint.mAddress,
-                                     request.mDeadline - aNow });
+std::vector<class_demand>
+pipeline::impl::TakeDemand()
+{
+  std::vector<class_demand> all;
+  for (auto& [key, work] : mClasses) {
+    class_demand demand =
+      work->mDemand.Take(key.second, work->mService.mQueue.Size(work->mLane));
+    if (HasDemand(demand)) {
+      all.push_back(std::move(demand));
     }
-    mQueue.insert(mQueue.begin(), waiting.begin(), waiting.end());
   }
-};
+  ForgetUnusedClasses();
+  return all;
+}
 
-pipeline::pipeline(const pipeline_options& aOptions, std::uint64_t /*aSeed*/)
-  : mImpl(std::make_unique<impl>(aOptions))
+pipeline_snapshot
+pipeline::impl::Snapshot() const
+{
+  pipeline_snapshot snapshot;
+  snapshot.mAccepting = mAccepting;
+  snapshot.mDispatching = mDispatching;
+  snapshot.mView = mRouter.Version();
+  snapshot.mOpen = mOpen.size();
+  snapshot.mEndpoints = mRouter.Snapshot();
+  for (const auto& [name, service] : mServices) {
+    pool_snapshot each;
+    each.mService = name;
+    each.mQueued = service->mQueue.Size();
+    each.mSlots = mRouter.Slots(service->mPool);
+    each.mFree = mRouter.Free(service->mPool);
+    each.mPredictedWait =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+        service->mQueue.TotalWork()) /
+      static_cast<std::int64_t>(std::max<std::size_t>(1, each.mSlots));
+    snapshot.mPools.push_back(std::move(each));
+  }
+  return snapshot;
+}
+
+pipeline::pipeline(const pipeline_options& aOptions, std::uint64_t aSeed)
+  : mImpl(std::make_unique<impl>(aOptions, aSeed))
 {
 }
 
@@ -213,10 +623,10 @@
 pipeline::operator=(pipeline&&) noexcept = default;
 
 actions
-pipeline::OnConfiguration(const config::document& /*aDocument*/,
-                          time_point /*aNow*/)
+pipeline::OnConfiguration(const config::document& aDocument, time_point aNow)
 {
-  return {};
+  mImpl->Configure(aDocument, aNow);
+  return mImpl->Finish();
 }
 
 actions
@@ -224,19 +634,22 @@
                  const view::entry_id& aOwn,
                  time_point aNow)
 {
-  return mImpl->OnView(aView, aOwn, aNow);
+  mImpl->Adopt(aView, aOwn, aNow);
+  return mImpl->Finish();
 }
 
 actions
 pipeline::OnArrival(const arrival& aArrival, time_point aNow)
 {
-  return mImpl->OnArrival(aArrival, aNow);
+  mImpl->Arrive(aArrival, aNow);
+  return mImpl->Finish();
 }
 
 actions
-pipeline::OnCallerGone(request_id /*aRequest*/, time_point /*aNow*/)
+pipeline::OnCallerGone(request_id aRequest, time_point aNow)
 {
-  return {};
+  mImpl->CallerGone(aRequest, aNow);
+  return mImpl->Finish();
 }
 
 actions
@@ -245,19 +658,22 @@
                          const attempt_end& aEnd,
                          time_point aNow)
 {
-  return mImpl->OnAttemptEnded(aRequest, aAttempt, aEnd, aNow);
+  mImpl->EndAttempt(aRequest, aAttempt, aEnd, aNow);
+  return mImpl->Finish();
 }
 
 actions
-pipeline::OnTick(time_point /*aNow*/)
+pipeline::OnTick(time_point aNow)
 {
-  return {};
+  mImpl->Tick(aNow);
+  return mImpl->Finish();
 }
 
 actions
 pipeline::SetDispatching(bool aDispatching, time_point aNow)
 {
-  return mImpl->SetDispatching(aDispatching, aNow);
+  mImpl->Dispatching(aDispatching, aNow);
+  return mImpl->Finish();
 }
 
 void
@@ -269,60 +685,49 @@
 std::optional<time_point>
 pipeline::NextWake() const
 {
-  return std::nullopt;
+  return mImpl->NextWake();
 }
 
 bool
 pipeline::Idle() const
 {
-  return mImpl->mOpen.empty();
+  return mImpl->Idle();
 }
 
 std::vector<class_demand>
 pipeline::TakeDemand()
 {
-  return {};
+  return mImpl->TakeDemand();
 }
 
 std::vector<host_name>
 pipeline::Ejected() const
 {
-  return {};
+  return mImpl->Router().Ejected();
 }
 
 std::vector<emptied>
 pipeline::Emptied() const
 {
-  return {};
+  return mImpl->Router().Emptied();
 }
 
 std::vector<held_slots>
 pipeline::Shares() const
 {
-  std::vector<held_slots> result;
-  for (const auto& [host, record] : mImpl->mEndpoints) {
-    result.push_back({ host,
-                       record.mEndpoint.mEpoch,
-                       std::max(record.mShare, record.mInFlight) });
-  }
-  return result;
+  return mImpl->Router().Shares();
 }
 
 view::version
 pipeline::AppliedView() const
 {
-  return mImpl->mVersion;
+  return mImpl->Router().AppliedVersion();
 }
 
 pipeline_snapshot
 pipeline::Snapshot() const
 {
-  pipeline_snapshot snapshot;
-  snapshot.mAccepting = mImpl->mAccepting;
-  snapshot.mDispatching = mImpl->mDispatching;
-  snapshot.mView = mImpl->mVersion;
-  snapshot.mOpen = mImpl->mOpen.size();
-  return snapshot;
+  return mImpl->Snapshot();
 }
 
 } // namespace mangospan::request
--- a/mangospan/request/pipeline.h
+++ b/mangospan/request/pipeline.h
@@ -192,7 +192,7 @@
   // Retries allowed, as a share of first attempts in the last ten seconds.
   double mRetryBudget = 0.1;
   // At most this share of a pool's endpoints is ejected at once.
-  double mMaxEjected = 0.34;
+  double mMaxEjected = 0.5;
   // Work of callers over their share is refused once the predicted wait
   // reaches this share of the target.
   double mFairnessThreshold = 0.5;
@@ -216,10 +216,9 @@
 {
   service_name mService;
   std::size_t mQueued = 0;
-  std::size_t mSlots = 0;    // usable shares
-  std::size_t mOccupied = 0; // in flight and abandoned
-  std::chrono::microseconds mPredictedWait{ 0 };
-  double mRetryTokens = 0;
+  std::size_t mSlots = 0; // usable, whether free or not
+  std::size_t mFree = 0;
+  std::chrono::microseconds mPredictedWait{ 0 }; // of a request at the end
 };
 
 struct pipeline_snapshot
--- /dev/null
+++ b/mangospan/request/pipeline_test.cc
@@ -0,0 +1,331 @@
+#include "mangospan/request/pipeline.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace mangospan::request {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const view::entry_id kOwn{ host_name("entry-1"), boot_id{ 1 } };
+constexpr attempt_end kGood{ attempt_end_kind::kAnswered, 200 };
+constexpr attempt_end kNotSent{ attempt_end_kind::kNotSent, 0 };
+constexpr attempt_end kNotRun{ attempt_end_kind::kAnsweredNotRun, 503 };
+constexpr attempt_end kCut{ attempt_end_kind::kUnknown, 0 };
+constexpr attempt_end kTimedOut{ attempt_end_kind::kTimedOut, 0 };
+
+template<typename Action>
+const Action*
+Find(const actions& aActions)
+{
+  for (const action& each : aActions) {
+    if (const auto* found = std::get_if<Action>(&each)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+class pipeline_test : public ::testing::Test
+{
+protected:
+  pipeline_test()
+  {
+    mDocument.mPools.emplace_back();
+    mDocument.mPools.back().mService = service_name("permits");
+    AddClass("filing", "/file", false);
+    AddClass("urgent", "/urgent", true);
+    mPipeline.OnConfiguration(mDocument, Now());
+    Adopt(2, 1);
+    mPipeline.SetDispatching(true, Now());
+  }
+
+  void AddClass(const char* aName, const char* aPrefix, bool aUrgent)
+  {
+    config::work_class made;
+    made.mName = class_name(aName);
+    made.mMatch = { service_name("permits"), aPrefix, {} };
+    made.mTarget = { 0.99, seconds(2) };
+    made.mUrgent = aUrgent;
+    mDocument.mClasses.push_back(made);
+  }
+
+  actions Adopt(std::size_t aEndpoints, std::size_t aShare)
+  {
+    mView.mVersion.mSequence += 1;
+    mView.mEndpoints.clear();
+    for (std::size_t i = 0; i < aEndpoints; ++i) {
+      view::endpoint each;
+      each.mHost = host_name("host-" + std::to_string(i));
+      each.mAddress = "10.0.0." + std::to_string(i) + ":80";
+      each.mService = service_name("permits");
+      each.mShares = { { kOwn, aShare } };
+      mView.mEndpoints.push_back(each);
+    }
+    return mPipeline.OnView(mView, kOwn, Now());
+  }
+
+  arrival Request(const char* aMethod, const char* aPath = "/file")
+  {
+    arrival made;
+    made.mId = ++mLast;
+    made.mService = service_name("permits");
+    made.mMethod = aMethod;
+    made.mPath = aPath;
+    made.mArrived = Now();
+    return made;
+  }
+  actions Arrive(const char* aMethod, const char* aPath = "/file")
+  {
+    return mPipeline.OnArrival(Request(aMethod, aPath), Now());
+  }
+  actions End(const dispatch& aAttempt, const attempt_end& aEnd)
+  {
+    return mPipeline.OnAttemptEnded(
+      aAttempt.mRequest, aAttempt.mAttempt, aEnd, Now());
+  }
+  // The refusal of a request whose every attempt ends like this.
+  refusal RefusalAfter(const char* aMethod, const attempt_end& aEnd)
+  {
+    actions next = Arrive(aMethod);
+    mAttempts = 0;
+    for (int i = 0; i < 20; ++i) {
+      if (const auto* refused = Find<refuse>(next)) {
+        return refused->mRefusal;
+      }
+      if (const auto* sent = Find<dispatch>(next)) {
+        ++mAttempts;
+        const dispatch attempt = *sent;
+        next = End(attempt, aEnd);
+        continue;
+      }
+      mClock.Advance(mPipeline.NextWake().value() - Now());
+      next = mPipeline.OnTick(Now());
+    }
+    ADD_FAILURE() << "not refused";
+    return refusal{};
+  }
+  time_point Now() const { return mClock.Now(); }
+
+  manual_clock mClock;
+  config::document mDocument;
+  view::zone_view mView;
+  pipeline mPipeline{ pipeline_options{}, 7 };
+  request_id mLast = 0;
+  int mAttempts = 0;
+};
+
+TEST_F(pipeline_test, AnAnswerIsDeliveredToItsOwnRequestOnce)
+{
+  const actions first = Arrive("GET");
+  const actions second = Arrive("GET");
+  const dispatch attempt = *Find<dispatch>(second);
+  const actions delivered = End(attempt, kGood);
+  ASSERT_NE(Find<deliver>(delivered), nullptr);
+  EXPECT_EQ(Find<deliver>(delivered)->mRequest, attempt.mRequest);
+  EXPECT_TRUE(End(attempt, kGood).empty()); // a crossed or repeated answer
+  EXPECT_NE(Find<deliver>(End(*Find<dispatch>(first), kGood)), nullptr);
+  EXPECT_TRUE(mPipeline.Idle());
+}
+
+TEST_F(pipeline_test, ANonIdempotentRequestIsNeverSentTwiceOnceAByteWasWritten)
+{
+  for (const attempt_end& end : { kCut, kTimedOut }) {
+    const refusal why = RefusalAfter("POST", end);
+    EXPECT_EQ(mAttempts, 1);
+    EXPECT_EQ(why.mOutcome, request_outcome::kUnknown);
+    EXPECT_EQ(why.mRetryAfter.count(), 0);
+    EXPECT_FALSE(why.mPeer.empty());
+    EXPECT_STREQ(why.mStep, "dispatch");
+  }
+}
+
+TEST_F(pipeline_test, WhatCertainlyDidNotRunIsSentAgainAndThenRefusedAsNotRun)
+{
+  const refusal notSent = RefusalAfter("POST", kNotSent);
+  EXPECT_EQ(mAttempts, 3);
+  EXPECT_EQ(notSent.mOutcome, request_outcome::kNotRun);
+  EXPECT_GT(notSent.mRetryAfter.count(), 0);
+  const refusal notRun = RefusalAfter("POST", kNotRun);
+  EXPECT_GT(mAttempts, 1);
+  EXPECT_EQ(notRun.mOutcome, request_outcome::kNotRun);
+}
+
+TEST_F(pipeline_test, AnEarlierUnknownAttemptIsNotForgotten)
+{
+  const dispatch first = *Find<dispatch>(Arrive("GET"));
+  const actions second = End(first, kCut);
+  ASSERT_NE(Find<dispatch>(second), nullptr);
+  EXPECT_NE(Find<dispatch>(second)->mHost, first.mHost);
+  End(*Find<dispatch>(second), kNotRun);
+  mClock.Advance(seconds(3));
+  const actions last = mPipeline.OnTick(Now());
+  ASSERT_NE(Find<refuse>(last), nullptr);
+  EXPECT_EQ(Find<refuse>(last)->mRefusal.mOutcome, request_outcome::kUnknown);
+}
+
+TEST_F(pipeline_test, WhatIsNeverStartedInTimeIsRefusedAsNotRun)
+{
+  Arrive("POST");
+  Arrive("POST");
+  EXPECT_TRUE(Arrive("POST").empty()); // queued
+  const auto wake = mPipeline.NextWake();
+  ASSERT_TRUE(wake);
+  EXPECT_LT(*wake, Now() + seconds(2));
+  mClock.Advance(*wake - Now());
+  const actions expired = mPipeline.OnTick(Now());
+  ASSERT_NE(Find<refuse>(expired), nullptr);
+  EXPECT_EQ(Find<refuse>(expired)->mRequest, 3U);
+  EXPECT_EQ(Find<refuse>(expired)->mRefusal.mCode,
+            refusal_code::kDeadlinePassed);
+  EXPECT_EQ(Find<refuse>(expired)->mRefusal.mOutcome, request_outcome::kNotRun);
+}
+
+TEST_F(pipeline_test, UrgentClassesAreServedFirst)
+{
+  const dispatch busy = *Find<dispatch>(Arrive("GET"));
+  Arrive("GET");
+  Arrive("GET");
+  Arrive("GET", "/urgent");
+  EXPECT_EQ(Find<dispatch>(End(busy, kGood))->mRequest, 4U);
+}
+
+TEST_F(pipeline_test, ADrainingEndpointGetsNoNewRequestAndIsThenEmptied)
+{
+  const dispatch first = *Find<dispatch>(Arrive("GET"));
+  mView.mVersion.mSequence += 1;
+  for (view::endpoint& each : mView.mEndpoints) {
+    if (each.mHost == first.mHost) {
+      each.mState = view::endpoint_state::kDraining;
+      each.mEpoch = 9;
+    }
+  }
+  EXPECT_EQ(Find<emptied>(mPipeline.OnView(mView, kOwn, Now())), nullptr);
+  const dispatch second = *Find<dispatch>(Arrive("GET"));
+  EXPECT_NE(second.mHost, first.mHost);
+  EXPECT_EQ(Find<dispatch>(Arrive("GET")), nullptr);
+  const actions ended = End(first, kGood);
+  ASSERT_NE(Find<emptied>(ended), nullptr);
+  EXPECT_EQ(Find<emptied>(ended)->mHost, first.mHost);
+  EXPECT_EQ(Find<emptied>(ended)->mEpoch, 9U);
+  EXPECT_EQ(Find<dispatch>(ended), nullptr);
+}
+
+TEST_F(pipeline_test, AStoppingEntryFinishesWhatItHasAndTakesNothingNew)
+{
+  const dispatch first = *Find<dispatch>(Arrive("GET"));
+  Arrive("GET");
+  Arrive("GET"); // queued
+  mPipeline.SetAccepting(false);
+  EXPECT_EQ(Find<refuse>(Arrive("GET"))->mRefusal.mCode,
+            refusal_code::kStopping);
+  EXPECT_EQ(Find<dispatch>(End(first, kGood))->mRequest, 3U);
+}
+
+TEST_F(pipeline_test, WithoutAFreshViewNothingIsSent)
+{
+  const dispatch first = *Find<dispatch>(Arrive("GET"));
+  Arrive("GET");
+  Arrive("GET");
+  mPipeline.SetDispatching(false, Now());
+  const actions ended = End(first, kGood);
+  EXPECT_NE(Find<deliver>(ended), nullptr);
+  EXPECT_EQ(Find<dispatch>(ended), nullptr);
+  EXPECT_EQ(Find<refuse>(Arrive("GET"))->mRefusal.mCode,
+            refusal_code::kNotServing);
+  EXPECT_NE(Find<dispatch>(mPipeline.SetDispatching(true, Now())), nullptr);
+}
+
+TEST_F(pipeline_test, BeforeAConfigurationIsKnownNoServiceIsDenied)
+{
+  pipeline fresh(pipeline_options{}, 1);
+  const actions refused = fresh.OnArrival(Request("GET"), Now());
+  EXPECT_EQ(Find<refuse>(refused)->mRefusal.mCode, refusal_code::kNotServing);
+}
+
+TEST_F(pipeline_test, RefusalsOfWhatTheConfigurationDoesNotKnow)
+{
+  arrival request = Request("GET");
+  request.mService = service_name("curling");
+  refusal why = Find<refuse>(mPipeline.OnArrival(request, Now()))->mRefusal;
+  EXPECT_EQ(why.mHttpStatus, 404);
+  request = Request("GET");
+  request.mClass = class_name("none");
+  why = Find<refuse>(mPipeline.OnArrival(request, Now()))->mRefusal;
+  EXPECT_EQ(why.mHttpStatus, 400);
+}
+
+TEST_F(pipeline_test, QueuedRequestsOfAServiceThatIsTakenAwayAreRefused)
+{
+  const dispatch first = *Find<dispatch>(Arrive("POST"));
+  Arrive("POST");
+  Arrive("POST");
+  const actions refused = mPipeline.OnConfiguration(config::document{}, Now());
+  EXPECT_EQ(Find<refuse>(refused)->mRequest, 3U);
+  EXPECT_NE(Find<deliver>(End(first, kGood)), nullptr);
+}
+
+TEST_F(pipeline_test, ACallerThatGoesIsDroppedFromTheQueueAndNotRetried)
+{
+  const dispatch first = *Find<dispatch>(Arrive("GET"));
+  Arrive("GET");
+  Arrive("GET");
+  const actions gone = mPipeline.OnCallerGone(3, Now());
+  ASSERT_NE(Find<refuse>(gone), nullptr);
+  EXPECT_EQ(Find<refuse>(gone)->mRefusal.mCode, refusal_code::kCallerGone);
+  EXPECT_TRUE(mPipeline.OnCallerGone(first.mRequest, Now()).empty());
+  const actions ended = End(first, kCut);
+  EXPECT_EQ(Find<dispatch>(ended), nullptr);
+  EXPECT_NE(Find<refuse>(ended), nullptr);
+}
+
+TEST_F(pipeline_test, AHungEndpointCostsARepeatableRequestHalfItsTime)
+{
+  Adopt(2, 2);
+  const dispatch first = *Find<dispatch>(Arrive("GET"));
+  EXPECT_EQ(first.mTimeout, seconds(1));
+  mClock.Advance(milliseconds(1000));
+  const actions again = End(first, kTimedOut);
+  ASSERT_NE(Find<dispatch>(again), nullptr);
+  EXPECT_NE(Find<dispatch>(again)->mHost, first.mHost);
+  const dispatch post = *Find<dispatch>(Arrive("POST"));
+  EXPECT_EQ(post.mTimeout, seconds(8));
+}
+
+TEST_F(pipeline_test, DemandIsReportedAsDeltasPerClass)
+{
+  const dispatch first = *Find<dispatch>(Arrive("POST"));
+  Arrive("POST");
+  Arrive("POST");
+  mClock.Advance(milliseconds(300));
+  End(first, kGood);
+  const auto demand = mPipeline.TakeDemand();
+  ASSERT_EQ(demand.size(), 1U);
+  EXPECT_EQ(demand[0].mClass, class_name("filing"));
+  EXPECT_EQ(demand[0].mArrivals, 3U);
+  EXPECT_EQ(demand[0].mAnswered, 1U);
+  EXPECT_EQ(demand[0].mBusy, milliseconds(300));
+  EXPECT_TRUE(mPipeline.TakeDemand().empty());
+}
+
+TEST_F(pipeline_test, OpenRequestsAreBounded)
+{
+  pipeline_options options;
+  options.mMaxOpen = 10;
+  pipeline bounded(options, 1);
+  bounded.OnConfiguration(mDocument, Now());
+  bounded.OnView(mView, kOwn, Now());
+  bounded.SetDispatching(true, Now());
+  for (int i = 0; i < 100; ++i) {
+    bounded.OnArrival(Request("GET"), Now());
+    ASSERT_LE(bounded.Snapshot().mOpen, 10U);
+  }
+}
+
+} // namespace
+} // namespace mangospan::request
