Operators' configuration: parser, check, diff, patch

Each section has one table of its keys that both reads and writes it, so the canonical text can not drift from what is read; values that equal the default are left out.

Contradictions are checked on the typed document (config/check.h), so that documents made by programs get the same check; pointers follow from the positions in the lists.

kMaxDocumentBytes leaves 1000 bytes of the store's megabyte for the change id and the author around the document; comments and blanks of the operators' file do not count.

--- /dev/null
+++ b/mangospan/config/internal/maintenance_fields.h
@@ -0,0 +1,22 @@
+// The keys of the rules for maintenance.
+#ifndef MANGOSPAN_CONFIG_INTERNAL_MAINTENANCE_FIELDS_H
+#define MANGOSPAN_CONFIG_INTERNAL_MAINTENANCE_FIELDS_H
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "mangospan/base/error.h"
+#include "mangospan/config/document.h"
+#include "mangospan/json/checked_json.h"
+
+namespace mangospan::config {
+
+status
+ReadValue(const nlohmann::json& aValue,
+          const json::location& aWhere,
+          maintenance& aInto);
+nlohmann::json
+WriteValue(const maintenance& aValue);
+
+} // namespace mangospan::config
+
+#endif // MANGOSPAN_CONFIG_INTERNAL_MAINTENANCE_FIELDS_H
--- a/mangospan/config/parser.h
+++ b/mangospan/config/parser.h
@@ -17,11 +17,13 @@
 
 namespace mangospan::config {
 
-// The largest configuration the platform's store holds as one value, in bytes.
-inline constexpr std::size_t kMaxDocumentBytes = 1000 * 1000;
+// The largest canonical text, in bytes: the platform's store holds a megabyte
+// as one value, and the record around the text needs some of it.
+inline constexpr std::size_t kMaxDocumentBytes = 999'000;
 
 // Parses and checks `aText`. Errors are kInvalidArgument (or kTooLarge) with
 // `aSource` as the peer and a message that names the line or the JSON pointer.
+// A document that is returned has passed `Check` (config/check.h).
 result<document>
 Parse(std::string_view aText, std::string_view aSource);
 
