--- a/mangospan/fleet/configuration_watch.cc
+++ b/mangospan/fleet/configuration_watch.cc
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <utility>
 
+#include "mangospan/config/parser.h"
+#include "mangospan/config/patch.h"
+
 namespace mangospan::fleet {
 
 configuration_watch::configuration_watch(parse_function aParse,
@@ -175,9 +178,13 @@
   if (aRevision > mRefused) {
     mRefusal.clear();
   }
-  mPatch = mHeld.mRevision == 0 ? std::string() : MakePatch(mHeld.mText, aText);
-  mPatchBase = mPatch.empty() ? 0 : mHeld.mRevision;
-  mHeld = { aRevision, aText, std::move(document).assume_value() };
+  std::string text = config::ToText(document.assume_value());
+  const auto patch = config::MakePatch(mHeld.mText, text);
+  const bool shorter = mHeld.mRevision != 0 && patch.has_value() &&
+                       patch.assume_value().size() < text.size();
+  mPatch = shorter ? patch.assume_value() : std::string();
+  mPatchBase = shorter ? mHeld.mRevision : 0;
+  mHeld = { aRevision, std::move(text), std::move(document).assume_value() };
   return true;
 }
 
--- /dev/null
+++ b/mangospan/fleet/host_steps_test.cc
@@ -0,0 +1,122 @@
+#include "mangospan/fleet/host_steps.h"
+
+#include <gtest/gtest.h>
+
+#include "mangospan/fleet/testing/fake_fleet.h"
+
+namespace mangospan::fleet {
+namespace {
+
+const host_name kHost("a-0");
+
+class host_steps_test : public ::testing::Test
+{
+protected:
+  host_steps_test()
+  {
+    mRecord.mPool = pool_name("work");
+    mInputs.mDocument = &mDocument;
+    mInputs.mIntents = &mIntents;
+    mInputs.mDrains = &mDrains;
+    mInputs.mPermitted = [this](const auto&, const auto&) { return mPermit; };
+    mInputs.mEmptied = [this](const auto&, const auto&) { return mEmptied; };
+    mInputs.mProgress = [this](const auto&) { return mProgress; };
+  }
+
+  void Step()
+  {
+    mRecord = NextStep(kHost, mRecord, mInputs, time_point{}, mIds);
+  }
+
+  config::document mDocument = testing::TwoPools(1);
+  host_intents mIntents;
+  std::set<host_name> mDrains;
+  bool mPermit = true;
+  bool mEmptied = true;
+  action_progress mProgress{ true, true, false, {} };
+  step_inputs mInputs;
+  write_ids mIds{ boot_id{ 3 } };
+  host_record mRecord;
+};
+
+TEST_F(host_steps_test, AMoveGoesThroughEveryStepAndChangesPoolInOne)
+{
+  mIntents[kHost] = { host_purpose::kMove, pool_name("spare"), {} };
+  Step();
+  EXPECT_EQ(mRecord.mPhase, host_phase::kDraining);
+  Step();
+  EXPECT_EQ(mRecord.mPhase, host_phase::kStopping);
+  EXPECT_EQ(mRecord.mPool, pool_name("work"));
+  Step();
+  EXPECT_EQ(mRecord.mPhase, host_phase::kStarting);
+  EXPECT_EQ(mRecord.mPool, pool_name("spare"));
+  mIntents.clear();
+  Step();
+  EXPECT_EQ(mRecord.mPhase, host_phase::kServing);
+  EXPECT_EQ(mRecord.mEpoch, 2U);
+  EXPECT_EQ(mRecord.mPurpose, host_purpose::kNone);
+}
+
+TEST_F(host_steps_test, WithoutAPermitNothingDrains)
+{
+  mIntents[kHost] = { host_purpose::kMaintenance, {}, "w1" };
+  mPermit = false;
+  Step();
+  EXPECT_EQ(mRecord.mPhase, host_phase::kServing);
+}
+
+TEST_F(host_steps_test, ADrainWaitsUntilEveryEntryIsEmpty)
+{
+  mRecord.mPhase = host_phase::kDraining;
+  mRecord.mPurpose = host_purpose::kMaintenance;
+  mEmptied = false;
+  Step();
+  EXPECT_EQ(mRecord.mPhase, host_phase::kDraining);
+}
+
+TEST_F(host_steps_test, AnActionThatFailedIsRepeatedUnderANewId)
+{
+  mRecord.mPhase = host_phase::kRebooting;
+  mRecord.mPurpose = host_purpose::kMaintenance;
+  mRecord.mAction = mIds.Next();
+  const write_id old = mRecord.mAction;
+  mProgress = { true, false, true, {} };
+  Step();
+  EXPECT_TRUE(mRecord.mFailed);
+  EXPECT_FALSE(mRecord.mAction == old);
+}
+
+TEST_F(host_steps_test, AnActionUnderWayKeepsItsId)
+{
+  mRecord.mPhase = host_phase::kRebooting;
+  mRecord.mAction = mIds.Next();
+  const write_id old = mRecord.mAction;
+  mProgress = { true, false, false, {} };
+  Step();
+  EXPECT_TRUE(mRecord.mAction == old);
+}
+
+TEST_F(host_steps_test, ANewHostJoinsThePoolWhoseServiceItRuns)
+{
+  platform::host_info host;
+  host.mService = service_name("work");
+  EXPECT_EQ(Adopt(mDocument, host, 0, mIds).mPool, pool_name("work"));
+  host.mService = {};
+  const host_record idle = Adopt(mDocument, host, 0, mIds);
+  EXPECT_EQ(idle.mPool, pool_name("spare"));
+  EXPECT_EQ(idle.mPhase, host_phase::kStarting);
+}
+
+TEST_F(host_steps_test, AHostThatNoPoolAdmitsIsLeftAlone)
+{
+  for (config::pool& pool : mDocument.mPools) {
+    pool.mRacks = { rack_name("r1") };
+  }
+  platform::host_info host;
+  host.mService = service_name("work");
+  host.mRack = rack_name("r2");
+  EXPECT_TRUE(Adopt(mDocument, host, 0, mIds).mPool.Empty());
+}
+
+} // namespace
+} // namespace mangospan::fleet
--- a/mangospan/fleet/internal/records_json.cc
+++ b/mangospan/fleet/internal/records_json.cc
@@ -393,15 +393,4 @@
     });
 }
 
-std::string
-MakePatch(const std::string& aFrom, const std::string& aTo)
-{
-  const json from = json::parse(aFrom, nullptr, false, true);
-  const json to = json::parse(aTo, nullptr, false, true);
-  if (from.is_discarded() || to.is_discarded()) {
-    return {};
-  }
-  return json::diff(from, to).dump();
-}
-
 } // namespace mangospan::fleet
--- a/mangospan/fleet/pool_budgets.cc
+++ b/mangospan/fleet/pool_budgets.cc
@@ -1,16 +1,12 @@
 #include "mangospan/fleet/pool_budgets.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace mangospan::fleet {
 
 namespace {
 
-// Keeps 0.07 of 100 hosts at 7 in spite of binary fractions.
-constexpr double kRoundingSlack = 1e-9;
-
 const permit*
 FindPermit(const std::vector<permit>& aPermits, const host_name& aHost)
 {
@@ -39,17 +35,6 @@
 
 } // namespace
 
-std::size_t
-AllowedDown(const config::availability_budget& aBudget, std::size_t aHosts)
-{
-  if (aBudget.mCount) {
-    return std::min(*aBudget.mCount, aHosts);
-  }
-  const double share = std::clamp(aBudget.mShare.value_or(0), 0.0, 1.0);
-  return static_cast<std::size_t>(
-    std::floor(share * static_cast<double>(aHosts) + kRoundingSlack));
-}
-
 pool_budgets::pool_budgets(zone_name aZone,
                            const settings& aSettings,
                            std::uint64_t aSeed)
@@ -177,7 +162,7 @@
   for (const zone_name& zone : OtherZones(record)) {
     hosts += record.mZones.at(zone).mHosts;
   }
-  const std::size_t allowed = AllowedDown(aDemand.mBudget, hosts);
+  const std::size_t allowed = aDemand.mBudget.Allowed(hosts);
   aState.mWaitReason.clear();
   for (const permit& wanted : aDemand.mWanted) {
     const bool granted = FindPermit(now.mPermits, wanted.mHost) != nullptr;
--- a/mangospan/fleet/pool_budgets.h
+++ b/mangospan/fleet/pool_budgets.h
@@ -28,10 +28,6 @@
 
 namespace mangospan::fleet {
 
-// Hosts of a pool that may be unavailable at once, of `aHosts` in all zones.
-std::size_t
-AllowedDown(const config::availability_budget& aBudget, std::size_t aHosts);
-
 class pool_budgets
 {
 public:
--- a/mangospan/fleet/records.h
+++ b/mangospan/fleet/records.h
@@ -223,11 +223,6 @@
 result<wave_request>
 ParseWave(std::string_view aText, std::string_view aKey);
 
-// The JSON patch (RFC 6902) that makes `aTo` of `aFrom`; empty if either is
-// not JSON.
-std::string
-MakePatch(const std::string& aFrom, const std::string& aTo);
-
 } // namespace mangospan::fleet
 
 #endif // MANGOSPAN_FLEET_RECORDS_H
--- a/mangospan/fleet/records_test.cc
+++ b/mangospan/fleet/records_test.cc
@@ -62,12 +62,5 @@
   }
 }
 
-TEST(records, APatchLeadsFromOneDocumentToTheNext)
-{
-  EXPECT_EQ(MakePatch(R"({"a":1,"b":2})", R"({"a":1,"b":3})"),
-            R"([{"op":"replace","path":"/b","value":3}])");
-  EXPECT_EQ(MakePatch("not JSON", "{}"), "");
-}
-
 } // namespace
 } // namespace mangospan::fleet
--- a/mangospan/fleet/testing/fake_fleet.cc
+++ b/mangospan/fleet/testing/fake_fleet.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "mangospan/fleet/pool_budgets.h"
-
 namespace mangospan::fleet::testing {
 
 namespace {
@@ -121,6 +119,7 @@
   config::work_class checks;
   checks.mName = class_name("checks");
   checks.mMatch.mService = service_name("work");
+  checks.mTarget = { 0.99, std::chrono::seconds(2) };
   document.mClasses = { checks };
   document.mMaintenance.mRebootLimit = std::chrono::seconds(3);
   document.mMaintenance.mStopAfterFailures = 2;
@@ -694,7 +693,7 @@
        ++each) {
     config::availability_budget budget;
     budget.mCount = each->second;
-    most = std::max(most, AllowedDown(budget, aHosts));
+    most = std::max(most, budget.Allowed(aHosts));
     if (mEvents.Now() - each->first > kBudgetLag) {
       break;
     }
--- a/mangospan/fleet/testing/fake_platform.cc
+++ b/mangospan/fleet/testing/fake_platform.cc
@@ -165,6 +165,12 @@
   Change(aKey, aValue, false);
 }
 
+void
+fake_store::Remove(const std::string& aKey)
+{
+  Change(aKey, {}, true);
+}
+
 void
 fake_store::Change(const std::string& aKey,
                    const std::string& aValue,
--- a/mangospan/fleet/testing/fake_platform.h
+++ b/mangospan/fleet/testing/fake_platform.h
@@ -37,6 +37,8 @@
   // Writes at once, whatever the key's revision is.
   void Put(const std::string& aKey, const std::string& aValue);
 
+  void Remove(const std::string& aKey);
+
   std::string Get(const std::string& aKey) const;
   platform::revision RevisionOf(const std::string& aKey) const;
   std::size_t Calls() const { return mCalls; }
