The platform over HTTP and JSON

Aim: one adapter behind the store and hosts interfaces, so that another platform needs other classes only.

--- /dev/null
+++ b/mangospan/platform/http_platform.h
@@ -0,0 +1,96 @@
+// The platform's services over HTTP and JSON.
+//
+// The only code that knows the platform's protocol; another platform needs
+// other classes in place of these two:
+//
+//   platform::http_store store(io, client, "127.0.0.1:7000");
+//   platform::http_hosts hosts(io, client, "127.0.0.1:7000");
+#ifndef MANGOSPAN_PLATFORM_HTTP_PLATFORM_H
+#define MANGOSPAN_PLATFORM_HTTP_PLATFORM_H
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "mangospan/platform/hosts.h"
+#include "mangospan/platform/store.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace mangospan::http {
+class client;
+}
+
+namespace mangospan::platform {
+
+// Where the platform is and how it is reached. The references must outlive the
+// users of this value.
+struct http_platform
+{
+  boost::asio::io_context& mIo;
+  http::client& mClient;
+  std::string mAddress; // "ip:port"
+};
+
+class http_store final : public store
+{
+public:
+  http_store(boost::asio::io_context& aIo,
+             http::client& aClient,
+             std::string aAddress);
+
+  void Read(std::string aKey,
+            std::chrono::milliseconds aTimeout,
+            handler<std::optional<record>> aHandler) override;
+  void List(std::string aPrefix,
+            std::chrono::milliseconds aTimeout,
+            handler<std::vector<record>> aHandler) override;
+  void CompareAndSwap(swap_request aRequest,
+                      std::chrono::milliseconds aTimeout,
+                      handler<revision> aHandler) override;
+  void Delete(std::string aKey,
+              revision aExpected,
+              std::chrono::milliseconds aTimeout,
+              handler<revision> aHandler) override;
+  void GrantLease(std::chrono::milliseconds aTtl,
+                  std::chrono::milliseconds aTimeout,
+                  handler<lease_id> aHandler) override;
+  void RenewLease(lease_id aLease,
+                  std::chrono::milliseconds aTimeout,
+                  handler<lease_id> aHandler) override;
+  void RevokeLease(lease_id aLease,
+                   std::chrono::milliseconds aTimeout,
+                   handler<lease_id> aHandler) override;
+  void Watch(std::string aPrefix,
+             revision aAfter,
+             std::chrono::milliseconds aWait,
+             handler<change_batch> aHandler) override;
+
+private:
+  const http_platform mPlatform;
+};
+
+class http_hosts final : public hosts
+{
+public:
+  http_hosts(boost::asio::io_context& aIo,
+             http::client& aClient,
+             std::string aAddress);
+
+  void List(revision aKnown,
+            std::chrono::milliseconds aTimeout,
+            handler<host_list> aHandler) override;
+  void Act(action_request aRequest,
+           std::chrono::milliseconds aTimeout,
+           handler<action_status> aHandler) override;
+
+private:
+  const http_platform mPlatform;
+};
+
+} // namespace mangospan::platform
+
+#endif // MANGOSPAN_PLATFORM_HTTP_PLATFORM_H
