--- a/mangospan/request/pipeline_test.cc
+++ b/mangospan/request/pipeline_test.cc
@@ -195,6 +195,26 @@
   EXPECT_EQ(Find<dispatch>(End(busy, kGood))->mRequest, 4U);
 }
 
+TEST_F(pipeline_test, WhatHasLeftTheQueueNoLongerCountsAgainstItsCaller)
+{
+  std::vector<std::size_t> admitted;
+  for (int round = 0; round < 3; ++round) {
+    for (int i = 0; i < 100; ++i) {
+      arrival request = Request("POST");
+      request.mCaller = caller_name(std::to_string(i % 3));
+      request.mTeam = team_name(std::to_string(i % 3));
+      mPipeline.OnArrival(request, Now());
+    }
+    admitted.push_back(mPipeline.Snapshot().mPools.at(0).mQueued);
+    mClock.Advance(seconds(2));
+    mPipeline.OnTick(Now());
+    ASSERT_EQ(mPipeline.Snapshot().mPools.at(0).mQueued, 0U);
+  }
+  EXPECT_GT(admitted[0], 5U);
+  EXPECT_EQ(admitted[1], admitted[0]);
+  EXPECT_EQ(admitted[2], admitted[0]);
+}
+
 TEST_F(pipeline_test, ADrainingEndpointGetsNoNewRequestAndIsThenEmptied)
 {
   const dispatch first = *Find<dispatch>(Arrive("GET"));
