--- a/mangospan/platform/internal/call.h
+++ b/mangospan/platform/internal/call.h
@@ -69,7 +69,7 @@
   const call_kind kind = aCall.mKind;
   const char* const step = aCall.mStep;
   Send(aPlatform,
-       std::move(aCall),
+       aCall,
        [kind, step, aParse, handler = std::move(aHandler)](
          result<nlohmann::json> aResult) {
          if (aResult.has_error()) {
