Stand-ins of the platform and the endpoints, and the scenario runner

mangospan-scenario runs scripts of one step a line over real processes.

Ruled out: the project's own HTTP server in the stand-ins (it never sends half an answer), and a poll of the store by the runner through the counted calls.

--- /dev/null
+++ b/testing/scenario/process_table.cc
@@ -0,0 +1,179 @@
+#include "testing/scenario/process_table.h"
+
+#include <csignal>
+#include <cstddef>
+#include <deque>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+#include <sys/prctl.h>
+
+#include <boost/process.hpp>
+#include <boost/process/extend.hpp>
+
+#include "mangospan/base/error.h"
+
+namespace mangospan::scenario {
+
+namespace {
+
+namespace process = boost::process;
+
+// Without this, a scenario runner that is killed would leave its processes.
+struct die_with_parent : process::extend::handler
+{
+  template<typename Executor>
+  void on_exec_setup(Executor& /*aExecutor*/) const // NOLINT: library's name
+  {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+  }
+};
+
+} // namespace
+
+class process_table::impl
+{
+public:
+  std::string mLogFolder;
+  std::map<std::string, process::child> mChildren;
+};
+
+process_table::process_table(std::string aLogFolder)
+  : mImpl(std::make_unique<impl>())
+{
+  mImpl->mLogFolder = std::move(aLogFolder);
+}
+
+process_table::~process_table()
+{
+  std::error_code ignored;
+  for (auto& [name, child] : mImpl->mChildren) {
+    if (child.running(ignored)) {
+      child.terminate(ignored);
+    }
+    child.wait(ignored);
+  }
+}
+
+status
+process_table::Start(const std::string& aName,
+                     const std::string& aProgram,
+                     const std::vector<std::string>& aArguments)
+{
+  if (Runs(aName)) {
+    return error{
+      error_code::kConflict, "process.start", aName, "runs already"
+    };
+  }
+  std::error_code failure;
+  // Appended, so that a restarted process keeps its earlier lines.
+  const std::unique_ptr<FILE, int (*)(FILE*)> log(
+    std::fopen(LogFile(aName).c_str(), "a"), &std::fclose);
+  if (log == nullptr) {
+    return error{ error_code::kInvalidArgument,
+                  "process.start",
+                  aName,
+                  "can not write " + LogFile(aName) };
+  }
+  process::child child(
+    process::exe = aProgram,
+    process::args = aArguments,
+    process::std_in<process::null, (process::std_out & process::std_err)> log
+      .get(),
+    die_with_parent{},
+    failure);
+  if (failure) {
+    return error{
+      error_code::kInvalidArgument, "process.start", aProgram, failure.message()
+    };
+  }
+  mImpl->mChildren[aName] = std::move(child);
+  return boost::outcome_v2::success();
+}
+
+status
+process_table::Signal(const std::string& aName, int aSignal)
+{
+  if (!Runs(aName)) {
+    return error{
+      error_code::kNotFound, "process.signal", aName, "does not run"
+    };
+  }
+  ::kill(mImpl->mChildren.at(aName).id(), aSignal);
+  return boost::outcome_v2::success();
+}
+
+bool
+process_table::Runs(const std::string& aName)
+{
+  std::error_code ignored;
+  const auto found = mImpl->mChildren.find(aName);
+  return found != mImpl->mChildren.end() && found->second.running(ignored);
+}
+
+std::optional<int>
+process_table::ExitCode(const std::string& aName)
+{
+  const auto found = mImpl->mChildren.find(aName);
+  if (found == mImpl->mChildren.end() || Runs(aName)) {
+    return std::nullopt;
+  }
+  return found->second.exit_code();
+}
+
+void
+process_table::Reap(const std::string& aName)
+{
+  std::error_code ignored;
+  const auto found = mImpl->mChildren.find(aName);
+  if (found != mImpl->mChildren.end()) {
+    found->second.wait(ignored);
+  }
+}
+
+std::vector<std::string>
+process_table::Names() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, child] : mImpl->mChildren) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::string
+process_table::LogFile(const std::string& aName) const
+{
+  std::string file = aName;
+  for (char& c : file) {
+    c = c == '/' ? '-' : c;
+  }
+  return mImpl->mLogFolder + "/" + file + ".log";
+}
+
+std::string
+TailOf(const std::string& aFile, std::size_t aLines)
+{
+  std::ifstream in(aFile);
+  std::deque<std::string> lines;
+  std::string line;
+  while (std::getline(in, line)) {
+    lines.push_back(line);
+    if (lines.size() > aLines) {
+      lines.pop_front();
+    }
+  }
+  std::string tail;
+  for (const std::string& each : lines) {
+    tail += "  " + each + "\n";
+  }
+  return tail;
+}
+
+} // namespace mangospan::scenario
