--- a/mangospan/wire/internal/fields.cc
+++ b/mangospan/wire/internal/fields.cc
@@ -301,7 +301,8 @@
   return { { "addr", aMessage.mPeerAddress },
            { "view", Write(aMessage.mView) },
            { "config", aMessage.mConfigRevision },
-           { "shares", WriteList(aMessage.mShares) } };
+           { "shares", WriteList(aMessage.mShares) },
+           { "term_heard", aMessage.mTermHeard } };
 }
 
 void
@@ -311,6 +312,7 @@
   Read(aFields.at("view"), aMessage.mView);
   Take(aFields, "config", aMessage.mConfigRevision);
   TakeList(aFields, "shares", aMessage.mShares);
+  Take(aFields, "term_heard", aMessage.mTermHeard);
 }
 
 json
--- a/mangospan/wire/link_test.cc
+++ b/mangospan/wire/link_test.cc
@@ -89,7 +89,7 @@
   Connect(left, right);
   EXPECT_EQ(left.mOpen.begin()->second, right.Address());
   EXPECT_EQ(right.mOpen.begin()->second, "");
-  left.mLink.Send(left.Connection(), hello{ "here", {}, 7, {} });
+  left.mLink.Send(left.Connection(), hello{ "here", {}, 7, {}, 0 });
   right.mLink.Send(right.Connection(), goodbye{});
   ASSERT_TRUE(Eventually(
     [&] { return left.mHeard.size() == 1 && right.mHeard.size() == 1; }));
--- a/mangospan/wire/message_test.cc
+++ b/mangospan/wire/message_test.cc
@@ -2,6 +2,7 @@
 
 #include <random>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -32,7 +33,7 @@
 EveryMessage()
 {
   return {
-    hello{ "127.0.0.1:1", { 1, 2 }, 3, { { host_name("worker-1"), 4, 5 } } },
+    hello{ "127.0.0.1:1", { 1, 2 }, 3, { { host_name("worker-1"), 4, 5 } }, 6 },
     heartbeat{ { 1, 2 }, 3, true },
     view_push{ SampleView() },
     config_push{ 4, 3, "[]" },
@@ -95,6 +96,17 @@
   EXPECT_EQ(back.mEntries[0].mPeerAddress, "127.0.0.1:7400");
 }
 
+TEST(Message, KeepsFieldsOfTheHello)
+{
+  const auto decoded = Decode(Encode(Wrap(EveryMessage().front())));
+  const auto& back = std::get<hello>(decoded.assume_value().mMessage);
+  EXPECT_EQ(back.mPeerAddress, "127.0.0.1:1");
+  EXPECT_EQ(back.mConfigRevision, 3U);
+  ASSERT_EQ(back.mShares.size(), 1U);
+  EXPECT_EQ(back.mShares[0].mSlots, 5U);
+  EXPECT_EQ(back.mTermHeard, 6U);
+}
+
 TEST(Message, RefusesTruncatedBytes)
 {
   for (const message& each : EveryMessage()) {
