--- a/mangospan/platform/http_hosts.cc
+++ b/mangospan/platform/http_hosts.cc
@@ -111,8 +111,9 @@
 
 http_hosts::http_hosts(boost::asio::io_context& aIo,
                        http::client& aClient,
-                       std::string aAddress)
-  : mPlatform{ aIo, aClient, std::move(aAddress) }
+                       std::string aAddress,
+                       zone_name aZone)
+  : mPlatform{ aIo, aClient, std::move(aAddress), std::move(aZone) }
 {
 }
 
--- a/mangospan/platform/http_platform.h
+++ b/mangospan/platform/http_platform.h
@@ -3,8 +3,8 @@
 // The only code that knows the platform's protocol; another platform needs
 // other classes in place of these two:
 //
-//   platform::http_store store(io, client, "127.0.0.1:7000");
-//   platform::http_hosts hosts(io, client, "127.0.0.1:7000");
+//   platform::http_store store(io, client, "127.0.0.1:7000", zone);
+//   platform::http_hosts hosts(io, client, "127.0.0.1:7000", zone);
 #ifndef MANGOSPAN_PLATFORM_HTTP_PLATFORM_H
 #define MANGOSPAN_PLATFORM_HTTP_PLATFORM_H
 
@@ -33,6 +33,7 @@
   boost::asio::io_context& mIo;
   http::client& mClient;
   std::string mAddress; // "ip:port"
+  zone_name mZone;      // of this process, named in each call; may be empty
 };
 
 class http_store final : public store
@@ -40,7 +41,8 @@
 public:
   http_store(boost::asio::io_context& aIo,
              http::client& aClient,
-             std::string aAddress);
+             std::string aAddress,
+             zone_name aZone);
 
   void Read(std::string aKey,
             std::chrono::milliseconds aTimeout,
@@ -78,7 +80,8 @@
 public:
   http_hosts(boost::asio::io_context& aIo,
              http::client& aClient,
-             std::string aAddress);
+             std::string aAddress,
+             zone_name aZone);
 
   void List(revision aKnown,
             std::chrono::milliseconds aTimeout,
--- a/mangospan/platform/http_platform_test.cc
+++ b/mangospan/platform/http_platform_test.cc
@@ -26,8 +26,8 @@
   {
     ASSERT_TRUE(mServer.Listen("127.0.0.1:0").has_value());
     mAddress = "127.0.0.1:" + std::to_string(mServer.Port());
-    mStore.emplace(mIo, mClient, mAddress);
-    mHosts.emplace(mIo, mClient, mAddress);
+    mStore.emplace(mIo, mClient, mAddress, zone_name("a"));
+    mHosts.emplace(mIo, mClient, mAddress, zone_name("a"));
   }
 
   void AnswerWith(int aStatus, const std::string& aBody)
@@ -106,6 +106,7 @@
   AnswerWith(200, R"({"revision":9})");
   EXPECT_EQ(Swap({ "k", 8, "new \"text\"", lease_id{ 5 } }).assume_value(), 9U);
   EXPECT_EQ(mRequests.at(0).mMethod, "PUT");
+  EXPECT_EQ(mRequests.at(0).Get("Mangospan-Zone"), "a");
   EXPECT_EQ(mRequests.at(0).mBody,
             R"({"expect":8,"lease":5,"value":"new \"text\""})");
   AnswerWith(409, R"({"revision":10})");
--- a/mangospan/platform/http_store.cc
+++ b/mangospan/platform/http_store.cc
@@ -89,8 +89,9 @@
 
 http_store::http_store(boost::asio::io_context& aIo,
                        http::client& aClient,
-                       std::string aAddress)
-  : mPlatform{ aIo, aClient, std::move(aAddress) }
+                       std::string aAddress,
+                       zone_name aZone)
+  : mPlatform{ aIo, aClient, std::move(aAddress), std::move(aZone) }
 {
 }
 
--- a/mangospan/platform/internal/call.cc
+++ b/mangospan/platform/internal/call.cc
@@ -84,6 +84,9 @@
   http::request message;
   message.mMethod = aCall.mMethod;
   message.mTarget = aCall.mTarget;
+  if (!aPlatform.mZone.Empty()) {
+    message.Set("Mangospan-Zone", aPlatform.mZone.Str());
+  }
   if (!aCall.mBody.is_null()) {
     message.Set("Content-Type", "application/json");
     try {
