Scenario runner: no zombies, racing operators, the acting process by zone

The runner left a killed process as a zombie where no init reaps orphans: boost::process::child::terminate marks the child as ended, and wait() then returns without reaping it. The table now sends SIGKILL itself and waits; ProcessTable.LeavesNoProcessBehindNotEvenAnEndedOne failed before.

Scripts can name the fleet process that acts for a zone, let two operators apply at once over slow answers, and slow the platform down.

--- a/testing/scenario/conditions.cc
+++ b/testing/scenario/conditions.cc
@@ -107,19 +107,32 @@
   });
 }
 
-bool
-IsActing(world& aWorld, const words& aWords)
+// How many running fleet processes say that they act for the zone; with a
+// host, only that host's is asked.
+std::ptrdiff_t
+CountActing(world& aWorld, const std::string& aZone, const std::string& aHost)
 {
   const auto daemons = aWorld.RunningDaemons();
-  return std::any_of(
+  return std::count_if(
     daemons.begin(), daemons.end(), [&](const daemon_process& aDaemon) {
-      return aDaemon.mKind == daemon_kind::kFleet &&
-             aDaemon.mZone == aWords[1] &&
-             (aWords.size() == 2 || aDaemon.mHost == aWords[2]) &&
+      return aDaemon.mKind == daemon_kind::kFleet && aDaemon.mZone == aZone &&
+             (aHost.empty() || aDaemon.mHost == aHost) &&
              StateOf(aWorld, aDaemon).value("acting", false);
     });
 }
 
+bool
+IsActing(world& aWorld, const words& aWords)
+{
+  return CountActing(aWorld, aWords[1], aWords.size() > 2 ? aWords[2] : "") > 0;
+}
+
+bool
+IsOneActing(world& aWorld, const words& aWords)
+{
+  return CountActing(aWorld, aWords[1], "") == 1;
+}
+
 struct condition
 {
   const char* mName;
@@ -128,13 +141,14 @@
   bool (*mHolds)(world&, const words&);
 };
 
-constexpr std::array<condition, 6> kConditions{ {
+constexpr std::array<condition, 7> kConditions{ {
   { "ready", 1, 1, IsReady },
   { "in-force", 1, 1, IsInForce },
   { "in-pool", 3, 3, IsInPool },
   { "phase", 3, 3, IsInPhase },
   { "no-move", 1, 1, IsWithoutMoves },
   { "acting", 2, 3, IsActing },
+  { "one-acting", 2, 2, IsOneActing },
 } };
 
 } // namespace
--- a/testing/scenario/conditions.h
+++ b/testing/scenario/conditions.h
@@ -20,6 +20,7 @@
 //   phase HOST PHASE    the store says that the host is in that phase
 //   no-move             every host of the store serves
 //   acting ZONE         some running fleet process acts for the zone
+//   one-acting ZONE     exactly one does
 //   acting ZONE HOST    the one of that host does
 // Errors: kInvalidArgument for another condition or a wrong number of words.
 result<bool>
--- a/testing/scenario/parser.cc
+++ b/testing/scenario/parser.cc
@@ -80,7 +80,6 @@
   aApp.allow_extras();
   aApp.add_option("--expect-exit", aStep.mExpectedExit);
   aApp.add_option("--expect-text", aStep.mExpectedText);
-  aApp.add_flag("--background", aStep.mInBackground);
 }
 
 void
@@ -114,28 +113,36 @@
   void (*mDefine)(CLI::App&, step&);
 };
 
-constexpr std::array<step_form, 24> kForms{ {
+constexpr std::array<step_form, 26> kForms{ {
   { "fleet", "FILE: the hosts; their addresses are filled in", DefineWords },
   { "platform", "starts the stand-in of the platform", DefineNothing },
   { "endpoints", "starts the stand-in of the endpoints", DefineNothing },
   { "entry", "HOST...: mangospan-entry is to run there", DefineWords },
   { "fleetd", "HOST...: mangospan-fleet is to run there", DefineWords },
   { "start", "starts what was named and does not run yet", DefineNothing },
-  { "kill", "PROCESS: SIGKILL", DefineWords },
+  { "kill", "PROCESS: SIGKILL; acting/ZONE is the acting one", DefineWords },
   { "stop", "PROCESS: SIGTERM, must exit with 0", DefineWords },
   { "freeze", "PROCESS: SIGSTOP", DefineWords },
   { "thaw", "PROCESS: SIGCONT", DefineWords },
   { "restart", "PROCESS: starts it anew", DefineWords },
-  { "apply", "FILE: mangospanctl apply --wait", DefineWords },
+  { "apply",
+    "FILE: applies it and waits until it is in force everywhere",
+    DefineWords },
   { "ctl", "ARGUMENTS...: runs mangospanctl", DefineCtl },
+  { "race",
+    "FILE FILE: two operators apply at once; one must win",
+    DefineWords },
+  { "slow", "MILLISECONDS: the platform's answers take so long", DefineWords },
   { "outage", "on|off: the platform answers nobody", DefineWords },
   { "lose-answers", "COUNT: of the platform's next writes", DefineWords },
   { "cut", "HOST|ZONE [--from platform|peers|all]", DefineCut },
   { "heal", "ends every cut", DefineNothing },
   { "fault", "HOST KIND [--delay SECONDS]: of a runner", DefineFault },
   { "leave", "HOST: the host list shows it leaving", DefineWords },
-  { "wait", "SECONDS", DefineWait },
-  { "wait-until", "CONDITION [--within SECONDS]", DefineWaitUntil },
+  { "wait", "SECONDS: does nothing but let the load go on", DefineWait },
+  { "wait-until",
+    "CONDITION [--within SECONDS]: see conditions.h",
+    DefineWaitUntil },
   { "expect", "VALUE==|<=|>=NUMBER, see summary", DefineWords },
   { "summary", "prints every value", DefineNothing },
   { "history", "PREFIX: prints the store's changes", DefineWords },
--- a/testing/scenario/process_table.cc
+++ b/testing/scenario/process_table.cc
@@ -52,10 +52,11 @@
 
 process_table::~process_table()
 {
+  // Not child::terminate: after it, child::wait would not reap the process.
   std::error_code ignored;
   for (auto& [name, child] : mImpl->mChildren) {
     if (child.running(ignored)) {
-      child.terminate(ignored);
+      ::kill(child.id(), SIGKILL);
     }
     child.wait(ignored);
   }
--- a/testing/scenario/step.h
+++ b/testing/scenario/step.h
@@ -34,7 +34,6 @@
   std::string mFrom = "all"; // cut: "platform", "peers" or "all"
   int mExpectedExit = 0;
   std::string mExpectedText; // ctl: must stand in the output
-  bool mInBackground = false;
   load_options mLoad;
 };
 
--- a/testing/scenario/steps.cc
+++ b/testing/scenario/steps.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 #include <set>
@@ -68,6 +69,8 @@
   { "restart", &step_runner::Restart },
   { "apply", &step_runner::Apply },
   { "ctl", &step_runner::Ctl },
+  { "race", &step_runner::Race },
+  { "slow", &step_runner::Slow },
   { "outage", &step_runner::Outage },
   { "lose-answers", &step_runner::LoseAnswers },
   { "cut", &step_runner::Cut },
@@ -115,6 +118,34 @@
   return aFile.front() == '/' ? aFile : mScriptFolder + "/" + aFile;
 }
 
+result<std::string>
+step_runner::Resolve(const std::string& aName)
+{
+  constexpr const char* kPrefix = "acting/";
+  if (aName.rfind(kPrefix, 0) != 0) {
+    return aName;
+  }
+  const std::string zone = aName.substr(std::string(kPrefix).size());
+  for (const daemon_process& each : mWorld.RunningDaemons()) {
+    if (each.mKind == daemon_kind::kFleet) {
+      BOOST_OUTCOME_TRY(acts,
+                        CheckCondition(mWorld, { "acting", zone, each.mHost }));
+      if (acts) {
+        mActing[aName] = each.mName;
+        return each.mName;
+      }
+    }
+  }
+  return error{ error_code::kNotFound, "process.find", aName, "none acts" };
+}
+
+std::string
+step_runner::Remembered(const std::string& aName) const
+{
+  const auto found = mActing.find(aName);
+  return found == mActing.end() ? aName : found->second;
+}
+
 status
 step_runner::Fleet(const step& aStep)
 {
@@ -167,35 +198,38 @@
 step_runner::Kill(const step& aStep)
 {
   BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
-  return mWorld.Kill(aStep.mWords[0]);
+  BOOST_OUTCOME_TRY(name, Resolve(aStep.mWords[0]));
+  return mWorld.Kill(name);
 }
 
 status
 step_runner::Stop(const step& aStep)
 {
   BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
-  return mWorld.Stop(aStep.mWords[0]);
+  BOOST_OUTCOME_TRY(name, Resolve(aStep.mWords[0]));
+  return mWorld.Stop(name);
 }
 
 status
 step_runner::Freeze(const step& aStep)
 {
   BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
-  return mWorld.Freeze(aStep.mWords[0]);
+  BOOST_OUTCOME_TRY(name, Resolve(aStep.mWords[0]));
+  return mWorld.Freeze(name);
 }
 
 status
 step_runner::Thaw(const step& aStep)
 {
   BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
-  return mWorld.Thaw(aStep.mWords[0]);
+  return mWorld.Thaw(Remembered(aStep.mWords[0]));
 }
 
 status
 step_runner::Restart(const step& aStep)
 {
   BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
-  return mWorld.Start(aStep.mWords[0]);
+  return mWorld.Start(Remembered(aStep.mWords[0]));
 }
 
 status
@@ -244,6 +278,10 @@
 step_runner::Ctl(const step& aStep)
 {
   std::vector<std::string> arguments = aStep.mWords;
+  for (std::string& each : arguments) {
+    const std::size_t dot = each.rfind(".json");
+    each = dot == std::string::npos ? each : PathOf(each);
+  }
   arguments.push_back("--platform");
   arguments.push_back(mWorld.Deployment().PlatformAddress());
   BOOST_OUTCOME_TRY(ran, mWorld.RunCtl(arguments));
@@ -258,6 +296,43 @@
   return Success();
 }
 
+// The slow answers let both operators read the same revision before either
+// writes.
+status
+step_runner::Race(const step& aStep)
+{
+  BOOST_OUTCOME_TRYV(NeedWords(aStep, 2));
+  std::vector<std::vector<std::string>> runs;
+  for (const std::string& file : aStep.mWords) {
+    runs.push_back({ "apply",
+                     PathOf(file),
+                     "--platform",
+                     mWorld.Deployment().PlatformAddress() });
+  }
+  BOOST_OUTCOME_TRY(ran, mWorld.RunCtls(runs));
+  constexpr int kConflict = 3;
+  const int first = ran[0].mExit;
+  const int second = ran[1].mExit;
+  if (std::min(first, second) != 0 || std::max(first, second) != kConflict) {
+    return Failure(aStep,
+                   "ended with " + std::to_string(first) + " and " +
+                     std::to_string(second) + ": " + ran[0].mOutput +
+                     ran[1].mOutput);
+  }
+  return Success();
+}
+
+status
+step_runner::Slow(const step& aStep)
+{
+  BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
+  return mWorld.Tell(
+    "platform",
+    "/control",
+    json{ { "delay_ms", std::strtoll(aStep.mWords[0].c_str(), nullptr, 10) } }
+      .dump());
+}
+
 status
 step_runner::Outage(const step& aStep)
 {
--- a/testing/scenario/steps.h
+++ b/testing/scenario/steps.h
@@ -7,7 +7,9 @@
 #define TESTING_SCENARIO_STEPS_H
 
 #include <chrono>
+#include <cstdint>
 #include <iosfwd>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -48,6 +50,8 @@
   status Restart(const step& aStep);
   status Apply(const step& aStep);
   status Ctl(const step& aStep);
+  status Race(const step& aStep);
+  status Slow(const step& aStep);
   status Outage(const step& aStep);
   status LoseAnswers(const step& aStep);
   status Cut(const step& aStep);
@@ -62,6 +66,10 @@
   status Summary(const step& aStep);
   status History(const step& aStep);
 
+  // The process that a script names. "acting/ZONE" is the fleet process that
+  // acts for the zone now; later steps find it under that name again.
+  result<std::string> Resolve(const std::string& aName);
+  std::string Remembered(const std::string& aName) const;
   std::string PathOf(const std::string& aFile) const;
   status CutPeers(const std::string& aName, bool aIsZone);
   // Waits until every running daemon holds the configuration that is stored
@@ -71,7 +79,8 @@
   world& mWorld;
   std::string mScriptFolder;
   std::ostream& mOut;
-  std::optional<verdict> mVerdict; // of the records so far
+  std::map<std::string, std::string> mActing; // by "acting/ZONE"
+  std::optional<verdict> mVerdict;            // of the records so far
 };
 
 } // namespace mangospan::scenario
--- a/testing/scenario/world.cc
+++ b/testing/scenario/world.cc
@@ -128,17 +128,39 @@
 result<ctl_result>
 world::RunCtl(const std::vector<std::string>& aArguments)
 {
-  const std::string name = "ctl-" + std::to_string(++mCtlRuns);
-  const command command = mDeployment.CtlCommand(aArguments);
-  BOOST_OUTCOME_TRYV(
-    mProcesses.Start(name, command.mProgram, command.mArguments));
-  if (!mLoop.RunUntil([&] { return !mProcesses.Runs(name); }, kCtlTimeout)) {
-    return error{
-      error_code::kTimeout, "ctl", aArguments.front(), "does not end"
-    };
+  BOOST_OUTCOME_TRY(ran, RunCtls({ aArguments }));
+  return ran.front();
+}
+
+result<std::vector<ctl_result>>
+world::RunCtls(const std::vector<std::vector<std::string>>& aRuns)
+{
+  std::vector<std::string> names;
+  names.reserve(aRuns.size());
+  for (const auto& arguments : aRuns) {
+    names.push_back("ctl-" + std::to_string(++mCtlRuns));
+    const command command = mDeployment.CtlCommand(arguments);
+    BOOST_OUTCOME_TRYV(
+      mProcesses.Start(names.back(), command.mProgram, command.mArguments));
+  }
+  const bool ended = mLoop.RunUntil(
+    [&] {
+      return std::none_of(
+        names.begin(), names.end(), [&](const std::string& aName) {
+          return mProcesses.Runs(aName);
+        });
+    },
+    kCtlTimeout);
+  if (!ended) {
+    return error{ error_code::kTimeout, "ctl", names.front(), "does not end" };
+  }
+  std::vector<ctl_result> results;
+  results.reserve(names.size());
+  for (const std::string& name : names) {
+    results.push_back({ mProcesses.ExitCode(name).value_or(-1),
+                        ReadFile(mProcesses.LogFile(name)) });
   }
-  return ctl_result{ mProcesses.ExitCode(name).value_or(-1),
-                     ReadFile(mProcesses.LogFile(name)) };
+  return results;
 }
 
 result<std::string>
--- a/testing/scenario/world.h
+++ b/testing/scenario/world.h
@@ -60,7 +60,9 @@
   status Freeze(const std::string& aName);
   status Thaw(const std::string& aName);
 
-  // Runs mangospanctl to its end.
+  // Runs mangospanctl to its end; several at once.
+  result<std::vector<ctl_result>> RunCtls(
+    const std::vector<std::vector<std::string>>& aRuns);
   result<ctl_result> RunCtl(const std::vector<std::string>& aArguments);
 
   // Sends a request that must be answered with 200; returns the body.
