--- a/testing/scenario/report.cc
+++ b/testing/scenario/report.cc
@@ -26,6 +26,40 @@
 // A leaving host gets no new work from this long after the list shows it.
 constexpr std::chrono::seconds kLeavingLimit{ 3 };
 
+struct report_row
+{
+  const char* mName;
+  const char* mMeaning;
+};
+
+constexpr report_row kRows[] = {
+  { "sent", "requests of callers" },
+  { "answered", "whole answers to their own request" },
+  { "refused", "refused with not-run, for good" },
+  { "unknown", "answered with unknown" },
+  { "not-connected", "no connection, for good" },
+  { "no-answer", "connection ended without an answer" },
+  { "lost",
+    "neither answered nor refused, without their entry being killed "
+    "or frozen" },
+  { "doubled", "non-idempotent and run more than once" },
+  { "cut", "cut short by a planned stop of their runner" },
+  { "crossed", "given another request's answer" },
+  { "untrue-not-run", "refused with not-run, but had run" },
+  { "ran", "runs at the endpoints, of every attempt" },
+  { "killed", "runs ended by the test's kill of their runner" },
+  { "over-slots", "requests beyond the slots of a runner" },
+  { "over-connections", "connections beyond the limit of a runner" },
+  { "wrong-service", "requests to a runner of another service" },
+  { "late-work", "runs begun at a leaving host after 3 s" },
+  { "moves", "hosts that changed pools" },
+  { "two-pools", "hosts found in two pools at once" },
+  { "in-force-ms", "for a configuration to be in force in every process" },
+  { "store-calls", "calls of the platform" },
+  { "p50-ms", "median time to answer" },
+  { "p99-ms", "99th percentile of the time to answer" },
+};
+
 void
 AddEndpointCounts(const json& aSummary, verdict& aVerdict)
 {
@@ -108,19 +142,23 @@
 PrintReport(const verdict& aVerdict, std::ostream& aOut)
 {
   constexpr int kNameWidth = 18;
-  for (const auto& [name, value] : aVerdict.mValues) {
-    aOut << "  " << std::left << std::setw(kNameWidth) << name << std::fixed
-         << std::setprecision(0) << value << '\n';
+  constexpr int kValueWidth = 8;
+  for (const report_row& row : kRows) {
+    const auto found = aVerdict.mValues.find(row.mName);
+    if (found != aVerdict.mValues.end()) {
+      aOut << "  " << std::left << std::setw(kNameWidth) << row.mName
+           << std::right << std::fixed << std::setprecision(0)
+           << std::setw(kValueWidth) << found->second << "  " << row.mMeaning
+           << '\n';
+    }
   }
   constexpr std::size_t kMostFindings = 20;
-  for (std::size_t i = 0;
-       i < std::min(kMostFindings, aVerdict.mFindings.size());
-       ++i) {
+  const std::size_t shown = std::min(kMostFindings, aVerdict.mFindings.size());
+  for (std::size_t i = 0; i < shown; ++i) {
     aOut << "  ! " << aVerdict.mFindings[i] << '\n';
   }
-  if (aVerdict.mFindings.size() > kMostFindings) {
-    aOut << "  ! and " << aVerdict.mFindings.size() - kMostFindings
-         << " more\n";
+  if (shown < aVerdict.mFindings.size()) {
+    aOut << "  ! and " << aVerdict.mFindings.size() - shown << " more\n";
   }
 }
 
--- a/testing/scenario/steps.cc
+++ b/testing/scenario/steps.cc
@@ -237,6 +237,7 @@
 {
   BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
   BOOST_OUTCOME_TRY(before, mWorld.Store());
+  const time_point started = boot_clock::now();
   BOOST_OUTCOME_TRY(ran,
                     mWorld.RunCtl({ "apply",
                                     PathOf(aStep.mWords[0]),
@@ -247,13 +248,14 @@
                    "mangospanctl ended with " + std::to_string(ran.mExit) +
                      ": " + ran.mOutput);
   }
-  return WaitInForce(before.mConfigRevision, aStep.mWithin);
+  return WaitInForce(before.mConfigRevision, started, aStep.mWithin);
 }
 
 status
-step_runner::WaitInForce(std::uint64_t aBefore, milliseconds aWithin)
+step_runner::WaitInForce(std::uint64_t aBefore,
+                         time_point aStarted,
+                         milliseconds aWithin)
 {
-  const time_point accepted = boot_clock::now();
   const bool inForce = mWorld.Loop().RunUntil(
     [&] {
       const auto store = mWorld.Store();
@@ -270,7 +272,7 @@
                     std::to_string(aWithin.count()) + " ms" };
   }
   mWorld.NoteInForce(
-    std::chrono::duration_cast<milliseconds>(boot_clock::now() - accepted));
+    std::chrono::duration_cast<milliseconds>(boot_clock::now() - aStarted));
   return Success();
 }
 
@@ -456,10 +458,17 @@
 step_runner::LoadWait(const step& /*aStep*/)
 {
   constexpr milliseconds kLongest{ 120'000 };
-  if (!mWorld.Loop().RunUntil([&] { return mWorld.Load().Done(); }, kLongest)) {
-    return error{
-      error_code::kTimeout, "load wait", "", "some requests never ended"
-    };
+  constexpr milliseconds kProgressPeriod{ 2'000 };
+  const time_point end = boot_clock::now() + kLongest;
+  while (!mWorld.Loop().RunUntil([&] { return mWorld.Load().Done(); },
+                                 kProgressPeriod)) {
+    if (boot_clock::now() >= end) {
+      return error{
+        error_code::kTimeout, "load wait", "", "some requests never ended"
+      };
+    }
+    mOut << "         " << mWorld.Load().Attempts().size()
+         << " attempts sent so far" << std::endl;
   }
   return Success();
 }
--- a/testing/scenario/steps.h
+++ b/testing/scenario/steps.h
@@ -14,6 +14,7 @@
 #include <string>
 
 #include "mangospan/base/error.h"
+#include "mangospan/base/time.h"
 #include "testing/scenario/step.h"
 #include "testing/scenario/verdict.h"
 #include "testing/scenario/world.h"
@@ -73,8 +74,10 @@
   std::string PathOf(const std::string& aFile) const;
   status CutPeers(const std::string& aName, bool aIsZone);
   // Waits until every running daemon holds the configuration that is stored
-  // after revision `aBefore`, and notes how long that took.
-  status WaitInForce(std::uint64_t aBefore, std::chrono::milliseconds aWithin);
+  // after revision `aBefore`, and notes how long that took since `aStarted`.
+  status WaitInForce(std::uint64_t aBefore,
+                     time_point aStarted,
+                     std::chrono::milliseconds aWithin);
 
   world& mWorld;
   std::string mScriptFolder;
