--- a/testing/platform/adapter_test.cc
+++ b/testing/platform/adapter_test.cc
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include "mangospan/base/error.h"
+#include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
 #include "mangospan/http/client.h"
 #include "mangospan/http/message.h"
@@ -45,8 +46,8 @@
               })
     , mClient(mIo, {})
     , mAddress(Listen())
-    , mStore(mIo, mClient, mAddress)
-    , mHosts(mIo, mClient, mAddress)
+    , mStore(mIo, mClient, mAddress, zone_name("a"))
+    , mHosts(mIo, mClient, mAddress, zone_name("a"))
   {
   }
 
@@ -198,5 +199,13 @@
   EXPECT_TRUE(later.mHosts[0].mService.Empty());
 }
 
+TEST_F(adapter_test, CutZoneGetsNoAnswerToReadsAndWrites)
+{
+  Control(R"({"cut_zones":["a"]})");
+  EXPECT_TRUE(Swap({ "x", 0, "v", {} }).has_error());
+  Control(R"({"cut_zones":["b"]})");
+  EXPECT_TRUE(Swap({ "x", 0, "v", {} }).has_value());
+}
+
 } // namespace
 } // namespace mangospan::standin
