--- a/mangospan/fleet/demand_history.cc
+++ b/mangospan/fleet/demand_history.cc
@@ -13,7 +13,6 @@
 constexpr double kServiceTime = 10;
 constexpr double kRecent = 2;
 constexpr double kMean = 60;
-constexpr double kPeakDecay = 300;
 
 double
 Blend(double aOld, double aNew, double aSeconds, double aConstant)
@@ -101,8 +100,6 @@
   aLoad.mRecent =
     first ? level : Blend(aLoad.mRecent, level, aSeconds, kRecent);
   aLoad.mMean = first ? level : Blend(aLoad.mMean, level, aSeconds, kMean);
-  aLoad.mPeak = std::max(aLoad.mRecent,
-                         Blend(aLoad.mPeak, aLoad.mMean, aSeconds, kPeakDecay));
   aLoad.mObserved +=
     std::chrono::milliseconds(static_cast<std::int64_t>(aSeconds * 1000));
   aLoad.mArrivals = 0;
@@ -111,16 +108,12 @@
 }
 
 double
-demand_history::Level(const pool_name& aPool, config::preference aPrefer) const
+demand_history::Level(const pool_name& aPool) const
 {
   const auto found = mPools.find(aPool);
-  if (found == mPools.end()) {
-    return 0;
-  }
-  const pool_load& load = found->second;
-  return aPrefer == config::preference::kFastRollOut
-           ? load.mPeak
-           : std::max(load.mRecent, load.mMean);
+  return found == mPools.end()
+           ? 0
+           : std::max(found->second.mRecent, found->second.mMean);
 }
 
 std::chrono::milliseconds
--- a/mangospan/fleet/demand_history.h
+++ b/mangospan/fleet/demand_history.h
@@ -2,7 +2,7 @@
 //
 //   history.OnReport(entry, report.mDemand, document);
 //   history.OnTick(now);
-//   double slots = history.Level(pool, config::preference::kLowBuffer);
+//   double slots = history.Level(pool);
 #ifndef MANGOSPAN_FLEET_DEMAND_HISTORY_H
 #define MANGOSPAN_FLEET_DEMAND_HISTORY_H
 
@@ -30,9 +30,9 @@
                 const config::document& aDocument);
   void OnTick(time_point aNow);
 
-  // The slots that the pool's work asks for: its present load, or the highest
-  // of the last minutes where room for maintenance goes before idle hosts.
-  double Level(const pool_name& aPool, config::preference aPrefer) const;
+  // The slots that the pool's work asks for: now, or over the last minute if
+  // that is more.
+  double Level(const pool_name& aPool) const;
 
   // For how long the pool's load has been observed.
   std::chrono::milliseconds Observed(const pool_name& aPool) const;
@@ -46,7 +46,6 @@
     double mServiceSeconds = 0;
     double mRecent = 0;
     double mMean = 0;
-    double mPeak = 0;
     std::chrono::milliseconds mObserved{ 0 };
   };
 
--- a/mangospan/fleet/pool_sizing.cc
+++ b/mangospan/fleet/pool_sizing.cc
@@ -36,6 +36,7 @@
 {
   mStarted = false;
   mSizes.clear();
+  mShortages.clear();
   mSurplusSince.clear();
   mMovedAt.clear();
   mMoves.clear();
@@ -72,9 +73,7 @@
       info != nullptr && info->mState == platform::host_state::kLive;
     pool_size& size = mSizes[record.mPool];
     if (record.mPurpose == host_purpose::kMove) {
-      mSizes[record.mTarget].mMoving = true;
       mSizes[record.mTarget].mServing += 1;
-      size.mMoving = true;
       // The interval counts from the move's end.
       mMovedAt[record.mPool] = aNow;
       mMovedAt[record.mTarget] = aNow;
@@ -93,7 +92,7 @@
     size.mSpare = pool.mSpare;
     size.mKnown = aDemand.Observed(pool.mName) >= mSettings.mSizingLearn;
     size.mLeast = std::max<std::size_t>(pool.mMinHosts, pool.mSpare ? 0 : 1);
-    const double level = aDemand.Level(pool.mName, aDocument.mPrefer);
+    const double level = aDemand.Level(pool.mName);
     size.mNeeded = std::max(size.mLeast, HostsFor(level, slots));
     if (size.mServing <= size.mNeeded) {
       mSurplusSince.erase(pool.mName);
@@ -108,42 +107,59 @@
                            const config::document& aDocument,
                            time_point aNow)
 {
-  std::vector<std::pair<std::size_t, const config::pool*>> shortages;
   for (const config::pool& pool : aDocument.mPools) {
     const auto found = mSizes.find(pool.mName);
-    if (found != mSizes.end() && !pool.mSpare && found->second.mKnown &&
-        found->second.mServing < found->second.mNeeded) {
-      shortages.emplace_back(found->second.mNeeded - found->second.mServing,
-                             &pool);
+    if (found == mSizes.end() || !found->second.mKnown) {
+      continue;
+    }
+    const pool_size& size = found->second;
+    if (!WorthMoving(pool.mName, size.mServing < size.mNeeded, aNow)) {
+      continue;
+    }
+    while (size.mServing < size.mNeeded) {
+      const pool_name* donor = Donor(pool.mName);
+      if (donor == nullptr || !Move(aHosts, *donor, pool)) {
+        break;
+      }
     }
   }
-  std::stable_sort(
-    shortages.begin(), shortages.end(), [](const auto& aOne, const auto& aTwo) {
-      return aOne.first > aTwo.first;
-    });
-  for (const auto& [count, pool] : shortages) {
-    const pool_name* donor = Donor(pool->mName, aNow);
-    if (donor != nullptr && Rested(pool->mName, aNow)) {
-      Move(aHosts, *donor, *pool);
+}
+
+// A shortage that has lasted for some time is expected to last as long again,
+// or as long as the pool's shortages usually do, if that is more.
+bool
+pool_sizing::WorthMoving(const pool_name& aPool, bool aShort, time_point aNow)
+{
+  shortage& state = mShortages[aPool];
+  const double lasted =
+    std::chrono::duration<double>(aNow - state.mSince).count();
+  if (aShort != state.mShort) {
+    if (!aShort) {
+      state.mUsualSeconds = (state.mUsualSeconds + lasted) / 2;
     }
+    state.mShort = aShort;
+    state.mSince = aNow;
+    return false;
   }
+  const double left = std::max(lasted, state.mUsualSeconds - lasted);
+  return aShort &&
+         left >= std::chrono::duration<double>(mSettings.mMoveWorth).count();
 }
 
 const pool_name*
-pool_sizing::Donor(const pool_name& aTo, time_point aNow) const
+pool_sizing::Donor(const pool_name& aTo) const
 {
   const pool_name* best = nullptr;
   std::size_t most = 0;
   for (const auto& [name, size] : mSizes) {
-    if (name == aTo || size.mServing <= size.mNeeded || size.mMoving ||
-        size.mHosts.empty()) {
+    if (name == aTo || size.mServing <= size.mNeeded || size.mHosts.empty()) {
       continue;
     }
     if (size.mSpare) {
       return &name;
     }
     const std::size_t surplus = size.mServing - size.mNeeded;
-    if (size.mKnown && Rested(name, aNow) && surplus > most) {
+    if (size.mKnown && surplus > most) {
       most = surplus;
       best = &name;
     }
@@ -157,7 +173,8 @@
                            time_point aNow)
 {
   const config::pool* spare = SparePool(aDocument);
-  if (spare == nullptr) {
+  if (spare == nullptr ||
+      aDocument.mPrefer == config::preference::kFastRollOut) {
     return;
   }
   for (auto& [name, size] : mSizes) {
@@ -165,7 +182,7 @@
     // One host more than needed stays, so that sizes do not swing.
     const bool lasting = since != mSurplusSince.end() &&
                          aNow - since->second >= mSettings.mSurplusFor;
-    if (size.mSpare || !size.mKnown || size.mMoving || !lasting ||
+    if (size.mSpare || !size.mKnown || !lasting ||
         size.mServing <= size.mNeeded + 1 || !Rested(name, aNow)) {
       continue;
     }
@@ -185,9 +202,8 @@
     }
     mMoves[*host] = { host_purpose::kMove, aTo.mName, {} };
     --from.mServing;
-    from.mMoving = true;
     from.mHosts.erase(std::next(host).base());
-    mSizes[aTo.mName].mMoving = true;
+    ++mSizes[aTo.mName].mServing;
     return true;
   }
   return false;
--- a/mangospan/fleet/pool_sizing.h
+++ b/mangospan/fleet/pool_sizing.h
@@ -1,8 +1,9 @@
 // How many hosts each pool of the zone needs, and which hosts move for it.
 //
 // Pools that are short take hosts from the spare pool first, then from pools
-// with more than they need; hosts that a pool has not needed for a while go
-// back to the spare pool, where all pools share them:
+// with more than they need, once the shortage is expected to outlast a move.
+// Hosts that a pool has not needed for a while go back to the spare pool, where
+// all pools share them, unless room for maintenance is preferred:
 //
 //   sizing.OnTick(view, now);
 //   for (const auto& [host, intent] : sizing.Moves()) { ... }
@@ -55,7 +56,6 @@
     std::size_t mNeeded = 0;
     bool mKnown = false; // the demand has been observed long enough
     bool mSpare = false;
-    bool mMoving = false;          // a move into or out of it is under way
     std::vector<host_name> mHosts; // that could leave
   };
 
@@ -72,13 +72,23 @@
   bool Move(const zone_hosts& aHosts,
             const pool_name& aFrom,
             const config::pool& aTo);
-  const pool_name* Donor(const pool_name& aTo, time_point aNow) const;
+  const pool_name* Donor(const pool_name& aTo) const;
+  bool WorthMoving(const pool_name& aPool, bool aShort, time_point aNow);
   bool Rested(const pool_name& aPool, time_point aNow) const;
 
   const settings mSettings;
   bool mStarted = false;
   time_point mNext;
   std::map<pool_name, pool_size> mSizes;
+  // When a pool's shortage began, and how long its shortages usually last.
+  struct shortage
+  {
+    bool mShort = false;
+    time_point mSince;
+    double mUsualSeconds = 0;
+  };
+
+  std::map<pool_name, shortage> mShortages;
   std::map<pool_name, time_point> mSurplusSince;
   std::map<pool_name, time_point> mMovedAt;
   host_intents mMoves;
--- a/mangospan/fleet/settings.h
+++ b/mangospan/fleet/settings.h
@@ -36,7 +36,8 @@
   std::chrono::milliseconds mZoneCheckFor{ 3000 }; // a silence check is valid
   std::chrono::milliseconds mSizingEvery{ 1000 };
   std::chrono::milliseconds mSizingLearn{ 30000 };  // before the first move
-  std::chrono::milliseconds mMoveInterval{ 10000 }; // between a pool's moves
+  std::chrono::milliseconds mMoveWorth{ 10000 };    // a shortage to move for
+  std::chrono::milliseconds mMoveInterval{ 10000 }; // before a pool gives back
   std::chrono::milliseconds mSurplusFor{ 30000 };   // before it is given back
 };
 
--- a/mangospan/fleet/testing/fake_fleet.cc
+++ b/mangospan/fleet/testing/fake_fleet.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "mangospan/config/patch.h"
+
 namespace mangospan::fleet::testing {
 
 namespace {
@@ -98,6 +100,7 @@
   times.mZoneCheckFor = milliseconds(600);
   times.mSizingEvery = milliseconds(300);
   times.mSizingLearn = milliseconds(600);
+  times.mMoveWorth = milliseconds(400);
   times.mMoveInterval = milliseconds(600);
   times.mSurplusFor = milliseconds(900);
   return times;
@@ -139,6 +142,7 @@
     if (InFlight(aRequest.mHost) != 0) {
       Violate("requests are cut at " + aRequest.mHost.Str());
     }
+    CheckRecorded(aRequest);
   };
   for (std::size_t i = 0; i < mOptions.mZones; ++i) {
     AddZone(i);
@@ -161,7 +165,7 @@
     host.mZone = zone;
     host.mRack = rack_name(zone.Str() + "-r" + std::to_string(i / 2));
     host.mAddress = "10.0.0.1:80";
-    host.mService = service_name(i % 4 == 3 ? "spare" : "work");
+    host.mService = mOptions.mServices[i % mOptions.mServices.size()];
     host.mSlots = mOptions.mSlots;
     mHosts.Add(host);
   }
@@ -340,7 +344,10 @@
       [this, &aProcess, aInput] { Input(aProcess, aInput); });
     return;
   }
-  Carry(aProcess, aInput(*aProcess.mController));
+  const auto before = std::chrono::steady_clock::now();
+  const actions next = aInput(*aProcess.mController);
+  mBusy += std::chrono::steady_clock::now() - before;
+  Carry(aProcess, next);
 }
 
 void
@@ -489,10 +496,18 @@
 void
 fake_fleet::OnConfig(fake_entry& aEntry, const push_config& aPush)
 {
-  if (aPush.mRevision > aEntry.mConfigRevision && aPush.mBaseRevision == 0) {
-    aEntry.mConfigRevision = aPush.mRevision;
+  if (aPush.mRevision <= aEntry.mConfigRevision) {
+    return;
+  }
+  if (aPush.mBaseRevision == 0) {
     aEntry.mConfigText = aPush.mText;
+  } else if (aPush.mBaseRevision == aEntry.mConfigRevision) {
+    aEntry.mConfigText =
+      config::ApplyPatch(aEntry.mConfigText, aPush.mText).value();
+  } else {
+    return;
   }
+  aEntry.mConfigRevision = aPush.mRevision;
 }
 
 void
@@ -654,6 +669,19 @@
   }
 }
 
+// Each step is recorded before it is carried out.
+void
+fake_fleet::CheckRecorded(const platform::action_request& aRequest)
+{
+  for (const auto& [zone, record] : mLastHosts) {
+    const auto host = record.mHosts.find(aRequest.mHost);
+    if (host != record.mHosts.end() && host->second.mAction == aRequest.mId) {
+      return;
+    }
+  }
+  Violate("an action at " + aRequest.mHost.Str() + " is not recorded");
+}
+
 void
 fake_fleet::CheckBudget(const zone_name& aZone,
                         const host_name& aHost,
--- a/mangospan/fleet/testing/fake_fleet.h
+++ b/mangospan/fleet/testing/fake_fleet.h
@@ -34,6 +34,11 @@
   std::size_t mEntries = 2;   // per zone
   std::size_t mHosts = 4;     // per zone
   std::size_t mSlots = 4;
+  // What the zone's hosts run, in turn.
+  std::vector<service_name> mServices{ service_name("work"),
+                                       service_name("work"),
+                                       service_name("work"),
+                                       service_name("spare") };
   milliseconds mTick{ 100 };
   milliseconds mRequestTime{ 300 }; // the longest
   settings mSettings;
@@ -115,8 +120,9 @@
   fake_hosts mHosts;
   std::minstd_rand mRandom;
   std::size_t mMessages = 0;
-  std::size_t mDrains = 0; // recorded
-  std::size_t mMoves = 0;  // recorded changes of pool
+  std::chrono::nanoseconds mBusy{ 0 }; // real time spent in decisions
+  std::size_t mDrains = 0;             // recorded
+  std::size_t mMoves = 0;              // recorded changes of pool
   std::set<host_name> mKilledHosts;
   bool mDemand = false;        // entries report a load of class "checks"
   std::size_t mDemandRate = 0; // requests a second at each entry
@@ -145,6 +151,7 @@
   std::size_t InFlight(const host_name& aHost) const;
   void OnStoreChange(const platform::change& aChange);
   void CheckHosts(const zone_name& aZone, const hosts_record& aNext);
+  void CheckRecorded(const platform::action_request& aRequest);
   void CheckBudget(const zone_name& aZone,
                    const host_name& aHost,
                    const host_record& aRecord);
--- a/mangospan/fleet/zone_controller_test.cc
+++ b/mangospan/fleet/zone_controller_test.cc
@@ -132,6 +132,18 @@
   EXPECT_EQ(Host("a-0").mPhase, host_phase::kDrained);
 }
 
+TEST_F(zone_controller_test, AnEntryOfAGoneHostIsWaitedForUntilTheFence)
+{
+  mFleet.Entries()[1]->mFrozen = true;
+  mFleet.mHosts.SetState(host_name("a-e1"), platform::host_state::kGone);
+  mFleet.Drain({ host_name("a-0") });
+  mFleet.Run(milliseconds(2500));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kDraining);
+  mFleet.Entries()[1]->mInFlight.clear();
+  mFleet.Run(milliseconds(4000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kDrained);
+}
+
 TEST_F(zone_controller_test, ALeavingHostGetsNoWorkButIsNotCut)
 {
   mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kLeaving);
