fleet: pools borrow hosts from the spare pool and give them back

Aim: late share below fixed sizes on peaks in turn. Now only the spare pool lends at once, own hosts go only after 10 min of surplus, and a shortage is that of the own hosts.

--- a/bench/fleet/fleet_bench.cc
+++ b/bench/fleet/fleet_bench.cc
@@ -1,10 +1,11 @@
 #include <algorithm>
 #include <cstddef>
-#include <iomanip>
 #include <iostream>
 #include <string>
 #include <vector>
 
+#include <malloc.h>
+
 #include "bench/fleet/bench_parts.h"
 #include "mangospan/config/parser.h"
 #include "mangospan/fleet/testing/fake_fleet.h"
@@ -95,6 +96,7 @@
   fleet.Run(seconds(10));
   fleet.StartWave("w1", false);
   const time_point start = fleet.mEvents.Now();
+  const std::size_t calls = fleet.mStore.Calls();
   while (!WaveDone(fleet, aZones)) {
     fleet.Run(milliseconds(100));
   }
@@ -104,7 +106,9 @@
                        static_cast<double>((hosts + aBudget - 1) / aBudget);
   std::cout << aZones << "\t" << hosts << "\t" << aBudget << "\t" << bound
             << "\t" << took << "\t" << took / bound << "\t"
-            << fleet.Violations().size() << "\n";
+            << static_cast<double>(fleet.mStore.Calls() - calls) /
+                 static_cast<double>(hosts)
+            << "\t" << fleet.Violations().size() << "\n";
 }
 
 bool
@@ -173,8 +177,8 @@
   const std::size_t messages = fleet.mMessages;
   fleet.Run(seconds(kSeconds));
   const double core = SecondsOf(fleet.mBusy - busy) / kSeconds * 100;
-  const view::zone_view& view =
-    fleet.Acting(fleet.Zone(0))->mController->View();
+  fleet::testing::fake_process& acting = *fleet.Acting(fleet.Zone(0));
+  const view::zone_view view = acting.mController->View();
   const std::size_t viewBytes =
     wire::Encode({ {}, wire::view_push{ view } }).size();
   std::cout << aHosts << "\t" << aPools << "\t" << aTeams << "\t"
@@ -185,7 +189,10 @@
             << static_cast<double>(fleet.mMessages - messages) / kSeconds
             << "\t" << viewBytes << "\t"
             << fleet.mStore.Get(fleet::HostsKey(fleet.Zone(0))).size() << "\t"
-            << config::ToText(document).size() << "\n";
+            << config::ToText(document).size();
+  const std::size_t before = mallinfo2().uordblks;
+  fleet.Kill(acting);
+  std::cout << "\t" << (before - mallinfo2().uordblks) / 1024 << "\n";
 }
 
 } // namespace
@@ -193,8 +200,8 @@
 void
 BenchRollOut(std::uint64_t aSeed)
 {
-  std::cout
-    << "\nroll-out: zones hosts budget bound_s took_s ratio violations\n";
+  std::cout << "\nroll-out: zones hosts budget bound_s took_s ratio "
+               "store_calls/host violations\n";
   RollOutOnce(4, 3, 1, aSeed);
   RollOutOnce(4, 3, 2, aSeed);
   RollOutOnce(3, 6, 2, aSeed);
@@ -218,7 +225,7 @@
 {
   std::cout << "\nload of an acting process, 8 entries: hosts pools teams "
                "store_calls/s store_bytes/s core_% messages/s view_bytes "
-               "hosts_record_bytes document_bytes\n";
+               "hosts_record_bytes document_bytes memory_kb\n";
   LoadOnce(12, 5, 10, aSeed);
   LoadOnce(37, 21, 270, aSeed);
   LoadOnce(75, 43, 540, aSeed);
--- a/bench/fleet/sizing_bench.cc
+++ b/bench/fleet/sizing_bench.cc
@@ -38,7 +38,7 @@
 enum class policy
 {
   kFixed,      // pools keep their first hosts
-  kFollowMean, // the same mover, told the mean of the last minute
+  kFollowMean, // sizes after the mean of the last minute, without delay
   kMangospan,
 };
 
@@ -56,6 +56,7 @@
   double mIdleSlotSeconds = 0;
   double mSlotSeconds = 0;
   std::size_t mMoves = 0;
+  std::size_t mViews = 0;
 };
 
 // The requests of one pool.
@@ -126,6 +127,10 @@
     if (aPolicy == policy::kFixed) {
       settings.mSizingLearn = std::chrono::hours(24);
     }
+    if (aPolicy == policy::kFollowMean) {
+      settings.mMoveWorth = milliseconds(0);
+      settings.mSurplusFor = seconds(30);
+    }
     return settings;
   }
 
@@ -289,6 +294,7 @@
       mPoolOf[endpoint.mHost] = endpoint.mPool;
     }
     mView = aView;
+    mOutcome.mViews += mMeasuring ? 1 : 0;
     for (auto& [name, queue] : mQueues) {
       queue.mShares.clear();
     }
@@ -356,7 +362,7 @@
     { "authority", { 4, 3, 3, 3, 4 }, config::preference::kFastRollOut },
   };
   std::cout << "\nsizing, one zone: user peak_s policy idle_% late_% "
-               "moves/min\n";
+               "moves/min views/min\n";
   for (const zone_shape& shape : shapes) {
     for (const seconds peak : { seconds(10), seconds(30) }) {
       for (const auto& [name, each] :
@@ -369,6 +375,9 @@
                   << result.mLate / result.mArrived * 100 << "\t"
                   << static_cast<double>(result.mMoves) * 60 /
                        static_cast<double>(kMeasured.count())
+                  << "\t"
+                  << static_cast<double>(result.mViews) * 60 /
+                       static_cast<double>(kMeasured.count())
                   << "\n";
       }
     }
--- a/mangospan/fleet/demand_history.cc
+++ b/mangospan/fleet/demand_history.cc
@@ -11,7 +11,7 @@
 
 // Time constants of the averages, in seconds.
 constexpr double kServiceTime = 10;
-constexpr double kRecent = 2;
+constexpr double kRecent = 1;
 constexpr double kMean = 60;
 
 double
--- a/mangospan/fleet/pool_sizing.cc
+++ b/mangospan/fleet/pool_sizing.cc
@@ -37,6 +37,7 @@
   mStarted = false;
   mSizes.clear();
   mShortages.clear();
+  mHomes.clear();
   mSurplusSince.clear();
   mMovedAt.clear();
   mMoves.clear();
@@ -73,13 +74,18 @@
       info != nullptr && info->mState == platform::host_state::kLive;
     pool_size& size = mSizes[record.mPool];
     if (record.mPurpose == host_purpose::kMove) {
-      mSizes[record.mTarget].mServing += 1;
+      pool_size& target = mSizes[record.mTarget];
+      ++target.mServing;
+      target.mBorrowed += mHomes[host] == record.mTarget ? 0 : 1;
       // The interval counts from the move's end.
       mMovedAt[record.mPool] = aNow;
       mMovedAt[record.mTarget] = aNow;
     } else if (record.mPhase == host_phase::kServing && live) {
       ++size.mServing;
       size.mHosts.push_back(host);
+      const pool_name& home =
+        mHomes.try_emplace(host, record.mPool).first->second;
+      size.mBorrowed += home == record.mPool ? 0 : 1;
       slots = std::max(slots, info->mSlots);
     }
   }
@@ -113,11 +119,13 @@
       continue;
     }
     const pool_size& size = found->second;
-    if (!WorthMoving(pool.mName, size.mServing < size.mNeeded, aNow)) {
+    // What was borrowed does not end the shortage of the pool's own hosts.
+    const std::size_t own = size.mServing - size.mBorrowed;
+    if (!WorthMoving(pool.mName, own < size.mNeeded, aNow)) {
       continue;
     }
     while (size.mServing < size.mNeeded) {
-      const pool_name* donor = Donor(pool.mName);
+      const pool_name* donor = Donor(pool.mName, aNow);
       if (donor == nullptr || !Move(aHosts, *donor, pool)) {
         break;
       }
@@ -135,7 +143,8 @@
     std::chrono::duration<double>(aNow - state.mSince).count();
   if (aShort != state.mShort) {
     if (!aShort) {
-      state.mUsualSeconds = (state.mUsualSeconds + lasted) / 2;
+      state.mUsualSeconds =
+        state.mUsualSeconds == 0 ? lasted : (state.mUsualSeconds + lasted) / 2;
     }
     state.mShort = aShort;
     state.mSince = aNow;
@@ -147,7 +156,7 @@
 }
 
 const pool_name*
-pool_sizing::Donor(const pool_name& aTo) const
+pool_sizing::Donor(const pool_name& aTo, time_point aNow) const
 {
   const pool_name* best = nullptr;
   std::size_t most = 0;
@@ -158,8 +167,9 @@
     if (size.mSpare) {
       return &name;
     }
+    const bool owes = mSizes.at(aTo).mSpare && size.mBorrowed > 0;
     const std::size_t surplus = size.mServing - size.mNeeded;
-    if (size.mKnown && surplus > most) {
+    if ((owes || MayGive(name, aNow)) && surplus > most) {
       most = surplus;
       best = &name;
     }
@@ -167,26 +177,39 @@
   return best;
 }
 
+// Borrowed hosts go back soon, a pool's own only after a long time; then one
+// more than needed stays, so that sizes do not swing.
+bool
+pool_sizing::MayGive(const pool_name& aPool, time_point aNow) const
+{
+  const pool_size& size = mSizes.at(aPool);
+  const auto since = mSurplusSince.find(aPool);
+  if (!size.mKnown || since == mSurplusSince.end() || !Rested(aPool, aNow)) {
+    return false;
+  }
+  const auto lasted = aNow - since->second;
+  if (size.mBorrowed > 0) {
+    return lasted >= mSettings.mMoveInterval;
+  }
+  return lasted >= mSettings.mSurplusFor && size.mServing > size.mNeeded + 1;
+}
+
 void
 pool_sizing::ReturnSurplus(const zone_hosts& aHosts,
                            const config::document& aDocument,
                            time_point aNow)
 {
   const config::pool* spare = SparePool(aDocument);
-  if (spare == nullptr ||
-      aDocument.mPrefer == config::preference::kFastRollOut) {
+  if (spare == nullptr) {
     return;
   }
+  const bool keepOwn = aDocument.mPrefer == config::preference::kFastRollOut;
   for (auto& [name, size] : mSizes) {
-    const auto since = mSurplusSince.find(name);
-    // One host more than needed stays, so that sizes do not swing.
-    const bool lasting = since != mSurplusSince.end() &&
-                         aNow - since->second >= mSettings.mSurplusFor;
-    if (size.mSpare || !size.mKnown || !lasting ||
-        size.mServing <= size.mNeeded + 1 || !Rested(name, aNow)) {
-      continue;
+    const bool keep = keepOwn && size.mBorrowed == 0;
+    if (!size.mSpare && !keep && size.mServing > size.mNeeded &&
+        MayGive(name, aNow)) {
+      Move(aHosts, name, *spare);
     }
-    Move(aHosts, name, *spare);
   }
 }
 
@@ -196,17 +219,31 @@
                   const config::pool& aTo)
 {
   pool_size& from = mSizes[aFrom];
-  for (auto host = from.mHosts.rbegin(); host != from.mHosts.rend(); ++host) {
-    if (!Admits(aTo, *aHosts.Find(*host))) {
-      continue;
-    }
-    mMoves[*host] = { host_purpose::kMove, aTo.mName, {} };
-    --from.mServing;
-    from.mHosts.erase(std::next(host).base());
-    ++mSizes[aTo.mName].mServing;
-    return true;
+  const auto admitted = [&](const host_name& aHost) {
+    return Admits(aTo, *aHosts.Find(aHost));
+  };
+  // Hosts that go home come first.
+  const auto home = std::stable_partition(
+    from.mHosts.begin(), from.mHosts.end(), [&](const host_name& aHost) {
+      return mHomes[aHost] == aTo.mName;
+    });
+  const auto host =
+    std::find_if(from.mHosts.begin(), from.mHosts.end(), admitted);
+  if (host == from.mHosts.end()) {
+    return false;
+  }
+  if (aTo.mSpare && host >= home) {
+    mHomes[*host] = aTo.mName;
+  }
+  if (mHomes[*host] != aFrom && from.mBorrowed > 0) {
+    --from.mBorrowed;
   }
-  return false;
+  mSizes[aTo.mName].mBorrowed += mHomes[*host] == aTo.mName ? 0 : 1;
+  mMoves[*host] = { host_purpose::kMove, aTo.mName, {} };
+  --from.mServing;
+  ++mSizes[aTo.mName].mServing;
+  from.mHosts.erase(host);
+  return true;
 }
 
 bool
--- a/mangospan/fleet/pool_sizing.h
+++ b/mangospan/fleet/pool_sizing.h
@@ -1,9 +1,10 @@
 // How many hosts each pool of the zone needs, and which hosts move for it.
 //
-// Pools that are short take hosts from the spare pool first, then from pools
-// with more than they need, once the shortage is expected to outlast a move.
-// Hosts that a pool has not needed for a while go back to the spare pool, where
-// all pools share them, unless room for maintenance is preferred:
+// A pool that is short borrows hosts that the spare pool does not need, once
+// the shortage is expected to outlast a move, and gives them back after it. Its
+// own hosts a pool gives away only after it has not needed them for a long
+// time, so that a pool whose peaks come in turn with others' keeps what the
+// next needs:
 //
 //   sizing.OnTick(view, now);
 //   for (const auto& [host, intent] : sizing.Moves()) { ... }
@@ -56,6 +57,7 @@
     std::size_t mNeeded = 0;
     bool mKnown = false; // the demand has been observed long enough
     bool mSpare = false;
+    std::size_t mBorrowed = 0;     // hosts of the spare pool
     std::vector<host_name> mHosts; // that could leave
   };
 
@@ -72,7 +74,8 @@
   bool Move(const zone_hosts& aHosts,
             const pool_name& aFrom,
             const config::pool& aTo);
-  const pool_name* Donor(const pool_name& aTo) const;
+  const pool_name* Donor(const pool_name& aTo, time_point aNow) const;
+  bool MayGive(const pool_name& aPool, time_point aNow) const;
   bool WorthMoving(const pool_name& aPool, bool aShort, time_point aNow);
   bool Rested(const pool_name& aPool, time_point aNow) const;
 
@@ -89,6 +92,8 @@
   };
 
   std::map<pool_name, shortage> mShortages;
+  // The pool to which each host belongs when nobody borrows it.
+  std::map<host_name, pool_name> mHomes;
   std::map<pool_name, time_point> mSurplusSince;
   std::map<pool_name, time_point> mMovedAt;
   host_intents mMoves;
--- a/mangospan/fleet/settings.h
+++ b/mangospan/fleet/settings.h
@@ -36,9 +36,9 @@
   std::chrono::milliseconds mZoneCheckFor{ 3000 }; // a silence check is valid
   std::chrono::milliseconds mSizingEvery{ 1000 };
   std::chrono::milliseconds mSizingLearn{ 30000 };  // before the first move
-  std::chrono::milliseconds mMoveWorth{ 10000 };    // a shortage to move for
+  std::chrono::milliseconds mMoveWorth{ 15000 };    // a shortage to move for
   std::chrono::milliseconds mMoveInterval{ 10000 }; // before a pool gives back
-  std::chrono::milliseconds mSurplusFor{ 30000 };   // before it is given back
+  std::chrono::milliseconds mSurplusFor{ 600000 };  // before it is given back
 };
 
 // The process that decides: one run of a fleet process on an entry host.
