fleet: a watch in place of polls while permits are refused

Aim: bounded store calls. Now one watch on pools/ brings the changes while anything waits; the record is read every 30 s at most, in case the watch fails.

--- a/mangospan/fleet/pool_budgets.cc
+++ b/mangospan/fleet/pool_budgets.cc
@@ -49,6 +49,8 @@
 pool_budgets::Reset()
 {
   mPools.clear();
+  mWatch = 0;
+  mAfter = 0;
   mSilent.Reset();
 }
 
@@ -76,14 +78,17 @@
   if (mSilent.OnResult(aCall, aResult, aNow)) {
     return true;
   }
+  if (mWatch != 0 && aCall == mWatch) {
+    mWatch = 0;
+    OnWatched(std::get<result<platform::change_batch>>(aResult), aNow);
+    return true;
+  }
   for (auto& [pool, state] : mPools) {
     if (state.mRecord.OnResult(aCall, aResult, aNow, aQueue) ==
         record_event::kNone) {
       continue;
     }
-    auto parsed = ParseBudget(state.mRecord.Value(), BudgetKey(pool));
-    state.mConfirmed =
-      parsed.has_value() ? std::move(parsed).assume_value() : budget_record{};
+    Parse(pool, state);
     state.mReloadAt = aNow + ReloadDelay();
     return true;
   }
@@ -110,6 +115,58 @@
       StepPool(pool, demand, aTerm, aIds, aNow, aQueue);
     }
   }
+  WatchWhileWaiting(aNow, aQueue);
+}
+
+void
+pool_budgets::WatchWhileWaiting(time_point aNow, action_queue& aQueue)
+{
+  platform::revision oldest = 0;
+  for (const auto& [pool, state] : mPools) {
+    const platform::revision revision = state.mRecord.Revision();
+    if (!state.mWaitReason.empty() && revision != 0) {
+      oldest = oldest == 0 ? revision : std::min(oldest, revision);
+    }
+  }
+  if (oldest == 0) {
+    mAfter = 0;
+    return;
+  }
+  if (mWatch == 0 && aNow >= mWatchAt) {
+    mAfter = mAfter == 0 ? oldest : mAfter;
+    mWatch =
+      aQueue.Store(store_purpose::kBudget,
+                   watch_call{ kPoolsPrefix, mAfter, mSettings.mWatchWait });
+  }
+}
+
+void
+pool_budgets::OnWatched(const result<platform::change_batch>& aResult,
+                        time_point aNow)
+{
+  if (aResult.has_error()) {
+    mAfter = 0;
+    mWatchAt = aNow + mSettings.mBudgetRetry;
+    return;
+  }
+  const platform::change_batch& batch = aResult.assume_value();
+  for (const platform::change& change : batch.mChanges) {
+    for (auto& [pool, state] : mPools) {
+      if (change.mRecord.mKey == BudgetKey(pool) && !change.mDeleted &&
+          state.mRecord.Observe(change.mRecord)) {
+        Parse(pool, state);
+      }
+    }
+  }
+  mAfter = mAfter == 0 ? 0 : std::max(mAfter, batch.mRevision);
+}
+
+void
+pool_budgets::Parse(const pool_name& aPool, pool_state& aState)
+{
+  auto parsed = ParseBudget(aState.mRecord.Value(), BudgetKey(aPool));
+  aState.mConfirmed =
+    parsed.has_value() ? std::move(parsed).assume_value() : budget_record{};
 }
 
 void
--- a/mangospan/fleet/pool_budgets.h
+++ b/mangospan/fleet/pool_budgets.h
@@ -70,6 +70,12 @@
     std::string mWaitReason;
   };
 
+  // While hosts wait for permits, a watch tells of other zones' changes.
+  void WatchWhileWaiting(time_point aNow, action_queue& aQueue);
+  void OnWatched(const result<platform::change_batch>& aResult,
+                 time_point aNow);
+  void Parse(const pool_name& aPool, pool_state& aState);
+
   pool_state& At(const pool_name& aPool);
   void StepPool(const pool_name& aPool,
                 const pool_demand& aDemand,
@@ -92,6 +98,9 @@
   std::minstd_rand mRandom;
   silent_zones mSilent;
   std::map<pool_name, pool_state> mPools;
+  call_id mWatch = 0;
+  platform::revision mAfter = 0; // 0: no watch has been made for this wait
+  time_point mWatchAt;
 };
 
 } // namespace mangospan::fleet
--- a/mangospan/fleet/records.h
+++ b/mangospan/fleet/records.h
@@ -33,6 +33,7 @@
 std::string
 BudgetKey(const pool_name& aPool);
 
+inline constexpr const char* kPoolsPrefix = "pools/";
 inline constexpr const char* kConfigPrefix = "config/";
 inline constexpr const char* kConfigKey = "config/current";
 inline constexpr const char* kDrainsKey = "config/drains";
--- a/mangospan/fleet/settings.h
+++ b/mangospan/fleet/settings.h
@@ -32,7 +32,7 @@
   std::chrono::milliseconds mEntryFence{ 60000 }; // list lag, longest deadline
   std::chrono::milliseconds mHostFence{ 60000 };  // a gone host leaves its pool
   std::chrono::milliseconds mListLag{ 10000 };    // of the platform's list
-  std::chrono::milliseconds mBudgetRetry{ 2000 }; // while a permit is refused
+  std::chrono::milliseconds mBudgetRetry{ 30000 }; // while a permit is refused
   std::chrono::milliseconds mZoneCheckFor{ 3000 }; // a silence check is valid
   std::chrono::milliseconds mSizingEvery{ 1000 };
   std::chrono::milliseconds mSizingLearn{ 30000 };  // before the first move
--- a/mangospan/fleet/stored_record.cc
+++ b/mangospan/fleet/stored_record.cc
@@ -52,6 +52,17 @@
   mCall = aQueue.Store(mPurpose, swap_call{ { mKey, mRevision, mWanted, {} } });
 }
 
+bool
+stored_record::Observe(const platform::record& aRecord)
+{
+  if (!Idle() || aRecord.mRevision <= mRevision) {
+    return false;
+  }
+  mValue = aRecord.mValue;
+  mRevision = aRecord.mRevision;
+  return true;
+}
+
 record_event
 stored_record::OnResult(call_id aCall,
                         const store_result& aResult,
--- a/mangospan/fleet/stored_record.h
+++ b/mangospan/fleet/stored_record.h
@@ -50,6 +50,9 @@
   // Writes over the confirmed revision. Requires `Idle`.
   void Write(std::string aValue, action_queue& aQueue);
 
+  // Takes a newer value that a watch has brought; true if it is now held.
+  bool Observe(const platform::record& aRecord);
+
   // Takes the result of a call; a lost swap is followed by a read.
   record_event OnResult(call_id aCall,
                         const store_result& aResult,
