--- a/mangospan/request/internal/admission.cc
+++ b/mangospan/request/internal/admission.cc
@@ -15,36 +15,13 @@
 // Small rates are not rounded down to nothing.
 constexpr double kSmallestBurst = 1;
 
-template<typename Name>
-std::size_t
-Count(const std::unordered_map<Name, std::size_t>& aCounts, const Name& aName)
-{
-  const auto found = aCounts.find(aName);
-  return found == aCounts.end() ? 0 : found->second;
-}
+// For how long after a refusal a pool counts as overloaded.
+constexpr std::chrono::seconds kPressedFor{ 1 };
 
-// One share more than there are holders is kept free, for whoever comes next:
-// a caller that is alone may fill half of the queue.
-template<typename Name>
-bool
-OverShare(const std::unordered_map<Name, std::size_t>& aCounts,
-          const Name& aName,
-          double aPlaces)
+double
+Seconds(nanoseconds aTime)
 {
-  const std::size_t held = Count(aCounts, aName);
-  const std::size_t holders = aCounts.size() + (held == 0 ? 1 : 0);
-  const double share = aPlaces / static_cast<double>(holders + 1);
-  return static_cast<double>(held) >= std::max(1.0, share);
-}
-
-template<typename Name>
-void
-Leave(std::unordered_map<Name, std::size_t>& aCounts, const Name& aName)
-{
-  const auto found = aCounts.find(aName);
-  if (found != aCounts.end() && --found->second == 0) {
-    aCounts.erase(found);
-  }
+  return std::chrono::duration<double>(aTime).count();
 }
 
 } // namespace
@@ -64,48 +41,47 @@
 {
 }
 
+bool
+admission::Pressed(const pool_load& aLoad, time_point aNow) const
+{
+  return aNow < mPressedUntil ||
+         Seconds(PredictedWait(aLoad)) > mThreshold * Seconds(aLoad.mBudget);
+}
+
+// A class with a near deadline overtakes the others, so its own wait says
+// little about the pool; that others are refused does.
 std::optional<admission_refusal>
-admission::Check(const pool_load& aLoad,
+admission::Admit(const pool_load& aLoad,
+                 const team_name& aTeam,
                  const caller_name& aCaller,
-                 const team_name& aTeam) const
+                 time_point aNow)
 {
   if (aLoad.mSlots == 0) {
     return admission_refusal{ refusal_code::kNoEndpoint, kRetryWithoutSlots };
   }
-  if (aLoad.mFree) {
-    return std::nullopt;
-  }
-  const nanoseconds wait = PredictedWait(aLoad);
-  if (wait > aLoad.mBudget) {
-    return admission_refusal{ refusal_code::kTargetOutOfReach,
-                              wait - aLoad.mBudget + aLoad.mMean };
-  }
-  const auto budget = static_cast<double>(aLoad.mBudget.count());
-  if (static_cast<double>(wait.count()) <= mThreshold * budget) {
-    return std::nullopt;
-  }
-  const double places =
-    budget * static_cast<double>(aLoad.mSlots) /
-    static_cast<double>(std::max<std::int64_t>(1, aLoad.mMean.count()));
-  if (OverShare(mCallers, aCaller, places) ||
-      OverShare(mTeams, aTeam, places)) {
-    return admission_refusal{ refusal_code::kOverShare, wait };
+  const double work = Seconds(aLoad.mMean);
+  fair_share::holder& holder = mShares.Offer(aTeam, aCaller, work, aNow);
+  if (!aLoad.mFree) {
+    const nanoseconds wait = PredictedWait(aLoad);
+    if (wait > aLoad.mBudget) {
+      mPressedUntil = aNow + kPressedFor;
+      return admission_refusal{ refusal_code::kTargetOutOfReach,
+                                wait - aLoad.mBudget + aLoad.mMean };
+    }
+    if (Pressed(aLoad, aNow) && mShares.Over(holder, aLoad.mSlots, aNow)) {
+      mPressedUntil = aNow + kPressedFor;
+      return admission_refusal{ refusal_code::kOverShare,
+                                std::max<nanoseconds>(wait, kPressedFor) };
+    }
   }
+  mShares.Grant(holder, work, aNow);
   return std::nullopt;
 }
 
 void
-admission::Entered(const caller_name& aCaller, const team_name& aTeam)
-{
-  ++mCallers[aCaller];
-  ++mTeams[aTeam];
-}
-
-void
-admission::Left(const caller_name& aCaller, const team_name& aTeam)
+admission::Withdraw(const admission_grant& aGrant, time_point aNow)
 {
-  Leave(mCallers, aCaller);
-  Leave(mTeams, aTeam);
+  mShares.Return(aGrant.mTeam, aGrant.mCaller, aGrant.mWork, aGrant.mAt, aNow);
 }
 
 void
--- a/mangospan/request/internal/admission.h
+++ b/mangospan/request/internal/admission.h
@@ -1,13 +1,12 @@
 // Decides on arrival whether a request may wait for a slot of its pool.
 //
 // A request is refused at once if the predicted wait leaves no time to meet
-// its target. Under overload, callers and teams that already hold their share
-// of the queue are refused earlier, so that room is left for the others:
+// its target. Under overload, callers and teams that already have their share
+// of the slots are refused earlier, so that room is left for the others:
 //
 //   admission gate(0.5);
-//   if (auto no = gate.Check(load, caller, team)) { refuse with *no; }
-//   gate.Entered(caller, team);  // and Left() once the request leaves the
-//   queue
+//   if (auto no = gate.Admit(load, team, caller, now)) { refuse with *no; }
+//   gate.Withdraw(grant, now);  // if the request left without using a slot
 #ifndef MANGOSPAN_REQUEST_INTERNAL_ADMISSION_H
 #define MANGOSPAN_REQUEST_INTERNAL_ADMISSION_H
 
@@ -15,10 +14,12 @@
 #include <cstddef>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
 #include "mangospan/config/document.h"
+#include "mangospan/request/internal/fair_share.h"
 #include "mangospan/request/pipeline.h"
 
 namespace mangospan::request {
@@ -43,24 +44,36 @@
 std::chrono::nanoseconds
 PredictedWait(const pool_load& aLoad);
 
+// What an admitted request took of its caller's share.
+struct admission_grant
+{
+  team_name mTeam;
+  caller_name mCaller;
+  double mWork = 0; // seconds of slot time
+  time_point mAt;
+};
+
 class admission
 {
 public:
-  // `aThreshold`: shares count once the wait is over this part of the budget.
+  // `aThreshold`: shares count once the wait is over this part of the budget,
+  // and for a while after a refusal.
   explicit admission(double aThreshold);
 
-  // Empty if the request may wait.
-  std::optional<admission_refusal> Check(const pool_load& aLoad,
+  // Empty if the request may wait; its work then counts as granted.
+  std::optional<admission_refusal> Admit(const pool_load& aLoad,
+                                         const team_name& aTeam,
                                          const caller_name& aCaller,
-                                         const team_name& aTeam) const;
+                                         time_point aNow);
 
-  void Entered(const caller_name& aCaller, const team_name& aTeam);
-  void Left(const caller_name& aCaller, const team_name& aTeam);
+  void Withdraw(const admission_grant& aGrant, time_point aNow);
 
 private:
+  bool Pressed(const pool_load& aLoad, time_point aNow) const;
+
   double mThreshold;
-  std::unordered_map<caller_name, std::size_t> mCallers; // requests waiting
-  std::unordered_map<team_name, std::size_t> mTeams;
+  fair_share mShares;
+  time_point mPressedUntil;
 };
 
 // Keeps teams to the request rates of the configuration. A team may send the
--- a/mangospan/request/internal/admission_test.cc
+++ b/mangospan/request/internal/admission_test.cc
@@ -1,6 +1,11 @@
 #include "mangospan/request/internal/admission.h"
 
 #include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -24,55 +29,105 @@
   };
 }
 
-TEST(Admission, RefusesWhatTheQueueAheadKeepsFromItsTarget)
+class admission_test : public ::testing::Test
 {
-  const admission gate(0.5);
-  EXPECT_FALSE(gate.Check(Load(99), kQuarry, kTeam));
-  const auto refused = gate.Check(Load(150), kQuarry, kTeam);
+protected:
+  std::optional<admission_refusal> Admit(const pool_load& aLoad,
+                                         const caller_name& aCaller = kQuarry,
+                                         const team_name& aTeam = kTeam)
+  {
+    return mGate.Admit(aLoad, aTeam, aCaller, mClock.Now());
+  }
+  // Offers the requests once a millisecond for ten seconds; how many of each
+  // caller were admitted, without the first seconds, in which nothing is known
+  // of anyone's share.
+  std::map<caller_name, int> Press(
+    const std::vector<std::pair<caller_name, team_name>>& aRequests,
+    int aQueued)
+  {
+    std::map<caller_name, int> admitted;
+    for (int i = 0; i < 10000; ++i) {
+      for (const auto& [caller, team] : aRequests) {
+        const bool taken = !Admit(Load(aQueued), caller, team);
+        admitted[caller] += taken && i >= 5000 ? 1 : 0;
+      }
+      mClock.Advance(milliseconds(1));
+    }
+    return admitted;
+  }
+
+  manual_clock mClock;
+  admission mGate{ 0.5 };
+};
+
+TEST_F(admission_test, RefusesWhatTheQueueAheadKeepsFromItsTarget)
+{
+  EXPECT_FALSE(Admit(Load(99)));
+  const auto refused = Admit(Load(150));
   ASSERT_TRUE(refused);
   EXPECT_EQ(refused->mCode, refusal_code::kTargetOutOfReach);
   EXPECT_GE(refused->mRetryAfter, milliseconds(500)); // of excess wait
 }
 
-TEST(Admission, AFreeSlotIsNeverRefused)
+TEST_F(admission_test, AFreeSlotIsNeverRefused)
 {
-  const admission gate(0.5);
-  EXPECT_FALSE(gate.Check(
-    { 1, true, seconds(0), seconds(60), seconds(0) }, kQuarry, kTeam));
+  EXPECT_FALSE(Admit({ 1, true, seconds(0), seconds(60), seconds(0) }));
 }
 
-TEST(Admission, APoolWithoutSlotsTakesNothing)
+TEST_F(admission_test, APoolWithoutSlotsTakesNothing)
 {
-  const admission gate(0.5);
-  const auto refused = gate.Check({}, kQuarry, kTeam);
+  const auto refused = Admit({});
   ASSERT_TRUE(refused);
   EXPECT_EQ(refused->mCode, refusal_code::kNoEndpoint);
 }
 
-TEST(Admission, UnderOverloadACallerOverItsShareLeavesRoomForOthers)
+TEST_F(admission_test, UnderOverloadACallerOverItsShareLeavesRoomForOthers)
 {
-  admission gate(0.5);
-  for (int i = 0; i < 60; ++i) {
-    gate.Entered(kQuarry, kTeam);
-  }
-  const auto refused = gate.Check(Load(60), kQuarry, kTeam);
-  ASSERT_TRUE(refused);
-  EXPECT_EQ(refused->mCode, refusal_code::kOverShare);
-  EXPECT_FALSE(gate.Check(Load(60), kRiver, kOther));
-  EXPECT_TRUE(gate.Check(Load(60), kRiver, kTeam)); // its team is over
-  for (int i = 0; i < 30; ++i) {
-    gate.Left(kQuarry, kTeam);
-  }
-  EXPECT_FALSE(gate.Check(Load(60), kQuarry, kTeam));
+  // 100 requests a second can be served; quarry asks for 2,000, river 1,000.
+  const auto admitted =
+    Press({ { kQuarry, kTeam }, { kQuarry, kTeam }, { kRiver, kTeam } }, 60);
+  EXPECT_NEAR(admitted.at(kQuarry), admitted.at(kRiver), 10);
+  EXPECT_NEAR(admitted.at(kQuarry) + admitted.at(kRiver), 750, 75);
+  EXPECT_EQ(Admit(Load(60))->mCode, refusal_code::kOverShare);
+  EXPECT_FALSE(Admit(Load(60), caller_name("newcomer")));
+}
+
+TEST_F(admission_test, TeamsShareAlikeHoweverManyCallersTheyHave)
+{
+  const caller_name third("third");
+  const auto admitted =
+    Press({ { kQuarry, kTeam }, { third, kTeam }, { kRiver, kOther } }, 60);
+  EXPECT_NEAR(
+    admitted.at(kQuarry) + admitted.at(third), admitted.at(kRiver), 20);
+}
+
+TEST_F(admission_test, WithoutPressureSharesDoNotCount)
+{
+  const auto admitted = Press({ { kQuarry, kTeam } }, 40);
+  EXPECT_EQ(admitted.at(kQuarry), 5000);
 }
 
-TEST(Admission, BelowTheThresholdSharesDoNotCount)
+TEST_F(admission_test, ARefusalByTargetPressesTheOtherClassesToo)
 {
-  admission gate(0.5);
-  for (int i = 0; i < 60; ++i) {
-    gate.Entered(kQuarry, kTeam);
+  Press({ { kQuarry, kTeam } }, 40);
+  EXPECT_TRUE(Admit(Load(150), kRiver));
+  EXPECT_EQ(Admit(Load(1))->mCode, refusal_code::kOverShare);
+  mClock.Advance(seconds(5));
+  EXPECT_FALSE(Admit(Load(1)));
+}
+
+TEST(FairShare, CallersAreForgottenAndTheirNumberIsBounded)
+{
+  manual_clock clock;
+  fair_share shares;
+  for (int i = 0; i < 20000; ++i) {
+    const caller_name caller(std::to_string(i));
+    shares.Grant(shares.Offer(kTeam, caller, 1, clock.Now()), 1, clock.Now());
+    ASSERT_LE(shares.Size(), 4097U);
   }
-  EXPECT_FALSE(gate.Check(Load(40), kQuarry, kTeam));
+  clock.Advance(seconds(60));
+  shares.Offer(kTeam, kQuarry, 1, clock.Now());
+  EXPECT_EQ(shares.Size(), 1U);
 }
 
 TEST(TeamRates, HoldATeamToItsRateDividedByTheEntries)
--- a/mangospan/request/internal/pool_state.h
+++ b/mangospan/request/internal/pool_state.h
@@ -70,8 +70,7 @@
 struct open_request
 {
   class_state* mClass = nullptr;
-  caller_name mCaller;
-  team_name mTeam;
+  admission_grant mGrant;
   time_point mDeadline;                   // of its target
   time_point mGiveUp;                     // no attempt lasts longer
   time_point mDispatched;                 // of the attempt under way
--- a/mangospan/request/pipeline.cc
+++ b/mangospan/request/pipeline.cc
@@ -20,6 +20,12 @@
 constexpr milliseconds kShortestRetry{ 50 };
 constexpr milliseconds kLongestRetry{ 10000 };
 
+double
+Seconds(nanoseconds aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
 refusal_code
 CodeOf(attempt_end_kind aKind)
 {
@@ -76,10 +82,10 @@
   service_state& ServiceOf(const service_name& aName);
   void AdoptClass(const config::work_class& aWork);
   void ForgetUnusedClasses();
-  void RefuseUnserved();
+  void RefuseUnserved(time_point aNow);
 
   std::optional<refusal> Admit(const arrival& aArrival,
-                               const class_state& aClass,
+                               class_state& aClass,
                                time_point aNow);
   std::optional<refusal> CheckServing() const;
   std::optional<refusal> CheckBounds(const arrival& aArrival,
@@ -90,7 +96,6 @@
             time_point aNow);
 
   void Enqueue(request_id aId, open_request& aRequest);
-  void Dequeued(const open_request& aRequest);
   void Pump(service_state& aService, time_point aNow);
   void PumpAll(time_point aNow);
   void Expire(service_state& aService, time_point aNow);
@@ -108,7 +113,7 @@
                 attempt_end_kind aKind,
                 time_point aNow);
   void Deliver(open_requests::iterator aAt, time_point aNow);
-  void Refuse(open_requests::iterator aAt, refusal_code aCode);
+  void Refuse(open_requests::iterator aAt, refusal_code aCode, time_point aNow);
   void Close(open_requests::iterator aAt);
   milliseconds Spread(nanoseconds aRetryAfter);
 
@@ -152,7 +157,7 @@
   for (const config::work_class* work : mClassifier.Classes()) {
     AdoptClass(*work);
   }
-  RefuseUnserved();
+  RefuseUnserved(aNow);
   ForgetUnusedClasses();
   PumpAll(aNow);
 }
@@ -172,7 +177,7 @@
 }
 
 void
-pipeline::impl::RefuseUnserved()
+pipeline::impl::RefuseUnserved(time_point aNow)
 {
   for (auto& [name, service] : mServices) {
     if (mClassifier.Serves(name)) {
@@ -180,8 +185,7 @@
     }
     for (const request_id id : service->mQueue.TakeAll()) {
       const auto at = mOpen.find(id);
-      Dequeued(at->second);
-      Refuse(at, refusal_code::kNoSuchService);
+      Refuse(at, refusal_code::kNoSuchService, aNow);
     }
   }
 }
@@ -273,17 +277,20 @@
 
 std::optional<refusal>
 pipeline::impl::Admit(const arrival& aArrival,
-                      const class_state& aClass,
+                      class_state& aClass,
                       time_point aNow)
 {
   if (auto refused = CheckBounds(aArrival, aClass)) {
     return refused;
   }
-  const service_state& service = aClass.mService;
+  service_state& service = aClass.mService;
   const time_point deadline = aArrival.mArrived + aClass.Within();
   if (aNow >= deadline) {
     return MakeRefusal(refusal_code::kDeadlinePassed);
   }
+  if (!mTeamRates.Allow(aArrival.mTeam, aNow)) {
+    return MakeRefusal(refusal_code::kOverShare);
+  }
   pool_load load;
   load.mSlots = mRouter.Slots(service.mPool);
   load.mFree = mRouter.Free(service.mPool) > 0 && service.mQueue.Size() == 0;
@@ -291,12 +298,9 @@
   load.mMean = aClass.mAnswerTime.Mean();
   load.mBudget = aClass.WaitBudget(deadline - aNow);
   const auto no =
-    service.mAdmission.Check(load, aArrival.mCaller, aArrival.mTeam);
+    service.mAdmission.Admit(load, aArrival.mTeam, aArrival.mCaller, aNow);
   if (!no) {
-    if (mTeamRates.Allow(aArrival.mTeam, aNow)) {
-      return std::nullopt;
-    }
-    return MakeRefusal(refusal_code::kOverShare);
+    return std::nullopt;
   }
   refusal refused = MakeRefusal(no->mCode);
   refused.mRetryAfter =
@@ -312,8 +316,9 @@
 {
   open_request request;
   request.mClass = &aClass;
-  request.mCaller = aArrival.mCaller;
-  request.mTeam = aArrival.mTeam;
+  request.mGrant = {
+    aArrival.mTeam, aArrival.mCaller, Seconds(aClass.mAnswerTime.Mean()), aNow
+  };
   request.mDeadline = aArrival.mArrived + aClass.Within();
   request.mGiveUp =
     aArrival.mArrived + aClass.Within() * mOptions.mTimeoutFactor;
@@ -329,13 +334,6 @@
 {
   service_state& service = aRequest.mClass->mService;
   service.mQueue.Push(aRequest.mClass->mLane, aRequest.mDeadline, aId);
-  service.mAdmission.Entered(aRequest.mCaller, aRequest.mTeam);
-}
-
-void
-pipeline::impl::Dequeued(const open_request& aRequest)
-{
-  aRequest.mClass->mService.mAdmission.Left(aRequest.mCaller, aRequest.mTeam);
 }
 
 void
@@ -343,8 +341,7 @@
 {
   for (const request_id id : aService.mQueue.TakeExpired(aNow)) {
     const auto at = mOpen.find(id);
-    Dequeued(at->second);
-    Refuse(at, refusal_code::kDeadlinePassed);
+    Refuse(at, refusal_code::kDeadlinePassed, aNow);
   }
 }
 
@@ -364,7 +361,6 @@
       return;
     }
     aService.mQueue.PopFront();
-    Dequeued(request);
     Dispatch(*next, request, *placed, aNow);
   }
 }
@@ -432,7 +428,7 @@
   } else if (MayRetry(request, aEnd.mKind, aNow)) {
     Enqueue(aRequest, request);
   } else {
-    Refuse(at, CodeOf(aEnd.mKind));
+    Refuse(at, CodeOf(aEnd.mKind), aNow);
   }
   PumpAll(aNow);
 }
@@ -479,9 +475,14 @@
 }
 
 void
-pipeline::impl::Refuse(open_requests::iterator aAt, refusal_code aCode)
+pipeline::impl::Refuse(open_requests::iterator aAt,
+                       refusal_code aCode,
+                       time_point aNow)
 {
   const open_request& request = aAt->second;
+  if (request.mAttempt == 0) {
+    request.mClass->mService.mAdmission.Withdraw(request.mGrant, aNow);
+  }
   refusal why = MakeRefusal(aCode);
   why.mPeer = request.mPeer;
   why.mRetryAfter = Spread(why.mRetryAfter);
@@ -532,8 +533,7 @@
   }
   request.mClass->mService.mQueue.Remove(
     request.mClass->mLane, request.mDeadline, aRequest);
-  Dequeued(request);
-  Refuse(at, refusal_code::kCallerGone);
+  Refuse(at, refusal_code::kCallerGone, aNow);
   PumpAll(aNow);
 }
 
--- a/mangospan/request/pipeline.h
+++ b/mangospan/request/pipeline.h
@@ -193,8 +193,8 @@
   double mRetryBudget = 0.1;
   // At most this share of a pool's endpoints is ejected at once.
   double mMaxEjected = 0.5;
-  // Work of callers over their share is refused once the predicted wait
-  // reaches this share of the target.
+  // Callers over their share are refused once the predicted wait reaches this
+  // part of what the target allows, and for a second after any refusal.
   double mFairnessThreshold = 0.5;
 };
 
