--- a/mangospan/ctl/main.cc
+++ b/mangospan/ctl/main.cc
@@ -47,7 +47,8 @@
   ctl::environment environment{
     io,
     [&](const std::string& aAddress) {
-      return std::make_unique<platform::http_store>(io, client, aAddress);
+      return std::make_unique<platform::http_store>(
+        io, client, aAddress, zone_name());
     },
     [&](const std::string& aAddress,
         http::request aRequest,
