--- a/bench/fleet/fleet_bench.cc
+++ b/bench/fleet/fleet_bench.cc
@@ -8,6 +8,7 @@
 
 #include "bench/fleet/bench_parts.h"
 #include "mangospan/config/parser.h"
+#include "mangospan/config/patch.h"
 #include "mangospan/fleet/testing/fake_fleet.h"
 #include "mangospan/wire/message.h"
 
@@ -17,7 +18,6 @@
 
 using fleet::testing::fake_fleet;
 using fleet::testing::fleet_options;
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -102,8 +102,9 @@
   }
   const std::size_t hosts = aZones * aHosts;
   const double took = SecondsOf(fleet.mEvents.Now() - start);
-  const double bound = SecondsOf(kReboot + seconds(1)) *
-                       static_cast<double>((hosts + aBudget - 1) / aBudget);
+  const std::size_t batches = (hosts + aBudget - 1) / aBudget;
+  const double bound =
+    SecondsOf(kReboot + seconds(1)) * static_cast<double>(batches);
   std::cout << aZones << "\t" << hosts << "\t" << aBudget << "\t" << bound
             << "\t" << took << "\t" << took / bound << "\t"
             << static_cast<double>(fleet.mStore.Calls() - calls) /
@@ -195,6 +196,52 @@
   std::cout << "\t" << (before - mallinfo2().uordblks) / 1024 << "\n";
 }
 
+std::size_t
+BytesOf(const wire::message& aMessage)
+{
+  wire::sender sender;
+  sender.mHost = host_name("zone-a-entry-01");
+  sender.mZone = zone_name("zone-a");
+  sender.mBoot = DrawBootId();
+  sender.mTerm = 1000000;
+  return wire::Encode({ sender, aMessage }).size();
+}
+
+// An entry's report when `aClasses` classes have had requests.
+wire::entry_report
+Report(std::size_t aClasses)
+{
+  wire::entry_report report;
+  report.mView = { 1000000, 1000 };
+  report.mConfigRevision = 1000000;
+  for (std::size_t i = 0; i < aClasses; ++i) {
+    wire::class_demand demand;
+    demand.mClass = class_name("class-" + std::to_string(i));
+    demand.mArrivals = 100;
+    demand.mAnswered = 100;
+    demand.mBusy = seconds(30);
+    demand.mQueued = 10;
+    report.mDemand.push_back(demand);
+  }
+  return report;
+}
+
+void
+PrintMessageSizes()
+{
+  const std::string from = config::ToText(Document(43, 540, 1));
+  config::document changed = Document(43, 540, 1);
+  changed.mPools[20].mMinHosts = 3;
+  const std::string to = config::ToText(changed);
+  const std::string patch = config::MakePatch(from, to).value();
+  std::cout << "\nmessage bytes: heartbeat report_1_class report_43_classes "
+               "config_patch config_whole\n"
+            << BytesOf(wire::heartbeat{ { 1000000, 1000 }, 1000000, true })
+            << "\t" << BytesOf(Report(1)) << "\t" << BytesOf(Report(43)) << "\t"
+            << BytesOf(wire::config_push{ 1000001, 1000000, patch }) << "\t"
+            << BytesOf(wire::config_push{ 1000001, 0, to }) << "\n";
+}
+
 } // namespace
 
 void
@@ -229,6 +276,7 @@
   LoadOnce(12, 5, 10, aSeed);
   LoadOnce(37, 21, 270, aSeed);
   LoadOnce(75, 43, 540, aSeed);
+  PrintMessageSizes();
 }
 
 } // namespace mangospan::bench
--- a/bench/fleet/sizing_bench.cc
+++ b/bench/fleet/sizing_bench.cc
@@ -104,8 +104,9 @@
     const double end =
       std::chrono::duration<double>(kWarmUp + kMeasured).count();
     const double warm = std::chrono::duration<double>(kWarmUp).count();
-    std::size_t step = 0;
-    for (double now = 0; now < end; now += kStepSeconds, ++step) {
+    const auto steps = static_cast<std::size_t>(end / kStepSeconds);
+    for (std::size_t step = 0; step < steps; ++step) {
+      const double now = static_cast<double>(step) * kStepSeconds;
       mMeasuring = now >= warm;
       mEvents.RunUntil(mEvents.Now() + milliseconds(10));
       Serve(now);
--- a/mangospan/fleet/actions.h
+++ b/mangospan/fleet/actions.h
@@ -162,7 +162,7 @@
 // Something operators should find in the log.
 struct log_note
 {
-  std::string mEvent; // "move.draining"
+  std::string mEvent; // "host.step"
   std::vector<std::pair<std::string, std::string>> mFields;
 };
 
