--- a/mangospan/ctl/internal/config_record.cc
+++ b/mangospan/ctl/internal/config_record.cc
@@ -1,8 +1,6 @@
 #include "mangospan/ctl/internal/config_record.h"
 
 #include <algorithm>
-#include <fstream>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <vector>
@@ -12,6 +10,7 @@
 #include "mangospan/base/error.h"
 #include "mangospan/config/parser.h"
 #include "mangospan/fleet/records.h"
+#include "mangospan/json/text_file.h"
 
 namespace mangospan::ctl {
 
@@ -37,14 +36,7 @@
 result<config::document>
 LoadFile(const std::string& aFile)
 {
-  std::ifstream stream(aFile, std::ios::binary);
-  const std::string text((std::istreambuf_iterator<char>(stream)),
-                         std::istreambuf_iterator<char>());
-  if (!stream.good() && !stream.eof()) {
-    return error{
-      error_code::kNotFound, "config.read", aFile, "can not be read"
-    };
-  }
+  BOOST_OUTCOME_TRY(text, json::ReadFile(aFile, "config.read"));
   return config::Parse(text, aFile);
 }
 
--- a/mangospan/settings/settings.cc
+++ b/mangospan/settings/settings.cc
@@ -1,7 +1,5 @@
 #include "mangospan/settings/settings.h"
 
-#include <fstream>
-#include <iterator>
 #include <string>
 #include <string_view>
 
@@ -9,6 +7,7 @@
 
 #include "mangospan/base/error.h"
 #include "mangospan/json/checked_json.h"
+#include "mangospan/json/text_file.h"
 #include "mangospan/settings/internal/fields.h"
 
 namespace mangospan::settings {
@@ -16,19 +15,7 @@
 result<process_settings>
 Load(const std::string& aFile, program aProgram)
 {
-  std::ifstream stream(aFile, std::ios::binary);
-  if (!stream) {
-    return error{
-      error_code::kNotFound, "settings.read", aFile, "can not be opened"
-    };
-  }
-  const std::string text((std::istreambuf_iterator<char>(stream)),
-                         std::istreambuf_iterator<char>());
-  if (stream.bad()) {
-    return error{
-      error_code::kNotFound, "settings.read", aFile, "can not be read"
-    };
-  }
+  BOOST_OUTCOME_TRY(text, json::ReadFile(aFile, "settings.read"));
   return Parse(text, aFile, aProgram);
 }
 
