--- a/mangospan/config/internal/work_class_fields.cc
+++ b/mangospan/config/internal/work_class_fields.cc
@@ -64,7 +64,19 @@
 }
 
 const internal::codec_table<work_class>&
-Fields();
+Fields()
+{
+  using internal::Key;
+  using internal::presence;
+  static const internal::codec_table<work_class> kFields{
+    Key("name", &work_class::mName, presence::kRequired),
+    Key("match", &work_class::mMatch, presence::kRequired),
+    Key("target", &work_class::mTarget, presence::kRequired),
+    Key("idempotent", &work_class::mIdempotent, presence::kOptional),
+    Key("urgent", &work_class::mUrgent, presence::kOptional),
+  };
+  return kFields;
+}
 
 } // namespace
 
@@ -84,25 +96,6 @@
   return internal::WriteByTable(MatchFields(), aValue);
 }
 
-namespace {
-
-const internal::codec_table<work_class>&
-Fields()
-{
-  using internal::Key;
-  using internal::presence;
-  static const internal::codec_table<work_class> kFields{
-    Key("name", &work_class::mName, presence::kRequired),
-    Key("match", &work_class::mMatch, presence::kRequired),
-    Key("target", &work_class::mTarget, presence::kRequired),
-    Key("idempotent", &work_class::mIdempotent, presence::kOptional),
-    Key("urgent", &work_class::mUrgent, presence::kOptional),
-  };
-  return kFields;
-}
-
-} // namespace
-
 status
 ReadValue(const nlohmann::json& aValue,
           const json::location& aWhere,
--- a/mangospan/config/internal/work_class_fields.h
+++ b/mangospan/config/internal/work_class_fields.h
@@ -10,6 +10,13 @@
 
 namespace mangospan::config {
 
+status
+ReadValue(const nlohmann::json& aValue,
+          const json::location& aWhere,
+          match_rule& aInto);
+nlohmann::json
+WriteValue(const match_rule& aValue);
+
 status
 ReadValue(const nlohmann::json& aValue,
           const json::location& aWhere,
--- a/mangospan/ctl/command_line_test.cc
+++ b/mangospan/ctl/command_line_test.cc
@@ -51,6 +51,14 @@
   }
 }
 
+TEST(CtlCommandLine, UnknownCommandIsNamed)
+{
+  tool_runner tool;
+  EXPECT_EQ(tool.Run({ "aply", "fleet.json" }), exit_code::kUsage);
+  EXPECT_NE(tool.Err().find("'aply' is not a command"), std::string::npos)
+    << tool.Err();
+}
+
 TEST(CtlCommandLine, GlobalOptionsMayFollowTheCommand)
 {
   tool_runner tool;
--- a/mangospan/ctl/internal/command_line.cc
+++ b/mangospan/ctl/internal/command_line.cc
@@ -277,6 +277,12 @@
   } catch (const CLI::Success& asked) {
     app.exit(asked, aEnvironment.mOut, aEnvironment.mErr);
     return exit_code::kOk;
+  } catch (const CLI::RequiredError& failure) {
+    const auto unknown = app.remaining();
+    return RefuseUsage(aEnvironment,
+                       unknown.empty()
+                         ? failure.what()
+                         : "'" + unknown.front() + "' is not a command");
   } catch (const CLI::ParseError& failure) {
     return RefuseUsage(aEnvironment, failure.what());
   }
