--- a/mangospan/ctl/apply_test.cc
+++ b/mangospan/ctl/apply_test.cc
@@ -1,3 +1,5 @@
+#include <cstdint>
+#include <fstream>
 #include <string>
 #include <vector>
 
@@ -101,6 +103,22 @@
   EXPECT_EQ(tool.mPlatform.mSwaps, 0);
 }
 
+TEST(CtlApply, ConfigurationOverTheStoresLimitIsNeverWritten)
+{
+  tool_runner tool;
+  const std::string file = WriteConfigFile("1");
+  std::string teams;
+  while (teams.size() < platform::kMaxValueBytes) {
+    teams += R"(,{"name":"team-)" + std::to_string(teams.size()) + R"("})";
+  }
+  std::ofstream(file) << R"({"pools":[{"name":"survey","service":"s",)"
+                      << R"("max_unavailable":1}],"prefer":"low-buffer",)"
+                      << R"("teams":[)" << teams.substr(1) << "]}";
+  EXPECT_EQ(tool.Run({ "apply", file }), exit_code::kRefused);
+  EXPECT_NE(tool.Err().find("too-large"), std::string::npos) << tool.Err();
+  EXPECT_EQ(tool.mPlatform.mSwaps, 0);
+}
+
 TEST(CtlApply, LostRaceShowsTheOtherChange)
 {
   tool_runner tool;
--- a/mangospan/ctl/fleet_commands_test.cc
+++ b/mangospan/ctl/fleet_commands_test.cc
@@ -1,4 +1,6 @@
+#include <cstddef>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
@@ -81,8 +83,9 @@
 TEST_F(ctl_fleet_test, DrainOfAnUnknownHostIsRefused)
 {
   EXPECT_EQ(mTool.Run({ "drain", "ra-a-9" }), exit_code::kRefused);
-  EXPECT_NE(mTool.Err().find("no zone has a worker host of that name"),
-            std::string::npos);
+  EXPECT_EQ(mTool.Err(),
+            "mangospanctl: drain: not-found: no zone has a worker host "
+            "'ra-a-9' (zones: a)\n");
   EXPECT_EQ(mTool.mPlatform.mSwaps, 0);
 }
 
--- a/mangospan/ctl/internal/drain.cc
+++ b/mangospan/ctl/internal/drain.cc
@@ -27,10 +27,10 @@
     zones.append(zones.empty() ? "" : ", ").append(zone.Str());
   }
   return error{ error_code::kNotFound,
-                "drain.host",
-                aHost.Str(),
-                "no zone has a worker host of that name (zones: " +
-                  (zones.empty() ? "none known" : zones) + ")" };
+                "drain",
+                "",
+                "no zone has a worker host '" + aHost.Str() +
+                  "' (zones: " + (zones.empty() ? "none known" : zones) + ")" };
 }
 
 result<fleet::drains_record>
