--- a/testing/scenario/conditions.cc
+++ b/testing/scenario/conditions.cc
@@ -50,7 +50,7 @@
   const auto daemons = aWorld.RunningDaemons();
   return std::all_of(
     daemons.begin(), daemons.end(), [&](const daemon_process& aDaemon) {
-      return aWorld.Ask(aDaemon.mName, "/healthz").has_value();
+      return aWorld.IsHealthy(aDaemon.mName);
     });
 }
 
--- a/testing/scenario/load_client.cc
+++ b/testing/scenario/load_client.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <iterator>
 #include <memory>
 #include <random>
 #include <string>
@@ -48,6 +49,7 @@
 {
   std::string mId;
   std::string mService;
+  std::string mZone; // of the caller
   bool mIdempotent = true;
   std::string mBody;
   std::string mTicket; // empty: none
@@ -92,6 +94,21 @@
   return IsOwnAnswer(aCall, response.mBody) ? fate::kAnswered : fate::kForeign;
 }
 
+// Why there was no answer: the code and step of a refusal, or an error.
+std::string
+DetailOf(const result<http::response>& aResult)
+{
+  if (!aResult) {
+    return Describe(aResult.assume_error());
+  }
+  const std::string& body = aResult.assume_value().mBody;
+  const auto refusal = nlohmann::json::parse(body, nullptr, false);
+  if (!refusal.is_object() || !refusal.contains("code")) {
+    return body;
+  }
+  return refusal.value("code", "") + " at " + refusal.value("step", "");
+}
+
 bool
 MayResend(const call& aCall, fate aFate)
 {
@@ -165,7 +182,7 @@
                std::size_t aIndex,
                const result<http::response>& aResult);
   void Resend(const std::shared_ptr<call>& aCall);
-  load_target PickTarget(const std::string& aService);
+  load_target PickTarget(call& aCall);
   attempt& Record(const call& aCall, const load_target& aTarget);
   http::request ToRequest(const call& aCall, const std::string& aId) const;
 
@@ -234,7 +251,7 @@
 void
 load_client::impl::FetchTicket(const std::shared_ptr<call>& aCall)
 {
-  const load_target target = PickTarget(aCall->mService);
+  const load_target target = PickTarget(*aCall);
   http::request request;
   request.mMethod = "POST";
   request.mTarget = "/mangospan/v1/tickets?count=1";
@@ -263,13 +280,22 @@
 }
 
 load_target
-load_client::impl::PickTarget(const std::string& aService)
+load_client::impl::PickTarget(call& aCall)
 {
-  const std::vector<load_target> targets = mTargets(aService);
+  const std::vector<load_target> targets = mTargets(aCall.mService);
   if (targets.empty()) {
-    return { "none", "127.0.0.1:1" };
+    return { "none", "127.0.0.1:1", "" };
   }
-  return targets[mNextTarget++ % targets.size()];
+  std::vector<load_target> near;
+  std::copy_if(
+    targets.begin(),
+    targets.end(),
+    std::back_inserter(near),
+    [&](const load_target& aTarget) { return aTarget.mZone == aCall.mZone; });
+  const std::vector<load_target>& from = near.empty() ? targets : near;
+  const load_target& picked = from[mNextTarget++ % from.size()];
+  aCall.mZone = picked.mZone;
+  return picked;
 }
 
 attempt&
@@ -305,7 +331,7 @@
 void
 load_client::impl::Send(const std::shared_ptr<call>& aCall)
 {
-  const load_target target = PickTarget(aCall->mService);
+  const load_target target = PickTarget(*aCall);
   const std::size_t index = mAttempts.size();
   const std::string id = Record(*aCall, target).mId;
   ++aCall->mAttempts;
@@ -330,8 +356,7 @@
     ended.mStatus = aResult.assume_value().mStatus;
   }
   if (ended.mFate != fate::kAnswered) {
-    ended.mDetail =
-      aResult ? aResult.assume_value().mBody : Describe(aResult.assume_error());
+    ended.mDetail = DetailOf(aResult);
   }
   if (MayResend(*aCall, ended.mFate)) {
     Resend(aCall);
--- a/testing/scenario/load_client.h
+++ b/testing/scenario/load_client.h
@@ -1,5 +1,7 @@
 // Plays the callers: sends requests at a constant rate, whether or not earlier
-// ones have been answered, and records what became of each.
+// ones have been answered, and records what became of each. A caller stays in
+// its zone, as with the platform's balancer, while anything there takes its
+// requests.
 //
 //   load_client load(io, seed, targets);
 //   load.Start(options);
@@ -28,6 +30,7 @@
 {
   std::string mName;
   std::string mAddress;
+  std::string mZone;
 };
 
 // The targets that the balancer offers now for a service.
--- a/testing/scenario/parser.cc
+++ b/testing/scenario/parser.cc
@@ -74,6 +74,14 @@
     ->check(CLI::IsMember({ "platform", "peers", "all" }));
 }
 
+void
+DefineApply(CLI::App& aApp, step& aStep)
+{
+  aApp.add_option("file", aStep.mWords)->required()->expected(1);
+  aApp.add_option("--change", aStep.mChange, "OLD NEW")->expected(2);
+  AddSeconds(aApp, "--within", aStep.mWithin, false);
+}
+
 void
 DefineCtl(CLI::App& aApp, step& aStep)
 {
@@ -126,8 +134,8 @@
   { "thaw", "PROCESS: SIGCONT", DefineWords },
   { "restart", "PROCESS: starts it anew", DefineWords },
   { "apply",
-    "FILE: applies it and waits until it is in force everywhere",
-    DefineWords },
+    "FILE [--change OLD NEW]: applies it, waits until it is in force",
+    DefineApply },
   { "ctl", "ARGUMENTS...: runs mangospanctl", DefineCtl },
   { "race",
     "FILE FILE: two operators apply at once; one must win",
--- a/testing/scenario/parser_test.cc
+++ b/testing/scenario/parser_test.cc
@@ -48,6 +48,17 @@
   EXPECT_EQ(ctl.mExpectedExit, 3);
 }
 
+TEST(Parser, ApplyTakesAChange)
+{
+  const auto steps =
+    ParseScript("apply a.json --change '\"x\"' '\"y z\"' --within 3", "a.scn");
+  ASSERT_TRUE(steps.has_value()) << Describe(steps.assume_error());
+  const step& apply = steps.assume_value()[0];
+  EXPECT_EQ(apply.mWords, std::vector<std::string>{ "a.json" });
+  EXPECT_EQ(apply.mChange, (std::vector<std::string>{ "\"x\"", "\"y z\"" }));
+  EXPECT_EQ(apply.mWithin, milliseconds(3'000));
+}
+
 TEST(Parser, WrongStepNamesFileAndLine)
 {
   for (const char* wrong :
--- a/testing/scenario/report.cc
+++ b/testing/scenario/report.cc
@@ -152,6 +152,10 @@
            << '\n';
     }
   }
+  for (const auto& [reason, count] : aVerdict.mReasons) {
+    aOut << "  " << std::setw(kNameWidth + kValueWidth) << count << "  "
+         << reason << '\n';
+  }
   constexpr std::size_t kMostFindings = 20;
   const std::size_t shown = std::min(kMostFindings, aVerdict.mFindings.size());
   for (std::size_t i = 0; i < shown; ++i) {
--- a/testing/scenario/step.h
+++ b/testing/scenario/step.h
@@ -33,7 +33,8 @@
   std::chrono::milliseconds mWithin{ 8'000 };
   std::string mFrom = "all"; // cut: "platform", "peers" or "all"
   int mExpectedExit = 0;
-  std::string mExpectedText; // ctl: must stand in the output
+  std::string mExpectedText;        // ctl: must stand in the output
+  std::vector<std::string> mChange; // apply: a text and what replaces it
   load_options mLoad;
 };
 
--- a/testing/scenario/steps.cc
+++ b/testing/scenario/steps.cc
@@ -4,7 +4,9 @@
 #include <chrono>
 #include <cstdint>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <string>
@@ -229,20 +231,43 @@
 step_runner::Restart(const step& aStep)
 {
   BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
-  return mWorld.Start(Remembered(aStep.mWords[0]));
+  const std::string name = Remembered(aStep.mWords[0]);
+  BOOST_OUTCOME_TRYV(mWorld.Start(name));
+  if (!mWorld.Loop().RunUntil([&] { return mWorld.IsHealthy(name); },
+                              aStep.mWithin)) {
+    return Failure(aStep, "does not become healthy");
+  }
+  return Success();
+}
+
+result<std::string>
+step_runner::FileToApply(const step& aStep)
+{
+  const std::string file = PathOf(aStep.mWords[0]);
+  if (aStep.mChange.empty()) {
+    return file;
+  }
+  std::ifstream in(file);
+  std::string text{ std::istreambuf_iterator<char>(in), {} };
+  const std::size_t at = text.find(aStep.mChange[0]);
+  if (at == std::string::npos) {
+    return Failure(aStep, "does not contain " + aStep.mChange[0]);
+  }
+  text.replace(at, aStep.mChange[0].size(), aStep.mChange[1]);
+  return mWorld.WriteFile("applied.json", text);
 }
 
 status
 step_runner::Apply(const step& aStep)
 {
   BOOST_OUTCOME_TRYV(NeedWords(aStep, 1));
+  BOOST_OUTCOME_TRY(file, FileToApply(aStep));
   BOOST_OUTCOME_TRY(before, mWorld.Store());
   const time_point started = boot_clock::now();
-  BOOST_OUTCOME_TRY(ran,
-                    mWorld.RunCtl({ "apply",
-                                    PathOf(aStep.mWords[0]),
-                                    "--platform",
-                                    mWorld.Deployment().PlatformAddress() }));
+  BOOST_OUTCOME_TRY(
+    ran,
+    mWorld.RunCtl(
+      { "apply", file, "--platform", mWorld.Deployment().PlatformAddress() }));
   if (ran.mExit != 0) {
     return Failure(aStep,
                    "mangospanctl ended with " + std::to_string(ran.mExit) +
@@ -321,6 +346,10 @@
                      std::to_string(second) + ": " + ran[0].mOutput +
                      ran[1].mOutput);
   }
+  const std::string& told = ran[first == 0 ? 1 : 0].mOutput;
+  if (told.find("came first") == std::string::npos) {
+    return Failure(aStep, "the loser was not told: " + told);
+  }
   return Success();
 }
 
--- a/testing/scenario/steps.h
+++ b/testing/scenario/steps.h
@@ -72,6 +72,8 @@
   result<std::string> Resolve(const std::string& aName);
   std::string Remembered(const std::string& aName) const;
   std::string PathOf(const std::string& aFile) const;
+  // The file to apply, with the step's change made in a copy.
+  result<std::string> FileToApply(const step& aStep);
   status CutPeers(const std::string& aName, bool aIsZone);
   // Waits until every running daemon holds the configuration that is stored
   // after revision `aBefore`, and notes how long that took since `aStarted`.
--- a/testing/scenario/verdict.cc
+++ b/testing/scenario/verdict.cc
@@ -111,6 +111,10 @@
       if (each.mFate == fate::kRefused && mRunsOfAttempt.count(each.mId) > 0) {
         Find("untrue-not-run", each);
       }
+      if (each.mFate != fate::kAnswered) {
+        ++mVerdict.mReasons[std::string(Name(each.mFate)) + " by " +
+                            each.mTarget + ": " + each.mDetail];
+      }
       if (each.mFate == fate::kAnswered) {
         latencies.push_back(
           std::chrono::duration<double, std::milli>(each.mEnded - each.mSent)
--- a/testing/scenario/verdict.h
+++ b/testing/scenario/verdict.h
@@ -31,6 +31,8 @@
   std::map<std::string, double> mValues;
   // One line for each lost, doubled, crossed or untruly refused request.
   std::vector<std::string> mFindings;
+  // How many attempts ended without an answer, by entry and reason.
+  std::map<std::string, int> mReasons;
 };
 
 verdict
--- a/testing/scenario/world.cc
+++ b/testing/scenario/world.cc
@@ -43,7 +43,8 @@
 } // namespace
 
 world::world(const world_options& aOptions)
-  : mDeployment(aOptions.mBinFolder, aOptions.mFolder)
+  : mFolder(aOptions.mFolder)
+  , mDeployment(aOptions.mBinFolder, aOptions.mFolder)
   , mProcesses(aOptions.mFolder)
   , mLoad(mLoop.Io(), aOptions.mSeed, [this](const std::string& aService) {
     return Targets(aService);
@@ -54,6 +55,7 @@
 status
 world::Start(const std::string& aName)
 {
+  mOffered.erase(aName);
   BOOST_OUTCOME_TRY(command, mDeployment.CommandOf(aName));
   BOOST_OUTCOME_TRY(address, mDeployment.ControlAddressOf(aName));
   BOOST_OUTCOME_TRYV(
@@ -194,6 +196,30 @@
   return boost::outcome_v2::success();
 }
 
+bool
+world::IsHealthy(const std::string& aName)
+{
+  const bool healthy = Ask(aName, "/healthz").has_value();
+  if (healthy) {
+    mOffered.insert(aName);
+  }
+  return healthy;
+}
+
+result<std::string>
+world::WriteFile(const std::string& aName, const std::string& aText)
+{
+  const std::string file = mFolder + "/" + aName;
+  std::ofstream out(file);
+  out << aText;
+  if (!out.flush()) {
+    return error{
+      error_code::kInvalidArgument, "file.write", file, "can not be written"
+    };
+  }
+  return file;
+}
+
 result<store_state>
 world::Store()
 {
@@ -225,8 +251,8 @@
   mInForce = std::max(mInForce.value_or(milliseconds(0)), aTook);
 }
 
-// The balancer's choice: entries that run, a frozen one among them; it learns
-// of a stop only by the refused connection.
+// The balancer's choice: entries that run and have been healthy since their
+// start, a frozen one among them.
 std::vector<load_target>
 world::Targets(const std::string& aService)
 {
@@ -234,14 +260,16 @@
   if (mDirectLoad) {
     for (const platform::host_info& host : mDeployment.Fleet().mHosts) {
       if (host.mService.Str() == aService) {
-        targets.push_back({ host.mHost.Str(), host.mAddress });
+        targets.push_back(
+          { host.mHost.Str(), host.mAddress, host.mZone.Str() });
       }
     }
     return targets;
   }
   for (const auto& [name, daemon] : mDeployment.Daemons()) {
-    if (daemon.mKind == daemon_kind::kEntry && mProcesses.Runs(name)) {
-      targets.push_back({ name, daemon.mCallerAddress });
+    if (mOffered.count(name) > 0 && mProcesses.Runs(name) &&
+        daemon.mKind == daemon_kind::kEntry) {
+      targets.push_back({ name, daemon.mCallerAddress, daemon.mZone });
     }
   }
   return targets;
--- a/testing/scenario/world.h
+++ b/testing/scenario/world.h
@@ -71,6 +71,13 @@
               const std::string& aTarget,
               const std::string& aBody);
 
+  // Whether /healthz says so; the balancer offers an entry from then on.
+  bool IsHealthy(const std::string& aName);
+
+  // Writes a file into the scenario's folder and returns its path.
+  result<std::string> WriteFile(const std::string& aName,
+                                const std::string& aText);
+
   result<store_state> Store();
   // Declared daemons that run and are not frozen.
   std::vector<daemon_process> RunningDaemons();
@@ -89,12 +96,14 @@
 private:
   std::vector<load_target> Targets(const std::string& aService);
 
+  std::string mFolder;
   event_loop mLoop;
   deployment mDeployment;
   process_table mProcesses;
   load_client mLoad;
   bool mDirectLoad = false;
-  std::set<std::string> mFrozen; // now
+  std::set<std::string> mFrozen;  // now
+  std::set<std::string> mOffered; // entries that have been healthy
   std::set<std::string> mInterrupted;
   std::set<std::string> mStopped;
   std::map<std::string, time_point> mLeaving;
