request: attempts are cut short only at endpoints that have failed lately

Each repeatable attempt was given half of the time left, so that a hung endpoint leaves time for another.

The test of the old rule expected every first attempt of a GET to be cut short; it is replaced by one for doubtful and one for good endpoints.

--- a/bench/requests/main.cc
+++ b/bench/requests/main.cc
@@ -52,12 +52,22 @@
   return load;
 }
 
+zone_load
+Slowdown(double aFactor)
+{
+  zone_load load;
+  load.mSlowdown = aFactor;
+  return load;
+}
+
 const named_load kLoads[] = {
   { "peak 1.5x capacity", Peak(1.5) },
   { "peak 2x capacity", Peak(2) },
   { "peak 5x capacity", Peak(5) },
   { "2x, two endpoints a pool", Small() },
   { "2x, slot times tripled", Slow() },
+  { "2x, then 4 times slower", Slowdown(4) },
+  { "2x, then 10 times slower", Slowdown(10) },
   { "2x, one of 4 fails all", Faulty(first_endpoint::kFailsAll) },
   { "2x, one of 4 hangs", Faulty(first_endpoint::kHangs) },
   { "2x, one of 4 is dead", Faulty(first_endpoint::kDead) },
--- a/bench/requests/zone_model.cc
+++ b/bench/requests/zone_model.cc
@@ -309,6 +309,11 @@
     asked& request = mAsked.at(aDispatch.mRequest);
     request.mSent = mNow;
     auto lasts = request.mSlotTime;
+    if (InPeak(request.mPool, mNow) &&
+        mNow >= PeakStart(request.mPool, mNow) + mLoad.mPeak / 2) {
+      lasts = std::chrono::duration_cast<std::chrono::nanoseconds>(
+        lasts * mLoad.mSlowdown);
+    }
     attempt_end end{ attempt_end_kind::kAnswered, 200 };
     if (aDispatch.mHost.Str() == Service(request.mPool).Str() + "-0") {
       if (mLoad.mFirst == first_endpoint::kFailsAll) {
--- a/bench/requests/zone_model.h
+++ b/bench/requests/zone_model.h
@@ -44,6 +44,9 @@
   std::size_t mEntries = 2;
   std::size_t mCallers = 20;  // the first sends as much as all others do
   double mSlotTimeFactor = 1; // makes slot times longer, not targets
+  // Makes slot times longer in the second half of each peak: a shared
+  // dependency of all endpoints that slows down.
+  double mSlowdown = 1;
   std::chrono::seconds mPeak{ 8 };
   int mRounds = 3; // peaks of each pool
   first_endpoint mFirst = first_endpoint::kGood;
--- a/mangospan/request/internal/slot_router.cc
+++ b/mangospan/request/internal/slot_router.cc
@@ -77,6 +77,9 @@
   return *at;
 }
 
+// About one failure among the last eight attempts.
+constexpr double kDoubtfulRate = 0.1;
+
 std::size_t
 ShareOf(const view::endpoint& aEndpoint, const view::entry_id& aOwn)
 {
@@ -245,7 +248,8 @@
   });
   return placement{ chosen,
                     chosen->mEndpoint.mHost,
-                    chosen->mEndpoint.mAddress };
+                    chosen->mEndpoint.mAddress,
+                    chosen->mHealth.FailureRate() > kDoubtfulRate };
 }
 
 endpoint_slots*
--- a/mangospan/request/internal/slot_router.h
+++ b/mangospan/request/internal/slot_router.h
@@ -49,6 +49,7 @@
   endpoint_slots* mSlot = nullptr;
   host_name mHost;
   std::string mAddress;
+  bool mDoubtful = false; // the endpoint has failed lately
 };
 
 class slot_router
--- a/mangospan/request/pipeline.cc
+++ b/mangospan/request/pipeline.cc
@@ -104,6 +104,7 @@
                 const placement& aPlaced,
                 time_point aNow);
   nanoseconds AttemptTimeout(const open_request& aRequest,
+                             bool aDoubtful,
                              time_point aNow) const;
 
   void Observe(open_request& aRequest,
@@ -387,22 +388,26 @@
   if (aRequest.mAttempt == 1) {
     aRequest.mClass->mService.mRetries.OnFirstAttempt(aNow);
   }
-  mActions.emplace_back(dispatch{ aId,
-                                  aRequest.mAttempt,
-                                  aPlaced.mHost,
-                                  aPlaced.mAddress,
-                                  AttemptTimeout(aRequest, aNow) });
+  mActions.emplace_back(
+    dispatch{ aId,
+              aRequest.mAttempt,
+              aPlaced.mHost,
+              aPlaced.mAddress,
+              AttemptTimeout(aRequest, aPlaced.mDoubtful, aNow) });
 }
 
-// An attempt that can be repeated is cut short when it takes far longer than
-// usual, to leave time for another; one that can not be repeated goes on as
-// long as an answer may be of use.
+// An attempt goes on as long as an answer may be of use. Only one that can be
+// repeated, at an endpoint that has failed lately, is cut short to leave time
+// for another: cutting all would answer a slow-down of the whole pool with a
+// wave of abandoned slots.
 nanoseconds
 pipeline::impl::AttemptTimeout(const open_request& aRequest,
+                               bool aDoubtful,
                                time_point aNow) const
 {
   const nanoseconds longest = aRequest.mGiveUp - aNow;
-  if (!aRequest.mIdempotent || aRequest.mAttempt >= mOptions.mMaxAttempts) {
+  if (!aDoubtful || !aRequest.mIdempotent ||
+      aRequest.mAttempt >= mOptions.mMaxAttempts) {
     return longest;
   }
   const nanoseconds half = (aRequest.mDeadline - aNow) / 2;
