--- a/mangospan/request/internal/pool_state.cc
+++ b/mangospan/request/internal/pool_state.cc
@@ -15,6 +15,8 @@
 constexpr int kSmallestWaitPart = 8;
 constexpr double kPatienceShare = 0.99;
 constexpr int kPatienceFactor = 3;
+constexpr double kMarginStep = 0.1;
+constexpr double kLargestMargin = 3;
 
 } // namespace
 
@@ -53,7 +55,8 @@
 nanoseconds
 class_state::Likely() const
 {
-  return mAnswerTime.Quantile(mWork.mTarget.mShare);
+  const auto quantile = mAnswerTime.Quantile(mWork.mTarget.mShare);
+  return std::chrono::duration_cast<nanoseconds>(quantile * mMargin);
 }
 
 nanoseconds
@@ -76,6 +79,18 @@
   UpdateLane();
 }
 
+// Holds the late share at what the target allows, where the estimate of the
+// slot times alone falls short: late answers raise the margin by as much as
+// the allowed number of answers in time lowers it.
+void
+class_state::OnDelivered(bool aLate)
+{
+  mDemand.OnDelivered(aLate);
+  const double share = mWork.mTarget.mShare;
+  mMargin += kMarginStep * (aLate ? share : share - 1);
+  mMargin = std::clamp(mMargin, 1.0, kLargestMargin);
+}
+
 void
 class_state::OnTimedOut(nanoseconds aElapsed)
 {
--- a/mangospan/request/internal/pool_state.h
+++ b/mangospan/request/internal/pool_state.h
@@ -53,6 +53,7 @@
   std::chrono::nanoseconds WaitBudget(std::chrono::nanoseconds aLeft) const;
 
   void OnAnswered(std::chrono::nanoseconds aElapsed);
+  void OnDelivered(bool aLate);
   void OnTimedOut(std::chrono::nanoseconds aElapsed);
   void UpdateLane();
 
@@ -61,6 +62,7 @@
   lane_index mLane;
   service_time mAnswerTime;  // of answers
   service_time mAttemptTime; // of answers and of attempts that timed out
+  double mMargin = 1; // on the likely time, raised while answers are late
   demand_meter mDemand;
   std::size_t mOpen = 0;
   bool mConfigured = true;
--- a/mangospan/request/pipeline.cc
+++ b/mangospan/request/pipeline.cc
@@ -474,7 +474,7 @@
 void
 pipeline::impl::Deliver(open_requests::iterator aAt, time_point aNow)
 {
-  aAt->second.mClass->mDemand.OnDelivered(aNow > aAt->second.mDeadline);
+  aAt->second.mClass->OnDelivered(aNow > aAt->second.mDeadline);
   mActions.emplace_back(deliver{ aAt->first });
   Close(aAt);
 }
