--- a/testing/scenario/steps.h
+++ b/testing/scenario/steps.h
@@ -7,11 +7,14 @@
 #define TESTING_SCENARIO_STEPS_H
 
 #include <chrono>
+#include <cstdint>
 #include <iosfwd>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "mangospan/base/error.h"
+#include "mangospan/base/time.h"
 #include "testing/scenario/step.h"
 #include "testing/scenario/verdict.h"
 #include "testing/scenario/world.h"
@@ -48,6 +51,8 @@
   status Restart(const step& aStep);
   status Apply(const step& aStep);
   status Ctl(const step& aStep);
+  status Race(const step& aStep);
+  status Slow(const step& aStep);
   status Outage(const step& aStep);
   status LoseAnswers(const step& aStep);
   status Cut(const step& aStep);
@@ -62,16 +67,23 @@
   status Summary(const step& aStep);
   status History(const step& aStep);
 
+  // The process that a script names. "acting/ZONE" is the fleet process that
+  // acts for the zone now; later steps find it under that name again.
+  result<std::string> Resolve(const std::string& aName);
+  std::string Remembered(const std::string& aName) const;
   std::string PathOf(const std::string& aFile) const;
   status CutPeers(const std::string& aName, bool aIsZone);
   // Waits until every running daemon holds the configuration that is stored
-  // after revision `aBefore`, and notes how long that took.
-  status WaitInForce(std::uint64_t aBefore, std::chrono::milliseconds aWithin);
+  // after revision `aBefore`, and notes how long that took since `aStarted`.
+  status WaitInForce(std::uint64_t aBefore,
+                     time_point aStarted,
+                     std::chrono::milliseconds aWithin);
 
   world& mWorld;
   std::string mScriptFolder;
   std::ostream& mOut;
-  std::optional<verdict> mVerdict; // of the records so far
+  std::map<std::string, std::string> mActing; // by "acting/ZONE"
+  std::optional<verdict> mVerdict;            // of the records so far
 };
 
 } // namespace mangospan::scenario
