request: endpoints much slower than the others are ejected

Ends of a runner's requests no longer count against its successor on the same host (test failed without the check: the successor was ejected).

--- a/bench/requests/main.cc
+++ b/bench/requests/main.cc
@@ -71,15 +71,17 @@
   { "2x, one of 4 fails all", Faulty(first_endpoint::kFailsAll) },
   { "2x, one of 4 hangs", Faulty(first_endpoint::kHangs) },
   { "2x, one of 4 is dead", Faulty(first_endpoint::kDead) },
+  { "2x, one of 4 is slow", Faulty(first_endpoint::kSlow) },
 };
 
 void
 PrintRow(const char* aName, const char* aPath, const zone_report& aReport)
 {
-  std::printf("%-26s %-10s %8.3f %8.3f %8.4f %8.4f %8.3f %8.3f\n",
+  std::printf("%-26s %-10s %8.3f %8.3f %8.3f %8.4f %8.4f %8.3f %8.3f\n",
               aName,
               aPath,
               aReport.Goodput(),
+              aReport.Busy(),
               aReport.InTime(),
               aReport.WorstInTimeShare(),
               aReport.Failed(),
@@ -92,14 +94,16 @@
 {
   std::printf(
     "\ngoodput: slot time in peaks that went into answers in time, of all\n"
+    "busy:    slot time in peaks that went into any attempt, of all\n"
     "in time: answers in time, of all asked, in peaks or not\n"
     "met:     in time, of what was let in, in the worst class\n"
     "failed:  error answers and unknown outcomes, of all asked\n"
     "others, greedy: in time, of what these callers asked in peaks\n");
-  std::printf("%-26s %-10s %8s %8s %8s %8s %8s %8s\n",
+  std::printf("%-26s %-10s %8s %8s %8s %8s %8s %8s %8s\n",
               "load",
               "path",
               "goodput",
+              "busy",
               "in time",
               "met",
               "failed",
--- a/bench/requests/zone_model.cc
+++ b/bench/requests/zone_model.cc
@@ -28,6 +28,7 @@
 constexpr double kPeakOfMean = 5;
 constexpr double kTroughOfMean = 0.05;
 constexpr auto kErrorAnswer = 2ms;
+constexpr int kSlowFactor = 10;
 
 // The classes of each service.
 struct class_rule
@@ -322,6 +323,8 @@
       } else if (mLoad.mFirst == first_endpoint::kDead) {
         lasts = kErrorAnswer;
         end = { attempt_end_kind::kNotSent, 0 };
+      } else if (mLoad.mFirst == first_endpoint::kSlow) {
+        lasts *= kSlowFactor;
       } else if (mLoad.mFirst == first_endpoint::kHangs) {
         lasts = std::chrono::hours(1);
       }
@@ -335,6 +338,7 @@
     At(mNow + lasts, [this, id, attempt, end] {
       asked& ended = mAsked.at(id);
       ended.mEnd = end;
+      mReport.mBusySlotSeconds += InPeakSeconds(ended);
       const std::size_t entry = ended.mEntry;
       Carry(entry, mPaths[entry]->OnAttemptEnded(id, attempt, end, mNow));
     });
--- a/bench/requests/zone_model.h
+++ b/bench/requests/zone_model.h
@@ -32,6 +32,7 @@
   kFailsAll, // answers 500 at once
   kHangs,    // accepts and never answers
   kDead,     // refuses connections
+  kSlow,     // takes ten times as long
 };
 
 struct zone_load
@@ -77,6 +78,7 @@
   std::map<class_name, class_report> mClasses;
   std::map<caller_name, caller_report> mCallers;
   double mUsefulSlotSeconds = 0; // in peaks, of answers in time
+  double mBusySlotSeconds = 0;   // in peaks, of all attempts
   double mSlotSeconds = 0;       // in peaks, of all slots
 
   // Slot time in peaks that went into answers in time.
@@ -91,6 +93,9 @@
   // Requests with an error answer or an unknown outcome, of all.
   double Failed() const;
 
+  // Slot time in peaks that went into any attempt.
+  double Busy() const { return mBusySlotSeconds / mSlotSeconds; }
+
   // Answers in time among those asked for in peaks.
   double Served(const caller_name& aCaller) const;
   // The mean of it over all callers but the greedy first.
--- a/bench/requests/zone_model_test.cc
+++ b/bench/requests/zone_model_test.cc
@@ -24,11 +24,13 @@
 {
   for (const first_endpoint first : { first_endpoint::kFailsAll,
                                       first_endpoint::kHangs,
-                                      first_endpoint::kDead }) {
+                                      first_endpoint::kDead,
+                                      first_endpoint::kSlow }) {
     zone_load load;
     load.mFirst = first;
     const zone_report report = RunZone(load, path_kind::kPipeline, kSeed);
     EXPECT_GE(report.Goodput(), 0.7);
+    EXPECT_GE(report.ServedToOthers(), 0.91);
     EXPECT_LE(report.Failed(), 0.005);
   }
 }
--- a/mangospan/request/internal/endpoint_health.cc
+++ b/mangospan/request/internal/endpoint_health.cc
@@ -29,10 +29,12 @@
 }
 
 void
-endpoint_health::OnEnd(const attempt_end& aEnd, time_point aNow)
+endpoint_health::OnEnd(const attempt_end& aEnd, bool aSlow, time_point aNow)
 {
   const bool failed = IsFailure(aEnd);
+  const bool bad = failed || aSlow;
   mFailureRate += kWeight * ((failed ? 1.0 : 0.0) - mFailureRate);
+  mBadRate += kWeight * ((bad ? 1.0 : 0.0) - mBadRate);
   const bool notTaken = aEnd.mKind == attempt_end_kind::kNotSent ||
                         aEnd.mKind == attempt_end_kind::kAnsweredNotRun;
   if (notTaken) {
@@ -45,7 +47,7 @@
   if (!mEjected) {
     return;
   }
-  if (!failed) {
+  if (!bad) {
     Reinstate(aNow);
     return;
   }
@@ -79,6 +81,7 @@
   mEjected = false;
   mReinstatedAt = aNow;
   mFailureRate = kRateAfterReturn;
+  mBadRate = kRateAfterReturn;
 }
 
 bool
--- a/mangospan/request/internal/endpoint_health.h
+++ b/mangospan/request/internal/endpoint_health.h
@@ -2,8 +2,8 @@
 // may be tried again, when it may be probed.
 //
 //   endpoint_health health;
-//   health.OnEnd(end, now);
-//   if (health.FailureRate() > others + 0.5) { health.Eject(now); }
+//   health.OnEnd(end, slow, now);
+//   if (health.BadRate() > others + 0.5) { health.Eject(now); }
 #ifndef MANGOSPAN_REQUEST_INTERNAL_ENDPOINT_HEALTH_H
 #define MANGOSPAN_REQUEST_INTERNAL_ENDPOINT_HEALTH_H
 
@@ -22,11 +22,15 @@
 class endpoint_health
 {
 public:
-  void OnEnd(const attempt_end& aEnd, time_point aNow);
+  // `aSlow`: the answer took longer than nearly all of its class do.
+  void OnEnd(const attempt_end& aEnd, bool aSlow, time_point aNow);
 
-  // Of the recent attempts, 0 to 1.
+  // Failures among the recent attempts, 0 to 1.
   double FailureRate() const { return mFailureRate; }
 
+  // Failures and slow answers among the recent attempts, 0 to 1.
+  double BadRate() const { return mBadRate; }
+
   // After an attempt that the endpoint did not even take, it is left alone for
   // a moment, longer each time in a row: a dead endpoint always looks idle.
   time_point BackoffEnd() const { return mBackoffEnd; }
@@ -45,6 +49,7 @@
 
 private:
   double mFailureRate = 0;
+  double mBadRate = 0;
   int mNotTakenInRow = 0;
   time_point mBackoffEnd;
   bool mEjected = false;
--- a/mangospan/request/internal/pool_state.cc
+++ b/mangospan/request/internal/pool_state.cc
@@ -14,6 +14,7 @@
 // However slow the answers, a request may wait for this part of its target.
 constexpr int kSmallestWaitPart = 8;
 constexpr double kPatienceShare = 0.99;
+constexpr double kSlowShare = 0.98;
 constexpr int kPatienceFactor = 3;
 constexpr double kMarginStep = 0.1;
 constexpr double kLargestMargin = 3;
@@ -59,6 +60,12 @@
   return std::chrono::duration_cast<nanoseconds>(quantile * mMargin);
 }
 
+bool
+class_state::IsSlow(nanoseconds aElapsed) const
+{
+  return aElapsed > mAnswerTime.Quantile(kSlowShare);
+}
+
 nanoseconds
 class_state::Patience() const
 {
--- a/mangospan/request/internal/pool_state.h
+++ b/mangospan/request/internal/pool_state.h
@@ -47,6 +47,8 @@
   std::chrono::nanoseconds Within() const { return mWork.mTarget.mWithin; }
   // The time in which a request, once sent, ends in time for the target.
   std::chrono::nanoseconds Likely() const;
+  // Whether an answer took longer than nearly all others do.
+  bool IsSlow(std::chrono::nanoseconds aElapsed) const;
   // An attempt of a repeatable request that takes longer has gone wrong.
   std::chrono::nanoseconds Patience() const;
   // How long a request that has `aLeft` until its deadline may wait.
@@ -76,7 +78,7 @@
   time_point mDeadline;                   // of its target
   time_point mGiveUp;                     // no attempt lasts longer
   time_point mDispatched;                 // of the attempt under way
-  endpoint_slots* mSlot = nullptr;        // of the attempt under way
+  taken_slot mSlot;                       // of the attempt under way
   const endpoint_slots* mTried = nullptr; // of the attempt before; only ever
                                           // compared, it may be gone
   std::uint32_t mAttempt = 0;
--- a/mangospan/request/internal/slot_router.cc
+++ b/mangospan/request/internal/slot_router.cc
@@ -15,6 +15,7 @@
   std::size_t mInFlight = 0;
   std::size_t mAbandoned = 0;
   std::size_t mTimers = 0; // armed
+  std::uint64_t mRun = 0;  // grows with each new runner on the host
   bool mInView = false;
   bool mBackingOff = false;
   bool mProbeDue = false;
@@ -179,6 +180,7 @@
                        known.mService == aFromView.mService;
   const bool sameState = sameRun && known.mState == aFromView.mState;
   if (!sameRun) {
+    ++aEndpoint.mRun;
     aEndpoint.mHealth = endpoint_health();
     aEndpoint.mBackingOff = false;
     aEndpoint.mProbeDue = false;
@@ -246,7 +248,7 @@
       chosen->mHealth.OnProbeSent();
     }
   });
-  return placement{ chosen,
+  return placement{ { chosen, chosen->mRun },
                     chosen->mEndpoint.mHost,
                     chosen->mEndpoint.mAddress,
                     chosen->mHealth.FailureRate() > kDoubtfulRate };
@@ -302,41 +304,54 @@
 }
 
 const std::string&
-slot_router::AddressOf(const endpoint_slots& aSlot) const
+slot_router::AddressOf(const taken_slot& aSlot) const
 {
-  return aSlot.mEndpoint.mAddress;
+  return aSlot.mEndpoint->mEndpoint.mAddress;
 }
 
 void
-slot_router::Release(endpoint_slots& aSlot,
-                     const attempt_end& aEnd,
+slot_router::Release(const taken_slot& aSlot,
+                     const slot_end& aEnd,
                      time_point aNow)
 {
-  const bool held = LeavesSlotOccupied(aEnd.mKind);
-  const time_point probeAt = aSlot.mHealth.ProbeAt();
-  Update(aSlot, [&] {
-    --aSlot.mInFlight;
-    aSlot.mAbandoned += held ? 1 : 0;
-    aSlot.mHealth.OnEnd(aEnd, aNow);
-    aSlot.mBackingOff = aSlot.mHealth.BackoffEnd() > aNow;
+  endpoint_slots& endpoint = *aSlot.mEndpoint;
+  const bool held = LeavesSlotOccupied(aEnd.mAttempt.mKind);
+  Update(endpoint, [&] {
+    --endpoint.mInFlight;
+    endpoint.mAbandoned += held ? 1 : 0;
   });
   if (held) {
-    Arm(aNow + mOptions.mAbandonedSlotHold, timer_kind::kHeldSlot, aSlot);
+    Arm(aNow + mOptions.mAbandonedSlotHold, timer_kind::kHeldSlot, endpoint);
+  }
+  if (aSlot.mRun == endpoint.mRun) { // says nothing about a later runner
+    Judge(endpoint, aEnd, aNow);
   }
-  if (aSlot.mBackingOff) {
-    Arm(aSlot.mHealth.BackoffEnd(), timer_kind::kBackoff, aSlot);
+  After(endpoint);
+}
+
+void
+slot_router::Judge(endpoint_slots& aEndpoint,
+                   const slot_end& aEnd,
+                   time_point aNow)
+{
+  const time_point probeAt = aEndpoint.mHealth.ProbeAt();
+  Update(aEndpoint, [&] {
+    aEndpoint.mHealth.OnEnd(aEnd.mAttempt, aEnd.mSlow, aNow);
+    aEndpoint.mBackingOff = aEndpoint.mHealth.BackoffEnd() > aNow;
+  });
+  if (aEndpoint.mBackingOff) {
+    Arm(aEndpoint.mHealth.BackoffEnd(), timer_kind::kBackoff, aEndpoint);
   }
-  if (aSlot.mHealth.Ejected() && aSlot.mHealth.ProbeAt() != probeAt) {
-    Arm(aSlot.mHealth.ProbeAt(), timer_kind::kProbe, aSlot);
+  if (aEndpoint.mHealth.Ejected() && aEndpoint.mHealth.ProbeAt() != probeAt) {
+    Arm(aEndpoint.mHealth.ProbeAt(), timer_kind::kProbe, aEndpoint);
   }
-  EjectIfFailing(aSlot, aNow);
-  After(aSlot);
+  EjectIfFailing(aEndpoint, aNow);
 }
 
 void
 slot_router::EjectIfFailing(endpoint_slots& aEndpoint, time_point aNow)
 {
-  if (aEndpoint.mHealth.FailureRate() <= kFailingBeyondOthers ||
+  if (aEndpoint.mHealth.BadRate() <= kFailingBeyondOthers ||
       aEndpoint.mHealth.Ejected() || !aEndpoint.MayGetWork()) {
     return;
   }
@@ -347,11 +362,11 @@
     if (each->mHealth.Ejected()) {
       ++ejected;
     } else if (each != &aEndpoint) {
-      others.push_back(each->mHealth.FailureRate());
+      others.push_back(each->mHealth.BadRate());
     }
   }
   if (others.empty() || ejected >= MayBeEjected(members) ||
-      aEndpoint.mHealth.FailureRate() <=
+      aEndpoint.mHealth.BadRate() <=
         LowerQuartile(others) + kFailingBeyondOthers) {
     return;
   }
--- a/mangospan/request/internal/slot_router.h
+++ b/mangospan/request/internal/slot_router.h
@@ -9,7 +9,7 @@
 //   const pool_index pool = router.PoolOf(service);
 //   if (auto placed = router.Take(pool, idempotent, nullptr, now)) {
 //     ... send to placed->mAddress ...
-//     router.Release(*placed->mSlot, end, now);
+//     router.Release(placed->mSlot, { end, slow }, now);
 //   }
 //
 // A slot whose request was given up on stays occupied for a while, since the
@@ -44,9 +44,23 @@
 // any of its slots is taken.
 class endpoint_slots;
 
+// One slot that was taken. `mRun` tells apart the runners that a host has had.
+struct taken_slot
+{
+  endpoint_slots* mEndpoint = nullptr;
+  std::uint64_t mRun = 0;
+};
+
+// How a slot's use ended.
+struct slot_end
+{
+  attempt_end mAttempt;
+  bool mSlow = false; // longer than nearly all answers of its class
+};
+
 struct placement
 {
-  endpoint_slots* mSlot = nullptr;
+  taken_slot mSlot;
   host_name mHost;
   std::string mAddress;
   bool mDoubtful = false; // the endpoint has failed lately
@@ -73,10 +87,10 @@
                                 const endpoint_slots* aAvoid,
                                 time_point aNow);
 
-  const std::string& AddressOf(const endpoint_slots& aSlot) const;
+  const std::string& AddressOf(const taken_slot& aSlot) const;
 
   // Gives a taken slot back; the record may be gone then.
-  void Release(endpoint_slots& aSlot, const attempt_end& aEnd, time_point aNow);
+  void Release(const taken_slot& aSlot, const slot_end& aEnd, time_point aNow);
 
   // Ends held slots, back-offs and the wait for probes; true if any was due.
   bool Advance(time_point aNow);
@@ -133,6 +147,7 @@
             const view::entry_id& aOwn);
   void KeepEjectedWithinFloor(time_point aNow);
   std::size_t MayBeEjected(const pool& aPool) const;
+  void Judge(endpoint_slots& aEndpoint, const slot_end& aEnd, time_point aNow);
   void EjectIfFailing(endpoint_slots& aEndpoint, time_point aNow);
   void After(endpoint_slots& aEndpoint);
   void Arm(time_point aAt, timer_kind aKind, endpoint_slots& aEndpoint);
--- a/mangospan/request/internal/slot_router_test.cc
+++ b/mangospan/request/internal/slot_router_test.cc
@@ -48,9 +48,11 @@
     EXPECT_TRUE(placed);
     return placed.value_or(placement{});
   }
-  void Release(const placement& aPlaced, const attempt_end& aEnd)
+  void Release(const placement& aPlaced,
+               const attempt_end& aEnd,
+               bool aSlow = false)
   {
-    mRouter.Release(*aPlaced.mSlot, aEnd, mClock.Now());
+    mRouter.Release(aPlaced.mSlot, { aEnd, aSlow }, mClock.Now());
   }
   void Advance(milliseconds aBy)
   {
@@ -220,6 +222,39 @@
   EXPECT_TRUE(mRouter.Ejected().empty());
 }
 
+TEST_F(slot_router_test, AnEndpointMuchSlowerThanTheOthersIsEjected)
+{
+  Adopt(4, 4);
+  for (int i = 0; i < 200; ++i) {
+    const placement placed = Take();
+    Release(placed, kGood, placed.mHost == host_name("host-0"));
+  }
+  EXPECT_EQ(mRouter.Ejected(), std::vector<host_name>{ host_name("host-0") });
+}
+
+TEST_F(slot_router_test, APoolThatIsSlowAsAWholeEjectsNoEndpoint)
+{
+  Adopt(4, 4);
+  for (int i = 0; i < 500; ++i) {
+    Release(Take(), kGood, true);
+  }
+  EXPECT_TRUE(mRouter.Ejected().empty());
+}
+
+TEST_F(slot_router_test, FailuresOfARunnerDoNotCountAgainstItsSuccessor)
+{
+  Adopt(2, 8);
+  const auto taken = TakeAll();
+  mView.mVersion.mSequence += 1;
+  mView.mEndpoints[0].mEpoch += 1;
+  AdoptAgain();
+  for (const placement& placed : taken) {
+    const bool first = placed.mHost == host_name("host-0");
+    Release(placed, first ? kTimedOut : kGood);
+  }
+  EXPECT_TRUE(mRouter.Ejected().empty());
+}
+
 TEST_F(slot_router_test, ADeadEndpointDoesNotDrawTheTrafficToItself)
 {
   Adopt(2, 8);
--- a/mangospan/request/pipeline.cc
+++ b/mangospan/request/pipeline.cc
@@ -422,7 +422,7 @@
 {
   const auto at = mOpen.find(aRequest);
   if (at == mOpen.end() || at->second.mAttempt != aAttempt ||
-      at->second.mSlot == nullptr) {
+      at->second.mSlot.mEndpoint == nullptr) {
     return;
   }
   open_request& request = at->second;
@@ -444,6 +444,7 @@
                         time_point aNow)
 {
   const nanoseconds elapsed = aNow - aRequest.mDispatched;
+  const bool slow = aRequest.mClass->IsSlow(elapsed);
   aRequest.mClass->mDemand.OnSlotFreed(elapsed);
   if (aEnd.mKind == attempt_end_kind::kTimedOut) {
     aRequest.mClass->OnTimedOut(elapsed);
@@ -451,11 +452,11 @@
     aRequest.mClass->OnAnswered(elapsed);
   }
   if (aEnd.mKind != attempt_end_kind::kAnswered) {
-    aRequest.mPeer = mRouter.AddressOf(*aRequest.mSlot);
+    aRequest.mPeer = mRouter.AddressOf(aRequest.mSlot);
   }
   aRequest.mMayHaveRun = aRequest.mMayHaveRun || MayHaveRun(aEnd.mKind);
-  aRequest.mTried = aRequest.mSlot;
-  mRouter.Release(*std::exchange(aRequest.mSlot, nullptr), aEnd, aNow);
+  aRequest.mTried = aRequest.mSlot.mEndpoint;
+  mRouter.Release(std::exchange(aRequest.mSlot, {}), { aEnd, slow }, aNow);
 }
 
 bool
@@ -532,7 +533,7 @@
     return;
   }
   open_request& request = at->second;
-  if (request.mSlot != nullptr) {
+  if (request.mSlot.mEndpoint != nullptr) {
     request.mCallerGone = true;
     return;
   }
