request: shares also name hosts that left the view with requests in flight

A host that leaves the view while this entry still has requests there was not in the list of held slots, so a new acting process could have given the same slots away. The schedules test failed on it before.

--- a/mangospan/request/internal/slot_router.cc
+++ b/mangospan/request/internal/slot_router.cc
@@ -480,10 +480,11 @@
 {
   std::vector<held_slots> all;
   for (const auto& [host, endpoint] : mEndpoints) {
-    if (endpoint->mInView) {
+    const std::size_t share = endpoint->mInView ? endpoint->mShare : 0;
+    if (endpoint->mInView || endpoint->Occupied() > 0) {
       all.push_back({ host,
                       endpoint->mEndpoint.mEpoch,
-                      std::max(endpoint->mShare, endpoint->Occupied()) });
+                      std::max(share, endpoint->Occupied()) });
     }
   }
   return all;
--- a/mangospan/request/pipeline.h
+++ b/mangospan/request/pipeline.h
@@ -290,7 +290,8 @@
   // Draining hosts without a request of this entry, with the drain's epoch.
   std::vector<emptied> Emptied() const;
 
-  // Per endpoint of the view, sorted by host.
+  // Per endpoint of the view, and per host that has left the view with
+  // requests of this entry; sorted by host.
   std::vector<held_slots> Shares() const;
 
   // The newest view whose shares this entry keeps to: acknowledge this one,
--- a/mangospan/request/pipeline_schedules_test.cc
+++ b/mangospan/request/pipeline_schedules_test.cc
@@ -240,8 +240,15 @@
   // What the entry says of its shares covers all that it has in flight.
   void CheckShares() const
   {
+    std::map<host_name, std::size_t> shares;
     for (const held_slots& each : mPipeline.Shares()) {
-      EXPECT_LE(InFlight(each.mHost), each.mSlots);
+      shares[each.mHost] = each.mSlots;
+    }
+    for (const auto& [id, request] : mRequests) {
+      if (request.mAttempt) { // also at hosts that left the view
+        const host_name& host = request.mAttempt->mHost;
+        EXPECT_LE(InFlight(host), shares[host]);
+      }
     }
     if (mPipeline.AppliedView() == mView.mVersion) {
       for (const view::endpoint& each : mView.mEndpoints) {
