--- a/bench/requests/main.cc
+++ b/bench/requests/main.cc
@@ -60,10 +60,21 @@
   return load;
 }
 
+zone_load
+Returning(double aOfCapacity)
+{
+  zone_load load;
+  load.mPeakOfCapacity = aOfCapacity;
+  load.mReturns = 5;
+  return load;
+}
+
 const named_load kLoads[] = {
   { "peak 1.5x capacity", Peak(1.5) },
   { "peak 2x capacity", Peak(2) },
   { "peak 5x capacity", Peak(5) },
+  { "2x, 5 returns", Returning(2) },
+  { "5x, 5 returns", Returning(5) },
   { "2x, two endpoints a pool", Small() },
   { "2x, slot times tripled", Slow() },
   { "2x, then 4 times slower", Slowdown(4) },
--- a/bench/requests/zone_model.cc
+++ b/bench/requests/zone_model.cc
@@ -179,8 +179,10 @@
     std::size_t mEntry = 0;
     std::size_t mPool = 0;
     class_name mClass;
+    const class_rule* mRule = nullptr;
     caller_name mCaller;
     time_point mArrived;
+    int mReturns = 0;
     bool mInPeak = false;
     std::chrono::nanoseconds mSlotTime{ 0 };
     time_point mSent;
@@ -266,27 +268,34 @@
       seconds_double(rule.mSlotTime).count() * mLoad.mSlotTimeFactor;
     std::lognormal_distribution<double> slotTime(
       std::log(mean) - kSigma * kSigma / 2, kSigma);
-    const request_id id = ++mLast;
-    asked& made = mAsked[id];
-    made.mEntry = mRandom() % mLoad.mEntries;
+    asked made;
+    made.mRule = &rule;
     made.mPool = aPool;
     made.mClass = ClassName(aPool, rule);
     made.mCaller = DrawCaller();
-    made.mArrived = mNow;
     made.mInPeak = InPeak(aPool, mNow);
     made.mSlotTime = std::chrono::duration_cast<std::chrono::nanoseconds>(
       seconds_double(slotTime(mRandom)));
     ++mReport.mClasses[made.mClass].mAsked;
     mReport.mCallers[made.mCaller].mAsked += made.mInPeak ? 1 : 0;
+    Send(std::move(made));
+  }
+
+  void Send(asked aAsked)
+  {
+    const request_id id = ++mLast;
+    aAsked.mEntry = mRandom() % mLoad.mEntries;
+    aAsked.mArrived = mNow;
     request::arrival request;
     request.mId = id;
-    request.mCaller = made.mCaller;
-    request.mTeam = team_name("team-" + made.mCaller.Str());
-    request.mService = Service(aPool);
-    request.mPath = rule.mPath;
-    request.mMethod = rule.mMethod;
+    request.mCaller = aAsked.mCaller;
+    request.mTeam = team_name("team-" + aAsked.mCaller.Str());
+    request.mService = Service(aAsked.mPool);
+    request.mPath = aAsked.mRule->mPath;
+    request.mMethod = aAsked.mRule->mMethod;
     request.mArrived = mNow;
-    const std::size_t entry = made.mEntry;
+    const std::size_t entry = aAsked.mEntry;
+    mAsked.emplace(id, std::move(aAsked));
     Carry(entry, mPaths[entry]->OnArrival(request, mNow));
   }
 
@@ -364,12 +373,21 @@
 
   void On(const request::refuse& aRefuse)
   {
-    class_report& counts = mReport.mClasses[mAsked.at(aRefuse.mRequest).mClass];
-    const bool notRun =
-      aRefuse.mRefusal.mOutcome == request::request_outcome::kNotRun &&
-      aRefuse.mRefusal.mCode != request::refusal_code::kEndpointFailed;
-    ++(notRun ? counts.mRefused : counts.mFailed);
-    mAsked.erase(aRefuse.mRequest);
+    const request::refusal& why = aRefuse.mRefusal;
+    const auto at = mAsked.find(aRefuse.mRequest);
+    asked refused = std::move(at->second);
+    mAsked.erase(at);
+    const bool notRun = why.mOutcome == request::request_outcome::kNotRun;
+    if (notRun && why.mRetryAfter.count() > 0 &&
+        refused.mReturns < mLoad.mReturns) {
+      ++refused.mReturns;
+      At(mNow + why.mRetryAfter, [this, refused] { Send(refused); });
+      return;
+    }
+    class_report& counts = mReport.mClasses[refused.mClass];
+    const bool failed =
+      !notRun || why.mCode == request::refusal_code::kEndpointFailed;
+    ++(failed ? counts.mFailed : counts.mRefused);
   }
 
   void On(const request::emptied& /*aEmptied*/) {}
--- a/bench/requests/zone_model.h
+++ b/bench/requests/zone_model.h
@@ -51,6 +51,9 @@
   std::chrono::seconds mPeak{ 8 };
   int mRounds = 3; // peaks of each pool
   first_endpoint mFirst = first_endpoint::kGood;
+  // How often a caller that was refused comes back after the time it was told;
+  // each time with a new target.
+  int mReturns = 0;
 };
 
 struct class_report
