request: the applied view covers hosts that left it, and empty views

The acting process takes the slots at a host that has left the view for free once the entry acknowledges that view. The entry did so while requests were still in flight there, so a host that came back could have been given more than its slots. It now acknowledges such a view only when they have ended. A view without endpoints was never acknowledged.

Slots at a draining endpoint no longer hold the acknowledgement back: they are listed with none, and given up by the message that the host is empty.

--- a/mangospan/request/internal/slot_router.cc
+++ b/mangospan/request/internal/slot_router.cc
@@ -29,7 +29,12 @@
   }
   bool MayGetWork() const { return mInView && !Draining() && mShare > 0; }
   bool IsEmptied() const { return mInView && Draining() && Occupied() == 0; }
-  bool Over() const { return mInView && Occupied() > mShare; }
+  // Whether the view says that this entry has fewer slots than it uses. Those
+  // at a draining endpoint are given up by `emptied` alone.
+  bool Over() const
+  {
+    return mInView ? !Draining() && Occupied() > mShare : Occupied() > 0;
+  }
 
   std::size_t Slots() const
   {
@@ -152,6 +157,7 @@
   mOver = 0;
   for (auto& [host, endpoint] : mEndpoints) {
     endpoint->mInView = false;
+    mOver += endpoint->Over() ? 1 : 0;
   }
   for (const view::endpoint& each : aView.mEndpoints) {
     auto& held = mEndpoints[each.mHost];
@@ -167,6 +173,15 @@
     endpoint_slots& endpoint = *(next++)->second;
     After(endpoint); // may erase it
   }
+  NoteApplied();
+}
+
+void
+slot_router::NoteApplied()
+{
+  if (mOver == 0) {
+    mApplied = mVersion;
+  }
 }
 
 void
@@ -186,6 +201,7 @@
     aEndpoint.mProbeDue = false;
   }
   aEndpoint.mSaidEmptied = aEndpoint.mSaidEmptied && sameState;
+  mOver -= aEndpoint.Over() ? 1 : 0; // counted as absent
   aEndpoint.mEndpoint = aFromView;
   aEndpoint.mEndpoint.mShares.clear();
   aEndpoint.mShare = ShareOf(aFromView, aOwn);
@@ -386,9 +402,7 @@
     mNewlyEmptied.push_back(
       { aEndpoint.mEndpoint.mHost, aEndpoint.mEndpoint.mEpoch });
   }
-  if (mOver == 0) {
-    mApplied = mVersion;
-  }
+  NoteApplied();
   const bool unused = !aEndpoint.mInView && aEndpoint.Occupied() == 0;
   if (unused && aEndpoint.mTimers == 0) {
     mEndpoints.erase(host_name(aEndpoint.mEndpoint.mHost));
--- a/mangospan/request/internal/slot_router.h
+++ b/mangospan/request/internal/slot_router.h
@@ -150,6 +150,7 @@
   void Judge(endpoint_slots& aEndpoint, const slot_end& aEnd, time_point aNow);
   void EjectIfFailing(endpoint_slots& aEndpoint, time_point aNow);
   void After(endpoint_slots& aEndpoint);
+  void NoteApplied();
   void Arm(time_point aAt, timer_kind aKind, endpoint_slots& aEndpoint);
   void Fire(const timer& aTimer);
   endpoint_slots* Probe(const pool& aPool, bool aIdempotent, time_point aNow);
@@ -165,7 +166,7 @@
   std::deque<pool> mPools;
   std::priority_queue<timer, std::vector<timer>, std::greater<>> mTimers;
   std::vector<emptied> mNewlyEmptied;
-  std::size_t mOver = 0; // endpoints of the view used over their share
+  std::size_t mOver = 0; // endpoints used over their share in the view
 };
 
 } // namespace mangospan::request
--- a/mangospan/request/internal/slot_router_test.cc
+++ b/mangospan/request/internal/slot_router_test.cc
@@ -113,6 +113,12 @@
   EXPECT_EQ(TakeAll().size(), 1U);
 }
 
+TEST_F(slot_router_test, AViewWithoutEndpointsIsAppliedAtOnce)
+{
+  Adopt(0, 0);
+  EXPECT_EQ(mRouter.AppliedVersion(), mView.mVersion);
+}
+
 TEST_F(slot_router_test, OlderViewsAreIgnored)
 {
   Adopt(2, 2);
@@ -130,9 +136,11 @@
   const placement second = Take();
   mView.mVersion.mSequence += 1;
   mView.mEndpoints[0].mState = view::endpoint_state::kDraining;
+  mView.mEndpoints[0].mShares.clear();
   AdoptAgain();
   EXPECT_FALSE(mRouter.Take(mPool, true, nullptr, mClock.Now()));
   EXPECT_TRUE(mRouter.TakeEmptied().empty());
+  EXPECT_EQ(mRouter.AppliedVersion(), mView.mVersion);
   Release(first, kGood);
   EXPECT_TRUE(mRouter.TakeEmptied().empty());
   Release(second, kTimedOut); // may still be running there
--- a/mangospan/request/pipeline.h
+++ b/mangospan/request/pipeline.h
@@ -294,8 +294,10 @@
   // requests of this entry; sorted by host.
   std::vector<held_slots> Shares() const;
 
-  // The newest view whose shares this entry keeps to: acknowledge this one,
-  // so that slots are given to another entry only once they are free here.
+  // The newest view whose shares this entry keeps to: acknowledge this one, so
+  // that slots are given to another entry only once they are free here. At
+  // hosts that left the view the share is zero; slots at draining endpoints do
+  // not hold it back, since those are given up by `emptied`.
   view::version AppliedView() const;
 
   pipeline_snapshot Snapshot() const;
