--- a/mangospan/ctl/fake_store_for_test.cc
+++ b/mangospan/ctl/fake_store_for_test.cc
@@ -37,6 +37,7 @@
 fake_platform::Put(const std::string& aKey, const std::string& aValue)
 {
   mRecords[aKey] = { aKey, aValue, ++mRevision };
+  mHistory.push_back(aValue);
   return mRevision;
 }
 
@@ -58,6 +59,10 @@
                  std::chrono::milliseconds /*aTimeout*/,
                  platform::handler<std::optional<platform::record>> aHandler)
 {
+  mPlatform.CarryOutLate();
+  if (mPlatform.mBeforeRead) {
+    mPlatform.mBeforeRead();
+  }
   const auto found = mPlatform.mRecords.find(aKey);
   std::optional<platform::record> held;
   if (found != mPlatform.mRecords.end()) {
@@ -81,27 +86,53 @@
 }
 
 result<platform::revision>
-fake_store::Swap(const platform::swap_request& aRequest)
+fake_platform::Swap(const platform::swap_request& aRequest)
 {
-  const error lost{ error_code::kUnknownResult, "store.cas", "", "no answer" };
-  if (mPlatform.mLostAnswersUnwritten > 0) {
-    --mPlatform.mLostAnswersUnwritten;
-    return lost;
-  }
-  const auto found = mPlatform.mRecords.find(aRequest.mKey);
+  const auto found = mRecords.find(aRequest.mKey);
   const platform::revision held =
-    found == mPlatform.mRecords.end() ? 0 : found->second.mRevision;
+    found == mRecords.end() ? 0 : found->second.mRevision;
   if (held != aRequest.mExpected) {
     return error{ error_code::kConflict, "store.cas", "", "other revision" };
   }
-  ++mPlatform.mWrites;
-  const platform::revision written =
-    mPlatform.Put(aRequest.mKey, aRequest.mValue);
-  if (mPlatform.mLostAnswersAfterWriting > 0) {
-    --mPlatform.mLostAnswersAfterWriting;
-    return lost;
+  ++mWrites;
+  return Put(aRequest.mKey, aRequest.mValue);
+}
+
+void
+fake_platform::CarryOutLate()
+{
+  for (const platform::swap_request& each : std::exchange(mLate, {})) {
+    static_cast<void>(Swap(each));
+  }
+}
+
+swap_fault
+fake_platform::NextFault()
+{
+  if (mLostAnswersUnwritten > 0) {
+    --mLostAnswersUnwritten;
+    return swap_fault::kLostRequest;
+  }
+  if (mLostAnswersAfterWriting > 0) {
+    --mLostAnswersAfterWriting;
+    return swap_fault::kLostAnswer;
+  }
+  return mDrawFault ? mDrawFault() : swap_fault::kNone;
+}
+
+result<platform::revision>
+fake_store::SwapWithFault(const platform::swap_request& aRequest)
+{
+  const swap_fault fault = mPlatform.NextFault();
+  if (fault == swap_fault::kNone) {
+    return mPlatform.Swap(aRequest);
+  }
+  if (fault == swap_fault::kLostAnswer) {
+    static_cast<void>(mPlatform.Swap(aRequest));
+  } else if (fault == swap_fault::kLateRequest) {
+    mPlatform.mLate.push_back(aRequest);
   }
-  return written;
+  return error{ error_code::kUnknownResult, "store.cas", "", "no answer" };
 }
 
 void
@@ -113,8 +144,8 @@
   if (const auto before = std::exchange(mPlatform.mBeforeSwap, nullptr)) {
     before();
   }
-  Post<platform::revision>(std::move(aHandler),
-                           mPlatform.mDown ? Unused() : Swap(aRequest));
+  Post<platform::revision>(
+    std::move(aHandler), mPlatform.mDown ? Unused() : SwapWithFault(aRequest));
 }
 
 void
--- a/mangospan/ctl/fake_store_for_test.h
+++ b/mangospan/ctl/fake_store_for_test.h
@@ -24,6 +24,15 @@
 
 namespace mangospan::ctl {
 
+// How one swap goes wrong.
+enum class swap_fault
+{
+  kNone,
+  kLostAnswer,  // written, no answer
+  kLostRequest, // not written, no answer
+  kLateRequest, // no answer; carried out before the next call
+};
+
 // What the store holds and how it misbehaves; outlives the connections to it.
 struct fake_platform
 {
@@ -34,10 +43,22 @@
   int mLostAnswersUnwritten = 0;    // of the next swaps
   int mSwaps = 0;
   int mWrites = 0;
-  std::function<void()> mBeforeSwap; // called once, then forgotten
+  std::function<void()> mBeforeSwap;      // called once, then forgotten
+  std::function<swap_fault()> mDrawFault; // for each swap; may be null
+  std::function<void()> mBeforeRead;      // before each; may be null
+  std::vector<platform::swap_request> mLate;
+  std::vector<std::string> mHistory; // every value written, oldest first
 
   platform::revision Put(const std::string& aKey, const std::string& aValue);
   std::string Value(const std::string& aKey) const;
+
+  // Writes if the revision is the expected one.
+  result<platform::revision> Swap(const platform::swap_request& aRequest);
+  void CarryOutLate();
+
+private:
+  swap_fault NextFault();
+  friend class fake_store;
 };
 
 class fake_store final : public platform::store
@@ -76,7 +97,8 @@
              platform::handler<platform::change_batch> aHandler) override;
 
 private:
-  result<platform::revision> Swap(const platform::swap_request& aRequest);
+  result<platform::revision> SwapWithFault(
+    const platform::swap_request& aRequest);
 
   template<typename T>
   void Post(platform::handler<T> aHandler, result<T> aResult)
