--- a/bench/requests/zone_model.h
+++ b/bench/requests/zone_model.h
@@ -32,6 +32,7 @@
   kFailsAll, // answers 500 at once
   kHangs,    // accepts and never answers
   kDead,     // refuses connections
+  kSlow,     // takes ten times as long
 };
 
 struct zone_load
@@ -44,9 +45,15 @@
   std::size_t mEntries = 2;
   std::size_t mCallers = 20;  // the first sends as much as all others do
   double mSlotTimeFactor = 1; // makes slot times longer, not targets
+  // Makes slot times longer in the second half of each peak: a shared
+  // dependency of all endpoints that slows down.
+  double mSlowdown = 1;
   std::chrono::seconds mPeak{ 8 };
   int mRounds = 3; // peaks of each pool
   first_endpoint mFirst = first_endpoint::kGood;
+  // How often a caller that was refused comes back after the time it was told;
+  // each time with a new target.
+  int mReturns = 0;
 };
 
 struct class_report
@@ -74,6 +81,7 @@
   std::map<class_name, class_report> mClasses;
   std::map<caller_name, caller_report> mCallers;
   double mUsefulSlotSeconds = 0; // in peaks, of answers in time
+  double mBusySlotSeconds = 0;   // in peaks, of all attempts
   double mSlotSeconds = 0;       // in peaks, of all slots
 
   // Slot time in peaks that went into answers in time.
@@ -88,6 +96,9 @@
   // Requests with an error answer or an unknown outcome, of all.
   double Failed() const;
 
+  // Slot time in peaks that went into any attempt.
+  double Busy() const { return mBusySlotSeconds / mSlotSeconds; }
+
   // Answers in time among those asked for in peaks.
   double Served(const caller_name& aCaller) const;
   // The mean of it over all callers but the greedy first.
