--- a/mangospan/fleet/internal/controller_state.cc
+++ b/mangospan/fleet/internal/controller_state.cc
@@ -260,7 +260,9 @@
 void
 zone_controller::state::Heartbeat(time_point aNow)
 {
-  if (aNow < mHeartbeatAt) {
+  // Before the membership is known, a heartbeat would tell registered entries
+  // that they are not.
+  if (aNow < mHeartbeatAt || !mMembership.Ready(mTerm)) {
     return;
   }
   mHeartbeatAt = aNow + mSettings.mHeartbeatEvery;
--- a/mangospan/fleet/testing/fake_fleet.cc
+++ b/mangospan/fleet/testing/fake_fleet.cc
@@ -470,9 +470,15 @@
   const bool first = aTerm > aEntry.mTermHeard;
   aEntry.mTermHeard = aTerm;
   aEntry.mLeader = aFrom.mNumber;
-  if (std::find(registered.begin(), registered.end(), aEntry.mId) !=
-      registered.end()) {
-    aEntry.mRegistered = true;
+  const bool listed =
+    std::find(registered.begin(), registered.end(), aEntry.mId) !=
+    registered.end();
+  if (aEntry.mRegistered && !listed) {
+    Violate("entry " + aEntry.mId.mHost.Str() +
+            " is told that it is not registered any more");
+  }
+  aEntry.mRegistered = listed;
+  if (listed) {
     UseSlots(aEntry);
   }
   if (first || !aEntry.mRegistered) {
