fleet: whole first views, and no hello kept over terms

Causes found by the scenarios and by the stricter fake entries: - The first view of a new zone was pushed between the first write of the hosts' record and the adoption of hosts: it had no endpoints, and requests right after the start were refused with no_endpoint (platform_outage, 3 of 900). It now waits for the record to settle, at most the second that it waits for entries anyway. Hellos are now dropped with the term.

Run: mangospan_fleet_test, 59 tests pass, the 10,000 schedules included; scenario.takeover and scenario.platform_outage pass.

--- a/mangospan/fleet/internal/controller_state.cc
+++ b/mangospan/fleet/internal/controller_state.cc
@@ -189,9 +189,12 @@
   const bool ready = mHosts.Ready(mTerm) && mHosts.Listed() &&
                      mMembership.Ready(mTerm) &&
                      mConfiguration.Held().mRevision != 0;
+  // The first view waits for what the entries hold and for the adoption of new
+  // hosts, but not for long.
+  const bool first = mView.mVersion.mSequence == 0;
   const bool waited = aNow - mActingSince >= mSettings.mReportWait;
-  if (!ready ||
-      (mView.mVersion.mSequence == 0 && !waited && !mShares.AllKnown())) {
+  const bool complete = mShares.AllKnown() && mHosts.Settled();
+  if (!ready || (first && !waited && !complete)) {
     return;
   }
   view::zone_view next = BuildView(mZone,
--- a/mangospan/fleet/membership.cc
+++ b/mangospan/fleet/membership.cc
@@ -43,6 +43,9 @@
 {
   mRecord.Reset();
   mConfirmed = {};
+  // A hello of an earlier term may be of a boot that has been replaced since;
+  // entries say hello again to each new holder. A goodbye stays true.
+  mArrived.clear();
   mGoneSince.clear();
 }
 
--- a/mangospan/fleet/testing/fake_fleet.cc
+++ b/mangospan/fleet/testing/fake_fleet.cc
@@ -495,6 +495,8 @@
   }
   aEntry.mTermHeard = aView.mVersion.mTerm;
   aEntry.mView = aView;
+  aEntry.mFewestEndpoints =
+    std::min(aEntry.mFewestEndpoints, aView.mEndpoints.size());
   UseSlots(aEntry);
   Report(aEntry);
 }
--- a/mangospan/fleet/testing/fake_fleet.h
+++ b/mangospan/fleet/testing/fake_fleet.h
@@ -64,6 +64,7 @@
   std::size_t mLeader = 0; // the process of that term, by its number
   view::zone_view mView;
   view::version mReported;
+  std::size_t mFewestEndpoints = 1000; // in any view it adopted
   std::uint64_t mConfigRevision = 0;
   std::string mConfigText;
   std::map<host_name, std::size_t> mInFlight;
--- a/mangospan/fleet/zone_controller_test.cc
+++ b/mangospan/fleet/zone_controller_test.cc
@@ -58,6 +58,13 @@
   EXPECT_EQ(mFleet.Hosts(Zone()).mTerm, Acting().mController->Term());
 }
 
+TEST_F(zone_controller_test, TheFirstViewHasTheAdoptedHosts)
+{
+  for (const auto& entry : mFleet.Entries()) {
+    EXPECT_EQ(entry->mFewestEndpoints, 4U);
+  }
+}
+
 TEST_F(zone_controller_test, EveryEntryGetsViewSharesAndConfiguration)
 {
   for (const auto& entry : mFleet.Entries()) {
