Load client: a resend waits as the refusal asks and goes to another entry

Three resends after 100 ms each could all reach the entry that was stopping, which is no balancer's behaviour; 38 of 1200 requests of graceful_stop.scn ended refused with it.

--- a/testing/scenario/load_client.cc
+++ b/testing/scenario/load_client.cc
@@ -32,6 +32,7 @@
 
 constexpr milliseconds kTickPeriod{ 5 };
 constexpr milliseconds kResendDelay{ 100 };
+constexpr milliseconds kLongestResendDelay{ 2'000 };
 constexpr milliseconds kTicketTimeout{ 2'000 };
 constexpr std::string_view kOutcomeHeader = "Mangospan-Outcome";
 
@@ -49,7 +50,8 @@
 {
   std::string mId;
   std::string mService;
-  std::string mZone; // of the caller
+  std::string mZone;   // of the caller
+  std::string mTarget; // of the attempt before
   bool mIdempotent = true;
   std::string mBody;
   std::string mTicket; // empty: none
@@ -109,6 +111,23 @@
   return refusal.value("code", "") + " at " + refusal.value("step", "");
 }
 
+// When to resend: as the refusal asks, within bounds.
+milliseconds
+ResendDelay(const result<http::response>& aResult)
+{
+  if (!aResult) {
+    return kResendDelay;
+  }
+  const auto refusal =
+    nlohmann::json::parse(aResult.assume_value().mBody, nullptr, false);
+  if (!refusal.is_object()) {
+    return kResendDelay;
+  }
+  const milliseconds asked(
+    refusal.value("retry_after_ms", kResendDelay.count()));
+  return std::clamp(asked, kResendDelay, kLongestResendDelay);
+}
+
 bool
 MayResend(const call& aCall, fate aFate)
 {
@@ -181,7 +200,7 @@
   void OnEnded(const std::shared_ptr<call>& aCall,
                std::size_t aIndex,
                const result<http::response>& aResult);
-  void Resend(const std::shared_ptr<call>& aCall);
+  void Resend(const std::shared_ptr<call>& aCall, milliseconds aDelay);
   load_target PickTarget(call& aCall);
   attempt& Record(const call& aCall, const load_target& aTarget);
   http::request ToRequest(const call& aCall, const std::string& aId) const;
@@ -293,8 +312,13 @@
     std::back_inserter(near),
     [&](const load_target& aTarget) { return aTarget.mZone == aCall.mZone; });
   const std::vector<load_target>& from = near.empty() ? targets : near;
+  // A resend goes elsewhere, if there is an elsewhere.
+  if (from[mNextTarget % from.size()].mName == aCall.mTarget) {
+    ++mNextTarget;
+  }
   const load_target& picked = from[mNextTarget++ % from.size()];
   aCall.mZone = picked.mZone;
+  aCall.mTarget = picked.mName;
   return picked;
 }
 
@@ -359,17 +383,17 @@
     ended.mDetail = DetailOf(aResult);
   }
   if (MayResend(*aCall, ended.mFate)) {
-    Resend(aCall);
+    Resend(aCall, ResendDelay(aResult));
   } else {
     --mOpen;
   }
 }
 
 void
-load_client::impl::Resend(const std::shared_ptr<call>& aCall)
+load_client::impl::Resend(const std::shared_ptr<call>& aCall,
+                          milliseconds aDelay)
 {
-  const auto timer =
-    std::make_shared<boost::asio::steady_timer>(mIo, kResendDelay);
+  const auto timer = std::make_shared<boost::asio::steady_timer>(mIo, aDelay);
   timer->async_wait([self = shared_from_this(), timer, aCall](
                       const boost::system::error_code&) { self->Send(aCall); });
 }
