An entry stays registered while a new acting process reads the membership

Cause: a new acting process sends heartbeats before it has read the zone's entries, and these say that no entry is registered; each entry then refused requests for about half a second at every change of the acting process.

A heartbeat before the first view of its term is now taken as silence on registration: who was registered under the term before still is, since entries leave the membership only by goodbye or with their host. Such a heartbeat also no longer makes entries ask for a view that does not exist yet.

The new test failed before.

--- a/mangospan/entry/entry_process_test.cc
+++ b/mangospan/entry/entry_process_test.cc
@@ -309,6 +309,20 @@
   EXPECT_EQ(Heard<wire::hello>()->mShares[0].mSlots, 8U);
 }
 
+TEST_F(entry_daemon, StaysRegisteredUntilNewActingProcessKnowsTheMembership)
+{
+  MakeReady();
+  mTerm = 20;
+  mHeard.clear();
+  Tell(wire::heartbeat{ { 20, 0 }, 5, false }); // before its first view
+  ASSERT_TRUE(Eventually([this] { return Heard<wire::hello>() != nullptr; }));
+  EXPECT_TRUE(mEntry->IsHealthy());
+  EXPECT_EQ(Call(Post("/permits/x")).mStatus, 201);
+  EXPECT_EQ(Heard<wire::state_request>(), nullptr);
+  Tell(wire::heartbeat{ { 20, 1 }, 5, false });
+  EXPECT_TRUE(Eventually([this] { return !mEntry->IsHealthy(); }));
+}
+
 TEST_F(entry_daemon, ReportsDrainedHostOnceItsLastRequestHasEnded)
 {
   MakeReady();
--- a/mangospan/entry/membership.cc
+++ b/mangospan/entry/membership.cc
@@ -29,6 +29,13 @@
   return config::ApplyPatch(aHeld.mText, aPush.mText);
 }
 
+// Whether there is such a view: sequence 0 stands for none of that term yet.
+bool
+IsIssued(const view::version& aVersion)
+{
+  return aVersion.mSequence > 0;
+}
+
 } // namespace
 
 zone_membership::zone_membership(view::entry_id aOwn, zone_name aZone)
@@ -61,7 +68,11 @@
   if (aSender.mTerm == 0 || aSender.mTerm < mTermHeard) {
     return effects; // only the acting process knows the membership
   }
-  mIsRegistered = aHeartbeat.mRegistered;
+  // Before its first view a new acting process has not read the membership;
+  // until then the registration under the term before holds.
+  if (aHeartbeat.mRegistered || IsIssued(aHeartbeat.mView)) {
+    mIsRegistered = aHeartbeat.mRegistered;
+  }
   if (aHeartbeat.mView == mView.mVersion) {
     mIsFresh = true;
   }
@@ -184,7 +195,8 @@
 zone_membership::Behind(const view::version& aView,
                         std::uint64_t aRevision) const
 {
-  const bool lacksView = mView.mVersion < aView && aView.mTerm >= mTermHeard;
+  const bool lacksView =
+    mView.mVersion < aView && IsIssued(aView) && aView.mTerm >= mTermHeard;
   return lacksView ||
          (aRevision > mConfig.mRevision && aRevision > mRefusedRevision);
 }
