--- a/mangospan/request/internal/slot_router.cc
+++ b/mangospan/request/internal/slot_router.cc
@@ -15,6 +15,7 @@
   std::size_t mInFlight = 0;
   std::size_t mAbandoned = 0;
   std::size_t mTimers = 0; // armed
+  std::uint64_t mRun = 0;  // grows with each new runner on the host
   bool mInView = false;
   bool mBackingOff = false;
   bool mProbeDue = false;
@@ -28,7 +29,12 @@
   }
   bool MayGetWork() const { return mInView && !Draining() && mShare > 0; }
   bool IsEmptied() const { return mInView && Draining() && Occupied() == 0; }
-  bool Over() const { return mInView && Occupied() > mShare; }
+  // Whether the view says that this entry has fewer slots than it uses. Those
+  // at a draining endpoint are given up by `emptied` alone.
+  bool Over() const
+  {
+    return mInView ? !Draining() && Occupied() > mShare : Occupied() > 0;
+  }
 
   std::size_t Slots() const
   {
@@ -77,6 +83,9 @@
   return *at;
 }
 
+// About one failure among the last eight attempts.
+constexpr double kDoubtfulRate = 0.1;
+
 std::size_t
 ShareOf(const view::endpoint& aEndpoint, const view::entry_id& aOwn)
 {
@@ -148,6 +157,7 @@
   mOver = 0;
   for (auto& [host, endpoint] : mEndpoints) {
     endpoint->mInView = false;
+    mOver += endpoint->Over() ? 1 : 0;
   }
   for (const view::endpoint& each : aView.mEndpoints) {
     auto& held = mEndpoints[each.mHost];
@@ -163,6 +173,15 @@
     endpoint_slots& endpoint = *(next++)->second;
     After(endpoint); // may erase it
   }
+  NoteApplied();
+}
+
+void
+slot_router::NoteApplied()
+{
+  if (mOver == 0) {
+    mApplied = mVersion;
+  }
 }
 
 void
@@ -176,11 +195,13 @@
                        known.mService == aFromView.mService;
   const bool sameState = sameRun && known.mState == aFromView.mState;
   if (!sameRun) {
+    ++aEndpoint.mRun;
     aEndpoint.mHealth = endpoint_health();
     aEndpoint.mBackingOff = false;
     aEndpoint.mProbeDue = false;
   }
   aEndpoint.mSaidEmptied = aEndpoint.mSaidEmptied && sameState;
+  mOver -= aEndpoint.Over() ? 1 : 0; // counted as absent
   aEndpoint.mEndpoint = aFromView;
   aEndpoint.mEndpoint.mShares.clear();
   aEndpoint.mShare = ShareOf(aFromView, aOwn);
@@ -243,9 +264,10 @@
       chosen->mHealth.OnProbeSent();
     }
   });
-  return placement{ chosen,
+  return placement{ { chosen, chosen->mRun },
                     chosen->mEndpoint.mHost,
-                    chosen->mEndpoint.mAddress };
+                    chosen->mEndpoint.mAddress,
+                    chosen->mHealth.FailureRate() > kDoubtfulRate };
 }
 
 endpoint_slots*
@@ -298,41 +320,54 @@
 }
 
 const std::string&
-slot_router::AddressOf(const endpoint_slots& aSlot) const
+slot_router::AddressOf(const taken_slot& aSlot) const
 {
-  return aSlot.mEndpoint.mAddress;
+  return aSlot.mEndpoint->mEndpoint.mAddress;
 }
 
 void
-slot_router::Release(endpoint_slots& aSlot,
-                     const attempt_end& aEnd,
+slot_router::Release(const taken_slot& aSlot,
+                     const slot_end& aEnd,
                      time_point aNow)
 {
-  const bool held = LeavesSlotOccupied(aEnd.mKind);
-  const time_point probeAt = aSlot.mHealth.ProbeAt();
-  Update(aSlot, [&] {
-    --aSlot.mInFlight;
-    aSlot.mAbandoned += held ? 1 : 0;
-    aSlot.mHealth.OnEnd(aEnd, aNow);
-    aSlot.mBackingOff = aSlot.mHealth.BackoffEnd() > aNow;
+  endpoint_slots& endpoint = *aSlot.mEndpoint;
+  const bool held = LeavesSlotOccupied(aEnd.mAttempt.mKind);
+  Update(endpoint, [&] {
+    --endpoint.mInFlight;
+    endpoint.mAbandoned += held ? 1 : 0;
   });
   if (held) {
-    Arm(aNow + mOptions.mAbandonedSlotHold, timer_kind::kHeldSlot, aSlot);
+    Arm(aNow + mOptions.mAbandonedSlotHold, timer_kind::kHeldSlot, endpoint);
   }
-  if (aSlot.mBackingOff) {
-    Arm(aSlot.mHealth.BackoffEnd(), timer_kind::kBackoff, aSlot);
+  if (aSlot.mRun == endpoint.mRun) { // says nothing about a later runner
+    Judge(endpoint, aEnd, aNow);
   }
-  if (aSlot.mHealth.Ejected() && aSlot.mHealth.ProbeAt() != probeAt) {
-    Arm(aSlot.mHealth.ProbeAt(), timer_kind::kProbe, aSlot);
+  After(endpoint);
+}
+
+void
+slot_router::Judge(endpoint_slots& aEndpoint,
+                   const slot_end& aEnd,
+                   time_point aNow)
+{
+  const time_point probeAt = aEndpoint.mHealth.ProbeAt();
+  Update(aEndpoint, [&] {
+    aEndpoint.mHealth.OnEnd(aEnd.mAttempt, aEnd.mSlow, aNow);
+    aEndpoint.mBackingOff = aEndpoint.mHealth.BackoffEnd() > aNow;
+  });
+  if (aEndpoint.mBackingOff) {
+    Arm(aEndpoint.mHealth.BackoffEnd(), timer_kind::kBackoff, aEndpoint);
+  }
+  if (aEndpoint.mHealth.Ejected() && aEndpoint.mHealth.ProbeAt() != probeAt) {
+    Arm(aEndpoint.mHealth.ProbeAt(), timer_kind::kProbe, aEndpoint);
   }
-  EjectIfFailing(aSlot, aNow);
-  After(aSlot);
+  EjectIfFailing(aEndpoint, aNow);
 }
 
 void
 slot_router::EjectIfFailing(endpoint_slots& aEndpoint, time_point aNow)
 {
-  if (aEndpoint.mHealth.FailureRate() <= kFailingBeyondOthers ||
+  if (aEndpoint.mHealth.BadRate() <= kFailingBeyondOthers ||
       aEndpoint.mHealth.Ejected() || !aEndpoint.MayGetWork()) {
     return;
   }
@@ -343,11 +378,11 @@
     if (each->mHealth.Ejected()) {
       ++ejected;
     } else if (each != &aEndpoint) {
-      others.push_back(each->mHealth.FailureRate());
+      others.push_back(each->mHealth.BadRate());
     }
   }
   if (others.empty() || ejected >= MayBeEjected(members) ||
-      aEndpoint.mHealth.FailureRate() <=
+      aEndpoint.mHealth.BadRate() <=
         LowerQuartile(others) + kFailingBeyondOthers) {
     return;
   }
@@ -367,9 +402,7 @@
     mNewlyEmptied.push_back(
       { aEndpoint.mEndpoint.mHost, aEndpoint.mEndpoint.mEpoch });
   }
-  if (mOver == 0) {
-    mApplied = mVersion;
-  }
+  NoteApplied();
   const bool unused = !aEndpoint.mInView && aEndpoint.Occupied() == 0;
   if (unused && aEndpoint.mTimers == 0) {
     mEndpoints.erase(host_name(aEndpoint.mEndpoint.mHost));
@@ -461,10 +494,11 @@
 {
   std::vector<held_slots> all;
   for (const auto& [host, endpoint] : mEndpoints) {
-    if (endpoint->mInView) {
+    const std::size_t share = endpoint->mInView ? endpoint->mShare : 0;
+    if (endpoint->mInView || endpoint->Occupied() > 0) {
       all.push_back({ host,
                       endpoint->mEndpoint.mEpoch,
-                      std::max(endpoint->mShare, endpoint->Occupied()) });
+                      std::max(share, endpoint->Occupied()) });
     }
   }
   return all;
--- a/mangospan/request/pipeline.cc
+++ b/mangospan/request/pipeline.cc
@@ -104,6 +104,7 @@
                 const placement& aPlaced,
                 time_point aNow);
   nanoseconds AttemptTimeout(const open_request& aRequest,
+                             bool aDoubtful,
                              time_point aNow) const;
 
   void Observe(open_request& aRequest,
@@ -387,22 +388,26 @@
   if (aRequest.mAttempt == 1) {
     aRequest.mClass->mService.mRetries.OnFirstAttempt(aNow);
   }
-  mActions.emplace_back(dispatch{ aId,
-                                  aRequest.mAttempt,
-                                  aPlaced.mHost,
-                                  aPlaced.mAddress,
-                                  AttemptTimeout(aRequest, aNow) });
+  mActions.emplace_back(
+    dispatch{ aId,
+              aRequest.mAttempt,
+              aPlaced.mHost,
+              aPlaced.mAddress,
+              AttemptTimeout(aRequest, aPlaced.mDoubtful, aNow) });
 }
 
-// An attempt that can be repeated is cut short when it takes far longer than
-// usual, to leave time for another; one that can not be repeated goes on as
-// long as an answer may be of use.
+// An attempt goes on as long as an answer may be of use. Only one that can be
+// repeated, at an endpoint that has failed lately, is cut short to leave time
+// for another: cutting all would answer a slow-down of the whole pool with a
+// wave of abandoned slots.
 nanoseconds
 pipeline::impl::AttemptTimeout(const open_request& aRequest,
+                               bool aDoubtful,
                                time_point aNow) const
 {
   const nanoseconds longest = aRequest.mGiveUp - aNow;
-  if (!aRequest.mIdempotent || aRequest.mAttempt >= mOptions.mMaxAttempts) {
+  if (!aDoubtful || !aRequest.mIdempotent ||
+      aRequest.mAttempt >= mOptions.mMaxAttempts) {
     return longest;
   }
   const nanoseconds half = (aRequest.mDeadline - aNow) / 2;
@@ -417,7 +422,7 @@
 {
   const auto at = mOpen.find(aRequest);
   if (at == mOpen.end() || at->second.mAttempt != aAttempt ||
-      at->second.mSlot == nullptr) {
+      at->second.mSlot.mEndpoint == nullptr) {
     return;
   }
   open_request& request = at->second;
@@ -439,6 +444,7 @@
                         time_point aNow)
 {
   const nanoseconds elapsed = aNow - aRequest.mDispatched;
+  const bool slow = aRequest.mClass->IsSlow(elapsed);
   aRequest.mClass->mDemand.OnSlotFreed(elapsed);
   if (aEnd.mKind == attempt_end_kind::kTimedOut) {
     aRequest.mClass->OnTimedOut(elapsed);
@@ -446,11 +452,11 @@
     aRequest.mClass->OnAnswered(elapsed);
   }
   if (aEnd.mKind != attempt_end_kind::kAnswered) {
-    aRequest.mPeer = mRouter.AddressOf(*aRequest.mSlot);
+    aRequest.mPeer = mRouter.AddressOf(aRequest.mSlot);
   }
   aRequest.mMayHaveRun = aRequest.mMayHaveRun || MayHaveRun(aEnd.mKind);
-  aRequest.mTried = aRequest.mSlot;
-  mRouter.Release(*std::exchange(aRequest.mSlot, nullptr), aEnd, aNow);
+  aRequest.mTried = aRequest.mSlot.mEndpoint;
+  mRouter.Release(std::exchange(aRequest.mSlot, {}), { aEnd, slow }, aNow);
 }
 
 bool
@@ -469,7 +475,7 @@
 void
 pipeline::impl::Deliver(open_requests::iterator aAt, time_point aNow)
 {
-  aAt->second.mClass->mDemand.OnDelivered(aNow > aAt->second.mDeadline);
+  aAt->second.mClass->OnDelivered(aNow > aAt->second.mDeadline);
   mActions.emplace_back(deliver{ aAt->first });
   Close(aAt);
 }
@@ -527,7 +533,7 @@
     return;
   }
   open_request& request = at->second;
-  if (request.mSlot != nullptr) {
+  if (request.mSlot.mEndpoint != nullptr) {
     request.mCallerGone = true;
     return;
   }
