--- /dev/null
+++ b/mangospan/request/internal/pipeline_impl.cc
@@ -0,0 +1,522 @@
+#include "mangospan/request/internal/pipeline_impl.h"
+
+#include <algorithm>
+
+#include "mangospan/request/internal/refusals.h"
+
+namespace mangospan::request {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+constexpr milliseconds kShortestRetry{ 50 };
+constexpr milliseconds kLongestRetry{ 10000 };
+
+double
+Seconds(nanoseconds aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+refusal_code
+CodeOf(attempt_end_kind aKind)
+{
+  switch (aKind) {
+    case attempt_end_kind::kTimedOut:
+      return refusal_code::kEndpointTimedOut;
+    case attempt_end_kind::kUnknown:
+      return refusal_code::kConnectionLost;
+    default:
+      return refusal_code::kEndpointFailed;
+  }
+}
+
+} // namespace
+
+service_state&
+pipeline::impl::ServiceOf(const service_name& aName)
+{
+  auto& held = mServices[aName];
+  if (!held) {
+    held =
+      std::make_unique<service_state>(aName, mRouter.PoolOf(aName), mOptions);
+  }
+  return *held;
+}
+
+void
+pipeline::impl::Configure(const config::document& aDocument, time_point aNow)
+{
+  mClassifier = classifier(aDocument);
+  mTeams = aDocument.mTeams;
+  mTeamRates.Configure(mTeams, mEntries, aNow);
+  mClassOf.clear();
+  for (auto& [key, held] : mClasses) {
+    held->mConfigured = false;
+  }
+  for (const config::work_class* work : mClassifier.Classes()) {
+    AdoptClass(*work);
+  }
+  RefuseUnserved(aNow);
+  ForgetUnusedClasses();
+  PumpAll(aNow);
+}
+
+void
+pipeline::impl::AdoptClass(const config::work_class& aWork)
+{
+  const service_name& service = aWork.mMatch.mService;
+  auto& held = mClasses[{ service, aWork.mName }];
+  if (!held) {
+    held = std::make_unique<class_state>(aWork, ServiceOf(service));
+  }
+  held->mConfigured = true;
+  held->mWork = aWork;
+  held->UpdateLane();
+  mClassOf[&aWork] = held.get();
+}
+
+void
+pipeline::impl::RefuseUnserved(time_point aNow)
+{
+  for (auto& [name, service] : mServices) {
+    if (mClassifier.Serves(name)) {
+      continue;
+    }
+    for (const request_id id : service->mQueue.TakeAll()) {
+      const auto at = mOpen.find(id);
+      Refuse(at, refusal_code::kNoSuchService, aNow);
+    }
+  }
+}
+
+// Classes that are no longer configured stay until their last request is over
+// and their demand was reported.
+void
+pipeline::impl::ForgetUnusedClasses()
+{
+  for (auto at = mClasses.begin(); at != mClasses.end();) {
+    class_state& held = *at->second;
+    if (held.mConfigured || held.mOpen != 0 || held.mDemand.Pending()) {
+      ++at;
+      continue;
+    }
+    held.mService.mFreeLanes.push_back(held.mLane);
+    at = mClasses.erase(at);
+  }
+}
+
+void
+pipeline::impl::Adopt(const view::zone_view& aView,
+                      const view::entry_id& aOwn,
+                      time_point aNow)
+{
+  mRouter.Adopt(aView, aOwn, aNow);
+  if (mRouter.Version() == aView.mVersion &&
+      mEntries != aView.mEntries.size()) {
+    mEntries = aView.mEntries.size();
+    mTeamRates.Configure(mTeams, mEntries, aNow);
+  }
+  PumpAll(aNow);
+}
+
+void
+pipeline::impl::Arrive(const arrival& aArrival, time_point aNow)
+{
+  if (mRouter.Advance(aNow)) {
+    PumpAll(aNow);
+  }
+  const classification found = mClassifier.Classify(aArrival);
+  if (found.mWork == nullptr) {
+    // Without a configuration, no service is known yet.
+    const auto refused = CheckServing();
+    mActions.emplace_back(
+      refuse{ aArrival.mId, refused.value_or(MakeRefusal(found.mProblem)) });
+    return;
+  }
+  class_state& work = *mClassOf.at(found.mWork);
+  work.mDemand.OnArrival();
+  Expire(work.mService, aNow);
+  if (auto refused = Admit(aArrival, work, aNow)) {
+    work.mDemand.OnRefused();
+    refused->mRetryAfter = Spread(refused->mRetryAfter);
+    mActions.emplace_back(refuse{ aArrival.mId, std::move(*refused) });
+    return;
+  }
+  Open(aArrival, work, found.mIdempotent, aNow);
+}
+
+std::optional<refusal>
+pipeline::impl::CheckServing() const
+{
+  if (!mAccepting) {
+    return MakeRefusal(refusal_code::kStopping);
+  }
+  if (!mDispatching) {
+    return MakeRefusal(refusal_code::kNotServing);
+  }
+  return std::nullopt;
+}
+
+std::optional<refusal>
+pipeline::impl::CheckBounds(const arrival& aArrival,
+                            const class_state& aClass) const
+{
+  if (auto refused = CheckServing()) {
+    return refused;
+  }
+  if (mOpen.count(aArrival.mId) != 0) {
+    return MakeRefusal(refusal_code::kDuplicateRequest);
+  }
+  if (mOpen.size() >= mOptions.mMaxOpen ||
+      aClass.mService.mQueue.Size() >= mOptions.mMaxQueuedPerPool) {
+    return MakeRefusal(refusal_code::kQueueFull);
+  }
+  return std::nullopt;
+}
+
+std::optional<refusal>
+pipeline::impl::Admit(const arrival& aArrival,
+                      class_state& aClass,
+                      time_point aNow)
+{
+  if (auto refused = CheckBounds(aArrival, aClass)) {
+    return refused;
+  }
+  service_state& service = aClass.mService;
+  const time_point deadline = aArrival.mArrived + aClass.Within();
+  if (aNow >= deadline) {
+    return MakeRefusal(refusal_code::kDeadlinePassed);
+  }
+  if (!mTeamRates.Allow(aArrival.mTeam, aNow)) {
+    return MakeRefusal(refusal_code::kOverShare);
+  }
+  pool_load load;
+  load.mSlots = mRouter.Slots(service.mPool);
+  load.mFree = mRouter.Free(service.mPool) > 0 && service.mQueue.Size() == 0;
+  load.mWorkAhead = service.mQueue.WorkAhead(aClass.mLane, deadline);
+  load.mMean = aClass.mAnswerTime.Mean();
+  load.mBudget = aClass.WaitBudget(deadline - aNow);
+  const auto no =
+    service.mAdmission.Admit(load, aArrival.mTeam, aArrival.mCaller, aNow);
+  if (!no) {
+    return std::nullopt;
+  }
+  refusal refused = MakeRefusal(no->mCode);
+  refused.mRetryAfter =
+    std::chrono::duration_cast<milliseconds>(no->mRetryAfter);
+  return refused;
+}
+
+void
+pipeline::impl::Open(const arrival& aArrival,
+                     class_state& aClass,
+                     bool aIdempotent,
+                     time_point aNow)
+{
+  open_request request;
+  request.mClass = &aClass;
+  request.mGrant = {
+    aArrival.mTeam, aArrival.mCaller, Seconds(aClass.mAnswerTime.Mean()), aNow
+  };
+  request.mDeadline = aArrival.mArrived + aClass.Within();
+  request.mGiveUp =
+    aArrival.mArrived + aClass.Within() * mOptions.mTimeoutFactor;
+  request.mIdempotent = aIdempotent;
+  ++aClass.mOpen;
+  const auto at = mOpen.emplace(aArrival.mId, std::move(request)).first;
+  Enqueue(at->first, at->second);
+  Pump(aClass.mService, aNow);
+}
+
+void
+pipeline::impl::Enqueue(request_id aId, open_request& aRequest)
+{
+  service_state& service = aRequest.mClass->mService;
+  service.mQueue.Push(aRequest.mClass->mLane, aRequest.mDeadline, aId);
+}
+
+void
+pipeline::impl::Expire(service_state& aService, time_point aNow)
+{
+  for (const request_id id : aService.mQueue.TakeExpired(aNow)) {
+    const auto at = mOpen.find(id);
+    Refuse(at, refusal_code::kDeadlinePassed, aNow);
+  }
+}
+
+void
+pipeline::impl::Pump(service_state& aService, time_point aNow)
+{
+  Expire(aService, aNow);
+  while (mDispatching) {
+    const auto next = aService.mQueue.Front();
+    if (!next) {
+      return;
+    }
+    open_request& request = mOpen.at(*next);
+    const auto placed =
+      mRouter.Take(aService.mPool, request.mIdempotent, request.mTried, aNow);
+    if (!placed) {
+      return;
+    }
+    aService.mQueue.PopFront();
+    Dispatch(*next, request, *placed, aNow);
+  }
+}
+
+void
+pipeline::impl::PumpAll(time_point aNow)
+{
+  for (auto& [name, service] : mServices) {
+    if (service->mQueue.Size() != 0) {
+      Pump(*service, aNow);
+    }
+  }
+}
+
+void
+pipeline::impl::Dispatch(request_id aId,
+                         open_request& aRequest,
+                         const placement& aPlaced,
+                         time_point aNow)
+{
+  ++aRequest.mAttempt;
+  aRequest.mSlot = aPlaced.mSlot;
+  aRequest.mDispatched = aNow;
+  if (aRequest.mAttempt == 1) {
+    aRequest.mClass->mService.mRetries.OnFirstAttempt(aNow);
+  }
+  mActions.emplace_back(
+    dispatch{ aId,
+              aRequest.mAttempt,
+              aPlaced.mHost,
+              aPlaced.mAddress,
+              AttemptTimeout(aRequest, aPlaced.mDoubtful, aNow) });
+}
+
+// An attempt goes on as long as an answer may be of use. Only one that can be
+// repeated, at an endpoint that has failed lately, is cut short to leave time
+// for another: cutting all would answer a slow-down of the whole pool with a
+// wave of abandoned slots.
+nanoseconds
+pipeline::impl::AttemptTimeout(const open_request& aRequest,
+                               bool aDoubtful,
+                               time_point aNow) const
+{
+  const nanoseconds longest = aRequest.mGiveUp - aNow;
+  if (!aDoubtful || !aRequest.mIdempotent ||
+      aRequest.mAttempt >= mOptions.mMaxAttempts) {
+    return longest;
+  }
+  const nanoseconds half = (aRequest.mDeadline - aNow) / 2;
+  return std::min(longest, std::max(half, aRequest.mClass->Patience()));
+}
+
+void
+pipeline::impl::EndAttempt(request_id aRequest,
+                           std::uint32_t aAttempt,
+                           const attempt_end& aEnd,
+                           time_point aNow)
+{
+  const auto at = mOpen.find(aRequest);
+  if (at == mOpen.end() || at->second.mAttempt != aAttempt ||
+      at->second.mSlot.mEndpoint == nullptr) {
+    return;
+  }
+  open_request& request = at->second;
+  Observe(request, aEnd, aNow);
+  mRouter.Advance(aNow);
+  if (aEnd.mKind == attempt_end_kind::kAnswered) {
+    Deliver(at, aNow);
+  } else if (MayRetry(request, aEnd.mKind, aNow)) {
+    Enqueue(aRequest, request);
+  } else {
+    Refuse(at, CodeOf(aEnd.mKind), aNow);
+  }
+  PumpAll(aNow);
+}
+
+void
+pipeline::impl::Observe(open_request& aRequest,
+                        const attempt_end& aEnd,
+                        time_point aNow)
+{
+  const nanoseconds elapsed = aNow - aRequest.mDispatched;
+  const bool slow = aRequest.mClass->IsSlow(elapsed);
+  aRequest.mClass->mDemand.OnSlotFreed(elapsed);
+  if (aEnd.mKind == attempt_end_kind::kTimedOut) {
+    aRequest.mClass->OnTimedOut(elapsed);
+  } else if (!IsFailure(aEnd)) {
+    aRequest.mClass->OnAnswered(elapsed);
+  }
+  if (aEnd.mKind != attempt_end_kind::kAnswered) {
+    aRequest.mPeer = mRouter.AddressOf(aRequest.mSlot);
+  }
+  aRequest.mMayHaveRun = aRequest.mMayHaveRun || MayHaveRun(aEnd.mKind);
+  aRequest.mTried = aRequest.mSlot.mEndpoint;
+  mRouter.Release(std::exchange(aRequest.mSlot, {}), { aEnd, slow }, aNow);
+}
+
+bool
+pipeline::impl::MayRetry(const open_request& aRequest,
+                         attempt_end_kind aKind,
+                         time_point aNow)
+{
+  const class_state& work = *aRequest.mClass;
+  return MayRepeat(aKind, aRequest.mIdempotent) && !aRequest.mCallerGone &&
+         aRequest.mAttempt < mOptions.mMaxAttempts &&
+         mClassifier.Serves(work.mService.mName) &&
+         aNow + work.mAnswerTime.Mean() < aRequest.mDeadline &&
+         work.mService.mRetries.Take(aNow);
+}
+
+void
+pipeline::impl::Deliver(open_requests::iterator aAt, time_point aNow)
+{
+  aAt->second.mClass->OnDelivered(aNow > aAt->second.mDeadline);
+  mActions.emplace_back(deliver{ aAt->first });
+  Close(aAt);
+}
+
+void
+pipeline::impl::Refuse(open_requests::iterator aAt,
+                       refusal_code aCode,
+                       time_point aNow)
+{
+  const open_request& request = aAt->second;
+  if (request.mAttempt == 0) {
+    request.mClass->mService.mAdmission.Withdraw(request.mGrant, aNow);
+  }
+  refusal why = MakeRefusal(aCode);
+  why.mPeer = request.mPeer;
+  why.mRetryAfter = Spread(why.mRetryAfter);
+  if (request.mMayHaveRun) {
+    why.mOutcome = request_outcome::kUnknown;
+    if (!request.mIdempotent) {
+      why.mRetryAfter = milliseconds(0);
+    }
+  }
+  request.mClass->mDemand.OnRefused();
+  mActions.emplace_back(refuse{ aAt->first, std::move(why) });
+  Close(aAt);
+}
+
+void
+pipeline::impl::Close(open_requests::iterator aAt)
+{
+  --aAt->second.mClass->mOpen;
+  mOpen.erase(aAt);
+}
+
+// Spreads the return of callers that were refused at the same time.
+milliseconds
+pipeline::impl::Spread(nanoseconds aRetryAfter)
+{
+  if (aRetryAfter.count() == 0) {
+    return milliseconds(0);
+  }
+  const auto base =
+    std::clamp(std::chrono::duration_cast<milliseconds>(aRetryAfter),
+               kShortestRetry,
+               kLongestRetry);
+  const auto half = static_cast<std::uint64_t>(base.count() / 2 + 1);
+  return base + milliseconds(static_cast<std::int64_t>(mRandom() % half));
+}
+
+void
+pipeline::impl::CallerGone(request_id aRequest, time_point aNow)
+{
+  const auto at = mOpen.find(aRequest);
+  if (at == mOpen.end()) {
+    return;
+  }
+  open_request& request = at->second;
+  if (request.mSlot.mEndpoint != nullptr) {
+    request.mCallerGone = true;
+    return;
+  }
+  request.mClass->mService.mQueue.Remove(
+    request.mClass->mLane, request.mDeadline, aRequest);
+  Refuse(at, refusal_code::kCallerGone, aNow);
+  PumpAll(aNow);
+}
+
+void
+pipeline::impl::Dispatching(bool aDispatching, time_point aNow)
+{
+  mDispatching = aDispatching;
+  Tick(aNow);
+}
+
+void
+pipeline::impl::Tick(time_point aNow)
+{
+  mRouter.Advance(aNow);
+  PumpAll(aNow);
+}
+
+actions
+pipeline::impl::Finish()
+{
+  for (emptied& each : mRouter.TakeEmptied()) {
+    mActions.emplace_back(std::move(each));
+  }
+  return std::exchange(mActions, {});
+}
+
+std::optional<time_point>
+pipeline::impl::NextWake() const
+{
+  std::optional<time_point> next = mRouter.NextWake();
+  for (const auto& [name, service] : mServices) {
+    const auto expiry = service->mQueue.NextExpiry();
+    if (expiry && (!next || *expiry < *next)) {
+      next = expiry;
+    }
+  }
+  return next;
+}
+
+std::vector<class_demand>
+pipeline::impl::TakeDemand()
+{
+  std::vector<class_demand> all;
+  for (auto& [key, work] : mClasses) {
+    class_demand demand =
+      work->mDemand.Take(key.second, work->mService.mQueue.Size(work->mLane));
+    if (HasDemand(demand)) {
+      all.push_back(std::move(demand));
+    }
+  }
+  ForgetUnusedClasses();
+  return all;
+}
+
+pipeline_snapshot
+pipeline::impl::Snapshot() const
+{
+  pipeline_snapshot snapshot;
+  snapshot.mAccepting = mAccepting;
+  snapshot.mDispatching = mDispatching;
+  snapshot.mView = mRouter.Version();
+  snapshot.mOpen = mOpen.size();
+  snapshot.mEndpoints = mRouter.Snapshot();
+  for (const auto& [name, service] : mServices) {
+    pool_snapshot each;
+    each.mService = name;
+    each.mQueued = service->mQueue.Size();
+    each.mSlots = mRouter.Slots(service->mPool);
+    each.mFree = mRouter.Free(service->mPool);
+    each.mPredictedWait =
+      std::chrono::duration_cast<std::chrono::microseconds>(
+        service->mQueue.TotalWork()) /
+      static_cast<std::int64_t>(std::max<std::size_t>(1, each.mSlots));
+    snapshot.mPools.push_back(std::move(each));
+  }
+  return snapshot;
+}
+
+} // namespace mangospan::request
