--- a/mangospan/fleet/pool_sizing.h
+++ b/mangospan/fleet/pool_sizing.h
@@ -1,8 +1,10 @@
 // How many hosts each pool of the zone needs, and which hosts move for it.
 //
-// Pools that are short take hosts from the spare pool first, then from pools
-// with more than they need; hosts that a pool has not needed for a while go
-// back to the spare pool, where all pools share them:
+// A pool that is short borrows hosts that the spare pool does not need, once
+// the shortage is expected to outlast a move, and gives them back after it. Its
+// own hosts a pool gives away only after it has not needed them for a long
+// time, so that a pool whose peaks come in turn with others' keeps what the
+// next needs:
 //
 //   sizing.OnTick(view, now);
 //   for (const auto& [host, intent] : sizing.Moves()) { ... }
@@ -55,7 +57,7 @@
     std::size_t mNeeded = 0;
     bool mKnown = false; // the demand has been observed long enough
     bool mSpare = false;
-    bool mMoving = false;          // a move into or out of it is under way
+    std::size_t mBorrowed = 0;     // hosts of the spare pool
     std::vector<host_name> mHosts; // that could leave
   };
 
@@ -73,12 +75,25 @@
             const pool_name& aFrom,
             const config::pool& aTo);
   const pool_name* Donor(const pool_name& aTo, time_point aNow) const;
+  bool MayGive(const pool_name& aPool, time_point aNow) const;
+  bool WorthMoving(const pool_name& aPool, bool aShort, time_point aNow);
   bool Rested(const pool_name& aPool, time_point aNow) const;
 
   const settings mSettings;
   bool mStarted = false;
   time_point mNext;
   std::map<pool_name, pool_size> mSizes;
+  // When a pool's shortage began, and how long its shortages usually last.
+  struct shortage
+  {
+    bool mShort = false;
+    time_point mSince;
+    double mUsualSeconds = 0;
+  };
+
+  std::map<pool_name, shortage> mShortages;
+  // The pool to which each host belongs when nobody borrows it.
+  std::map<host_name, pool_name> mHomes;
   std::map<pool_name, time_point> mSurplusSince;
   std::map<pool_name, time_point> mMovedAt;
   host_intents mMoves;
