mangospanctl: one event-loop wait and one list of host names

The wait for an answer stood in the session and in dump, the printing of host lists in three files. No change of behaviour; the tests are untouched.

--- a/mangospan/ctl/internal/drain.cc
+++ b/mangospan/ctl/internal/drain.cc
@@ -7,6 +7,7 @@
 
 #include "mangospan/base/error.h"
 #include "mangospan/ctl/internal/context.h"
+#include "mangospan/ctl/internal/host_names.h"
 #include "mangospan/ctl/internal/overview.h"
 #include "mangospan/ctl/internal/write.h"
 #include "mangospan/fleet/records.h"
@@ -45,12 +46,8 @@
 std::string
 MakeRecord(const std::vector<host_name>& aHosts, const std::string& aChangeId)
 {
-  nlohmann::json hosts = nlohmann::json::array();
-  for (const host_name& host : aHosts) {
-    hosts.push_back(host.Str());
-  }
   return nlohmann::json{
-    { "hosts", hosts }, { "change_id", aChangeId }
+    { "hosts", ToJson(aHosts) }, { "change_id", aChangeId }
   }.dump();
 }
 
--- a/mangospan/ctl/internal/dump.cc
+++ b/mangospan/ctl/internal/dump.cc
@@ -1,14 +1,12 @@
-#include <algorithm>
-#include <chrono>
-#include <memory>
-#include <optional>
 #include <string>
+#include <utility>
 
-#include <boost/asio/io_context.hpp>
 #include <nlohmann/json.hpp>
 
 #include "mangospan/base/error.h"
+#include "mangospan/ctl/internal/await.h"
 #include "mangospan/ctl/internal/context.h"
+#include "mangospan/http/client.h"
 #include "mangospan/http/message.h"
 
 namespace mangospan::ctl {
@@ -21,19 +19,11 @@
   environment& outside = aContext.mEnvironment;
   http::request request;
   request.mTarget = "/state";
-  auto answer = std::make_shared<std::optional<result<http::response>>>();
-  outside.mSend(
-    aAddress,
-    request,
-    aContext.mInvocation.mTimeout,
-    [answer](result<http::response> aResult) { *answer = std::move(aResult); });
-  outside.mIo.restart();
-  while (!answer->has_value() && outside.mIo.run_one() > 0) {
-  }
-  if (!answer->has_value()) {
-    return error{ error_code::kInternal, "dump", aAddress, "no answer" };
-  }
-  return std::move(**answer);
+  return Await<http::response>(
+    outside.mIo, "dump", aAddress, [&](http::response_handler aHandler) {
+      outside.mSend(
+        aAddress, request, aContext.mInvocation.mTimeout, std::move(aHandler));
+    });
 }
 
 } // namespace
--- a/mangospan/ctl/internal/inspect.cc
+++ b/mangospan/ctl/internal/inspect.cc
@@ -5,7 +5,6 @@
 #include "mangospan/config/diff.h"
 #include "mangospan/ctl/internal/config_record.h"
 #include "mangospan/ctl/internal/context.h"
-#include "mangospan/fleet/records.h"
 
 namespace mangospan::ctl {
 
--- a/mangospan/ctl/internal/session.cc
+++ b/mangospan/ctl/internal/session.cc
@@ -2,15 +2,13 @@
 
 #include <algorithm>
 #include <chrono>
-#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
-
 #include "mangospan/base/error.h"
+#include "mangospan/ctl/internal/await.h"
 #include "mangospan/ctl/tool.h"
 
 namespace mangospan::ctl {
@@ -55,7 +53,7 @@
 
 template<typename T, typename Start>
 result<T>
-session::Await(const char* aStep, Start aStart)
+session::AwaitOnce(const char* aStep, Start aStart)
 {
   const milliseconds timeout = std::min(kCallTimeout, Remaining());
   if (timeout <= milliseconds(0)) {
@@ -63,23 +61,10 @@
       error_code::kTimeout, aStep, mAddress, "the time for the command is over"
     };
   }
-  // Shared, because an answer may come after the loop has ended.
-  auto answer = std::make_shared<std::optional<result<T>>>();
-  aStart(timeout,
-         [answer](result<T> aResult) { *answer = std::move(aResult); });
-  mEnvironment.mIo.restart();
-  while (!answer->has_value() && mEnvironment.mIo.run_one() > 0) {
-  }
-  if (!answer->has_value()) {
-    return error{ error_code::kInternal, aStep, mAddress, "no answer" };
-  }
-  result<T> outcome = std::move(**answer);
-  if (outcome.has_error()) {
-    error failure = outcome.assume_error();
-    failure.mPeer = mAddress;
-    return failure;
-  }
-  return outcome;
+  return ctl::Await<T>(
+    mEnvironment.mIo, aStep, mAddress, [&](platform::handler<T> aHandler) {
+      aStart(timeout, std::move(aHandler));
+    });
 }
 
 template<typename T, typename Start>
@@ -87,7 +72,7 @@
 session::AwaitRepeating(const char* aStep, Start aStart)
 {
   while (true) {
-    result<T> outcome = Await<T>(aStep, aStart);
+    result<T> outcome = AwaitOnce<T>(aStep, aStart);
     const bool repeat =
       outcome.has_error() &&
       outcome.assume_error().mCode == error_code::kUnknownResult &&
@@ -120,7 +105,7 @@
 result<platform::revision>
 session::CompareAndSwap(const platform::swap_request& aRequest)
 {
-  return Await<platform::revision>(
+  return AwaitOnce<platform::revision>(
     "store.cas", [this, &aRequest](milliseconds aTimeout, auto aHandler) {
       mStore->CompareAndSwap(aRequest, aTimeout, std::move(aHandler));
     });
--- a/mangospan/ctl/internal/session.h
+++ b/mangospan/ctl/internal/session.h
@@ -42,7 +42,7 @@
 
 private:
   template<typename T, typename Start>
-  result<T> Await(const char* aStep, Start aStart);
+  result<T> AwaitOnce(const char* aStep, Start aStart);
   template<typename T, typename Start>
   result<T> AwaitRepeating(const char* aStep, Start aStart);
 
--- a/mangospan/ctl/internal/status_report.cc
+++ b/mangospan/ctl/internal/status_report.cc
@@ -8,32 +8,13 @@
 
 #include <nlohmann/json.hpp>
 
+#include "mangospan/ctl/internal/host_names.h"
 #include "mangospan/fleet/records.h"
 
 namespace mangospan::ctl {
 
 namespace {
 
-std::string
-Joined(const std::vector<host_name>& aHosts)
-{
-  std::string text;
-  for (const host_name& host : aHosts) {
-    text.append(text.empty() ? "" : ", ").append(host.Str());
-  }
-  return text;
-}
-
-nlohmann::json
-Names(const std::vector<host_name>& aHosts)
-{
-  nlohmann::json names = nlohmann::json::array();
-  for (const host_name& host : aHosts) {
-    names.push_back(host.Str());
-  }
-  return names;
-}
-
 void
 AppendList(const char* aTitle,
            const std::vector<host_name>& aHosts,
@@ -143,9 +124,9 @@
       { "config_revision", seen.mStatus.mConfigRevision },
       { "config_error", seen.mStatus.mConfigError },
       { "entries", seen.mEntries.mEntries.size() },
-      { "missing", Names(force.mMissing) },
-      { "silent", Names(seen.mStatus.mSilent) },
-      { "unregistered", Names(seen.mStatus.mUnregistered) },
+      { "missing", ToJson(force.mMissing) },
+      { "silent", ToJson(seen.mStatus.mSilent) },
+      { "unregistered", ToJson(seen.mStatus.mUnregistered) },
     };
   }
   return zones;
--- a/mangospan/ctl/internal/wait.cc
+++ b/mangospan/ctl/internal/wait.cc
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include "mangospan/base/error.h"
+#include "mangospan/ctl/internal/host_names.h"
 #include "mangospan/ctl/internal/overview.h"
 
 namespace mangospan::ctl {
@@ -28,26 +29,6 @@
   return text;
 }
 
-std::string
-Joined(const std::vector<host_name>& aHosts)
-{
-  std::string text;
-  for (const host_name& host : aHosts) {
-    text.append(text.empty() ? "" : ", ").append(host.Str());
-  }
-  return text;
-}
-
-nlohmann::json
-Names(const std::vector<host_name>& aHosts)
-{
-  nlohmann::json names = nlohmann::json::array();
-  for (const host_name& host : aHosts) {
-    names.push_back(host.Str());
-  }
-  return names;
-}
-
 class waiter
 {
 public:
@@ -110,8 +91,8 @@
       const zone_force force = ForceIn(seen, mRevision);
       nlohmann::json& entry = zones[zone.Str()];
       entry = { { "progress", Name(force.mProgress) },
-                { "missing", Names(force.mMissing) },
-                { "silent", Names(seen.mStatus.mSilent) } };
+                { "missing", ToJson(force.mMissing) },
+                { "silent", ToJson(seen.mStatus.mSilent) } };
       const auto after = mInForceAfter.find(zone);
       if (after != mInForceAfter.end()) {
         entry["in_force_after_ms"] = after->second.count();
--- a/mangospan/ctl/internal/wave.cc
+++ b/mangospan/ctl/internal/wave.cc
@@ -1,4 +1,3 @@
-#include <algorithm>
 #include <optional>
 #include <string>
 
