--- a/bench/requests/main.cc
+++ b/bench/requests/main.cc
@@ -52,24 +52,47 @@
   return load;
 }
 
+zone_load
+Slowdown(double aFactor)
+{
+  zone_load load;
+  load.mSlowdown = aFactor;
+  return load;
+}
+
+zone_load
+Returning(double aOfCapacity)
+{
+  zone_load load;
+  load.mPeakOfCapacity = aOfCapacity;
+  load.mReturns = 5;
+  return load;
+}
+
 const named_load kLoads[] = {
   { "peak 1.5x capacity", Peak(1.5) },
   { "peak 2x capacity", Peak(2) },
   { "peak 5x capacity", Peak(5) },
+  { "2x, 5 returns", Returning(2) },
+  { "5x, 5 returns", Returning(5) },
   { "2x, two endpoints a pool", Small() },
   { "2x, slot times tripled", Slow() },
+  { "2x, then 4 times slower", Slowdown(4) },
+  { "2x, then 10 times slower", Slowdown(10) },
   { "2x, one of 4 fails all", Faulty(first_endpoint::kFailsAll) },
   { "2x, one of 4 hangs", Faulty(first_endpoint::kHangs) },
   { "2x, one of 4 is dead", Faulty(first_endpoint::kDead) },
+  { "2x, one of 4 is slow", Faulty(first_endpoint::kSlow) },
 };
 
 void
 PrintRow(const char* aName, const char* aPath, const zone_report& aReport)
 {
-  std::printf("%-26s %-10s %8.3f %8.3f %8.4f %8.4f %8.3f %8.3f\n",
+  std::printf("%-26s %-10s %8.3f %8.3f %8.3f %8.4f %8.4f %8.3f %8.3f\n",
               aName,
               aPath,
               aReport.Goodput(),
+              aReport.Busy(),
               aReport.InTime(),
               aReport.WorstInTimeShare(),
               aReport.Failed(),
@@ -82,14 +105,16 @@
 {
   std::printf(
     "\ngoodput: slot time in peaks that went into answers in time, of all\n"
+    "busy:    slot time in peaks that went into any attempt, of all\n"
     "in time: answers in time, of all asked, in peaks or not\n"
     "met:     in time, of what was let in, in the worst class\n"
     "failed:  error answers and unknown outcomes, of all asked\n"
     "others, greedy: in time, of what these callers asked in peaks\n");
-  std::printf("%-26s %-10s %8s %8s %8s %8s %8s %8s\n",
+  std::printf("%-26s %-10s %8s %8s %8s %8s %8s %8s %8s\n",
               "load",
               "path",
               "goodput",
+              "busy",
               "in time",
               "met",
               "failed",
