--- a/mangospan/fleet/pool_sizing.cc
+++ b/mangospan/fleet/pool_sizing.cc
@@ -115,16 +115,12 @@
 {
   for (const config::pool& pool : aDocument.mPools) {
     const auto found = mSizes.find(pool.mName);
-    if (found == mSizes.end() || !found->second.mKnown) {
+    if (found == mSizes.end()) {
       continue;
     }
     const pool_size& size = found->second;
-    // What was borrowed does not end the shortage of the pool's own hosts.
-    const std::size_t own = size.mServing - size.mBorrowed;
-    if (!WorthMoving(pool.mName, own < size.mNeeded, aNow)) {
-      continue;
-    }
-    while (size.mServing < size.mNeeded) {
+    const std::size_t wanted = Wanted(pool.mName, size, aNow);
+    while (size.mServing < wanted) {
       const pool_name* donor = Donor(pool.mName, aNow);
       if (donor == nullptr || !Move(aHosts, *donor, pool)) {
         break;
@@ -133,6 +129,22 @@
   }
 }
 
+// The operators' minimum holds at once; what demand asks for beyond it, once
+// the demand is known and the shortage is worth a move.
+std::size_t
+pool_sizing::Wanted(const pool_name& aPool,
+                    const pool_size& aSize,
+                    time_point aNow)
+{
+  if (!aSize.mKnown) {
+    return aSize.mLeast;
+  }
+  // What was borrowed does not end the shortage of the pool's own hosts.
+  const std::size_t own = aSize.mServing - aSize.mBorrowed;
+  return WorthMoving(aPool, own < aSize.mNeeded, aNow) ? aSize.mNeeded
+                                                       : aSize.mLeast;
+}
+
 // A shortage that has lasted for some time is expected to last as long again,
 // or as long as the pool's shortages usually do, if that is more.
 bool
--- a/mangospan/fleet/pool_sizing.h
+++ b/mangospan/fleet/pool_sizing.h
@@ -53,7 +53,7 @@
   struct pool_size
   {
     std::size_t mServing = 0; // or on its way into the pool
-    std::size_t mLeast = 0;
+    std::size_t mLeast = 0;   // the operators' minimum
     std::size_t mNeeded = 0;
     bool mKnown = false; // the demand has been observed long enough
     bool mSpare = false;
@@ -76,6 +76,9 @@
             const config::pool& aTo);
   const pool_name* Donor(const pool_name& aTo, time_point aNow) const;
   bool MayGive(const pool_name& aPool, time_point aNow) const;
+  std::size_t Wanted(const pool_name& aPool,
+                     const pool_size& aSize,
+                     time_point aNow);
   bool WorthMoving(const pool_name& aPool, bool aShort, time_point aNow);
   bool Rested(const pool_name& aPool, time_point aNow) const;
 
--- a/mangospan/fleet/zone_controller_test.cc
+++ b/mangospan/fleet/zone_controller_test.cc
@@ -197,6 +197,18 @@
   EXPECT_EQ(Host("a-0").mWave, "w2");
 }
 
+TEST_F(zone_controller_test, AMinimumIsMetBeforeAnyDemandIsKnown)
+{
+  config::document document = testing::TwoPools(1);
+  document.mPools[0].mMinHosts = 4;
+  mFleet.Apply(document);
+  mFleet.Run(milliseconds(6000));
+  for (const char* host : { "a-0", "a-1", "a-2", "a-3" }) {
+    EXPECT_EQ(Host(host).mPool, pool_name("work"));
+    EXPECT_EQ(Host(host).mPhase, host_phase::kServing);
+  }
+}
+
 TEST_F(zone_controller_test, ABudgetOfNoHostDrainsNothing)
 {
   mFleet.Apply(testing::TwoPools(0));
--- a/testing/scenario/conditions.cc
+++ b/testing/scenario/conditions.cc
@@ -107,6 +107,24 @@
   });
 }
 
+bool
+IsWaveDone(world& aWorld, const words& aWords)
+{
+  const auto store = aWorld.Store();
+  if (!store) {
+    return false;
+  }
+  const auto& hosts = store.assume_value().mHosts;
+  const auto inPool = [&](const auto& aHost) {
+    return aHost.second.mPool == aWords[1];
+  };
+  return std::any_of(hosts.begin(), hosts.end(), inPool) &&
+         std::all_of(hosts.begin(), hosts.end(), [&](const auto& aHost) {
+           return !inPool(aHost) || (!aHost.second.mWave.empty() &&
+                                     aHost.second.mPhase == "serving");
+         });
+}
+
 // How many running fleet processes say that they act for the zone; with a
 // host, only that host's is asked.
 std::ptrdiff_t
@@ -141,12 +159,13 @@
   bool (*mHolds)(world&, const words&);
 };
 
-constexpr std::array<condition, 7> kConditions{ {
+constexpr std::array<condition, 8> kConditions{ {
   { "ready", 1, 1, IsReady },
   { "in-force", 1, 1, IsInForce },
   { "in-pool", 3, 3, IsInPool },
   { "phase", 3, 3, IsInPhase },
   { "no-move", 1, 1, IsWithoutMoves },
+  { "wave-done", 2, 2, IsWaveDone },
   { "acting", 2, 3, IsActing },
   { "one-acting", 2, 2, IsOneActing },
 } };
--- a/testing/scenario/conditions.h
+++ b/testing/scenario/conditions.h
@@ -19,6 +19,8 @@
 //   in-pool HOST POOL   the store says that the host serves in that pool
 //   phase HOST PHASE    the store says that the host is in that phase
 //   no-move             every host of the store serves
+//   wave-done POOL      each of the pool's hosts went through a maintenance
+//                       wave and serves
 //   acting ZONE         some running fleet process acts for the zone
 //   one-acting ZONE     exactly one does
 //   acting ZONE HOST    the one of that host does
--- a/testing/scenario/store_records.cc
+++ b/testing/scenario/store_records.cc
@@ -43,7 +43,8 @@
   }
   for (const auto& [host, record] : document.at("hosts").items()) {
     hosts[host] = { record.at("pool").get<std::string>(),
-                    record.value("phase", "") };
+                    record.value("phase", ""),
+                    record.value("wave", "") };
   }
   return hosts;
 }
--- a/testing/scenario/store_records.h
+++ b/testing/scenario/store_records.h
@@ -18,6 +18,7 @@
 {
   std::string mPool;
   std::string mPhase;
+  std::string mWave; // the last maintenance wave that it went through
 };
 
 struct store_state
