--- a/mangospan/entry/entry_process.cc
+++ b/mangospan/entry/entry_process.cc
@@ -113,7 +113,13 @@
 bool
 entry_process::IsHealthy() const
 {
-  return !mIsStopping && mMembership.MayDispatch();
+  // Without a slot it could only refuse, so no balancer should choose it.
+  const auto shares = mPipeline.Shares();
+  const bool hasSlots = std::any_of(
+    shares.begin(), shares.end(), [](const request::held_slots& aEach) {
+      return aEach.mSlots > 0;
+    });
+  return !mIsStopping && mMembership.MayDispatch() && hasSlots;
 }
 
 // ---- messages
--- a/mangospan/entry/entry_process.h
+++ b/mangospan/entry/entry_process.h
@@ -54,7 +54,8 @@
   // timeout, says goodbye, then calls `aDone`.
   void Stop(std::function<void()> aDone);
 
-  // Whether requests can be served now.
+  // Whether requests can be served now; false too without a slot at any
+  // endpoint.
   bool IsHealthy() const;
 
   // The state as JSON, for /state.
--- a/mangospan/entry/entry_process_test.cc
+++ b/mangospan/entry/entry_process_test.cc
@@ -309,6 +309,22 @@
   EXPECT_EQ(Heard<wire::hello>()->mShares[0].mSlots, 8U);
 }
 
+TEST_F(entry_daemon, IsNotHealthyWithoutSlots)
+{
+  view::zone_view empty = View(1);
+  empty.mEndpoints.clear();
+  Tell(wire::config_push{ 5, 0, kConfig });
+  Tell(wire::view_push{ empty });
+  Tell(wire::heartbeat{ { mTerm, 1 }, 5, true });
+  ASSERT_TRUE(Eventually([this] {
+    return mEntry->DumpState().find("\"dispatching\": true") !=
+           std::string::npos;
+  }));
+  EXPECT_FALSE(mEntry->IsHealthy());
+  Tell(wire::view_push{ View(2) });
+  EXPECT_TRUE(Eventually([this] { return mEntry->IsHealthy(); }));
+}
+
 TEST_F(entry_daemon, StaysRegisteredUntilNewActingProcessKnowsTheMembership)
 {
   MakeReady();
