A host that is down drains without asking the availability budget

A host that the zone counts as down unplanned was never among those that want a permit, so an operator's drain of it waited for ever, and the status gave "waits for its permit". Such a host takes nothing more from the budget: its place among those down becomes a permit in the same write, so the count stays, and when it is back while drained it holds that permit. If it is back before it drains, it asks the budget like any live host. Moves of a host that is down still wait. A wave does not reboot hosts that are down (the reboot would count as a failure); it now says that it waits for them instead of "done".

The status names a host that is down or gone as the cause; no entry can acknowledge a gone host, which no view lists.

--- a/mangospan/fleet/budget_demand.cc
+++ b/mangospan/fleet/budget_demand.cc
@@ -54,10 +54,15 @@
     pool_demand& demand = demands[record.mPool];
     ++demand.mHosts;
     const auto intent = aIntents.find(host);
+    const bool up = IsUp(record, aHosts.Find(host));
     if (record.mPhase != host_phase::kServing &&
         record.mPurpose != host_purpose::kNone) {
       demand.mHeld.push_back({ host, record.mPurpose, aUtc, record.mFailed });
-    } else if (!IsUp(record, aHosts.Find(host))) {
+    } else if (!up && intent != aIntents.end() &&
+               intent->second.mPurpose != host_purpose::kMove) {
+      // Counted as down until now: the permit takes nothing more.
+      demand.mHeld.push_back({ host, intent->second.mPurpose, aUtc, false });
+    } else if (!up) {
       demand.mDown.push_back(host);
     } else if (intent != aIntents.end()) {
       demand.mWanted.push_back({ host, intent->second.mPurpose, aUtc, false });
--- a/mangospan/fleet/budget_demand.h
+++ b/mangospan/fleet/budget_demand.h
@@ -21,8 +21,10 @@
   config::availability_budget mBudget;
   std::size_t mHosts = 0;       // in the pool; hosts still joining are not
   std::vector<host_name> mDown; // unplanned
-  std::vector<permit> mHeld;    // for hosts that are out of service as planned
-  std::vector<permit> mWanted;  // for serving hosts, the most urgent first
+  // For hosts that are out of service as planned, and for those that are down
+  // and are to be drained or maintained; the budget is not asked for them.
+  std::vector<permit> mHeld;
+  std::vector<permit> mWanted; // for serving hosts, the most urgent first
 };
 using budget_demands = std::map<pool_name, pool_demand>;
 
--- a/mangospan/fleet/maintenance_waves.cc
+++ b/mangospan/fleet/maintenance_waves.cc
@@ -27,6 +27,7 @@
   std::size_t mActive = 0;
   std::size_t mDone = 0;
   std::size_t mFailed = 0;
+  std::size_t mDown = 0; // due, and not to be rebooted while down
 };
 
 class planner
@@ -73,6 +74,8 @@
       }
       if (record.mPhase != host_phase::kServing || info == nullptr ||
           info->mState != platform::host_state::kLive) {
+        const bool planned = record.mPurpose != host_purpose::kNone;
+        wave.mDown += !planned && IsDue(aPool, record) ? 1 : 0;
         continue;
       }
       ++wave.mServing;
@@ -99,8 +102,13 @@
     if (IsRequested(mInputs.mRequest, aPool) && mInputs.mRequest.mPaused) {
       return "paused";
     }
+    if (aWave.mDue.empty() && aWave.mActive != 0) {
+      return "running";
+    }
     if (aWave.mDue.empty()) {
-      return aWave.mActive == 0 ? "done" : "running";
+      return aWave.mDown == 0 ? "done"
+                              : "waits for hosts that are down: " +
+                                  std::to_string(aWave.mDown);
     }
     return InAllowedHours(rules, mInputs.mUtc) ? "running"
                                                : "waits for allowed hours";
--- a/mangospan/fleet/testing/fake_fleet.cc
+++ b/mangospan/fleet/testing/fake_fleet.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kReportEvery{ 400 };
 // Budgets that were in force this recently may still be granted from.
 constexpr milliseconds kBudgetLag{ 4000 };
+// A process may decide by a host list of this age.
+constexpr milliseconds kListAge{ 2000 };
 
 std::size_t
 ShareOf(const fake_entry& aEntry, const host_name& aHost)
@@ -51,6 +53,19 @@
            aRecord.mPool == aRecord.mTarget);
 }
 
+bool
+HasPermit(const budget_record& aBudget,
+          const zone_name& aZone,
+          const host_name& aHost)
+{
+  const auto share = aBudget.mZones.find(aZone);
+  return share != aBudget.mZones.end() &&
+         std::any_of(
+           share->second.mPermits.begin(),
+           share->second.mPermits.end(),
+           [&](const permit& aPermit) { return aPermit.mHost == aHost; });
+}
+
 bool
 MayFollow(const host_record& aOld, const host_record& aNew)
 {
@@ -314,6 +329,7 @@
   }
   for (const host_name& host : std::exchange(mKilledHosts, {})) {
     mHosts.SetState(host, platform::host_state::kLive);
+    mLiveAgain[host] = mEvents.Now();
   }
 }
 
@@ -645,6 +661,29 @@
     if (aChange.mRecord.mKey == HostsKey(Zone(i))) {
       CheckHosts(Zone(i),
                  ParseHosts(aChange.mRecord.mValue, "hosts").assume_value());
+      CheckCounted();
+    }
+  }
+  if (aChange.mRecord.mKey.rfind(kPoolsPrefix, 0) == 0) {
+    CheckCounted();
+  }
+}
+
+// Every host that is out as planned holds a permit in its pool's budget.
+void
+fake_fleet::CheckCounted()
+{
+  std::map<pool_name, budget_record> budgets;
+  for (const auto& [zone, record] : mLastHosts) {
+    for (const auto& [host, each] : record.mHosts) {
+      if (!PlannedOut(each)) {
+        continue;
+      }
+      const auto budget =
+        budgets.try_emplace(each.mPool, Budget(each.mPool)).first;
+      if (!HasPermit(budget->second, zone, host)) {
+        Violate("host " + host.Str() + " is out without a permit");
+      }
     }
   }
 }
@@ -695,23 +734,22 @@
                         const host_name& aHost,
                         const host_record& aRecord)
 {
-  const budget_record budget = Budget(aRecord.mPool);
-  const auto share = budget.mZones.find(aZone);
-  const bool permitted =
-    share != budget.mZones.end() &&
-    std::any_of(share->second.mPermits.begin(),
-                share->second.mPermits.end(),
-                [&](const permit& aPermit) { return aPermit.mHost == aHost; });
-  if (!permitted) {
+  if (!HasPermit(Budget(aRecord.mPool), aZone, aHost)) {
     Violate("host " + aHost.Str() + " drains without a permit");
   }
+  // A host that is down is unavailable already: its drain adds nothing.
+  if (WasDownLately(aHost)) {
+    mDrainedDown.insert(aHost);
+    return;
+  }
+  mDrainedDown.erase(aHost);
   std::size_t out = 0;
   std::size_t hosts = 0;
   for (const auto& [zone, record] : mLastHosts) {
     for (const auto& [host, each] : record.mHosts) {
       if (each.mPool == aRecord.mPool) {
         ++hosts;
-        out += PlannedOut(each) ? 1 : 0;
+        out += PlannedOut(each) && mDrainedDown.count(host) == 0 ? 1 : 0;
       }
     }
   }
@@ -721,6 +759,14 @@
   }
 }
 
+bool
+fake_fleet::WasDownLately(const host_name& aHost) const
+{
+  const auto live = mLiveAgain.find(aHost);
+  return mHosts.At(aHost).mState != platform::host_state::kLive ||
+         (live != mLiveAgain.end() && mEvents.Now() - live->second <= kListAge);
+}
+
 std::size_t
 fake_fleet::MostAllowed(std::size_t aHosts) const
 {
--- a/mangospan/fleet/testing/fake_fleet.h
+++ b/mangospan/fleet/testing/fake_fleet.h
@@ -151,6 +151,8 @@
                 const std::function<actions(zone_controller&)>& aInput);
   std::size_t InFlight(const host_name& aHost) const;
   void OnStoreChange(const platform::change& aChange);
+  void CheckCounted();
+  bool WasDownLately(const host_name& aHost) const;
   void CheckHosts(const zone_name& aZone, const hosts_record& aNext);
   void CheckRecorded(const platform::action_request& aRequest);
   void CheckBudget(const zone_name& aZone,
@@ -168,6 +170,8 @@
   std::uint64_t mLastBoot = 100;
   std::vector<std::string> mViolations;
   std::set<host_name> mEverKilled;
+  std::set<host_name> mDrainedDown; // drained while they were down
+  std::map<host_name, time_point> mLiveAgain;
 };
 
 } // namespace mangospan::fleet::testing
--- a/mangospan/fleet/zone_controller_test.cc
+++ b/mangospan/fleet/zone_controller_test.cc
@@ -46,6 +46,11 @@
     return mFleet.Hosts(Zone()).mHosts.at(host_name(aHost));
   }
 
+  status_record Status() const
+  {
+    return ParseStatus(mFleet.mStore.Get(StatusKey(Zone())), "status").value();
+  }
+
   static constexpr std::uint64_t kSeed = 7;
   fake_fleet mFleet;
 };
@@ -161,6 +166,64 @@
             std::vector{ host_name("a-0") });
 }
 
+TEST_F(zone_controller_test, AHostThatIsDownDrainsThoughTheBudgetIsUsedUp)
+{
+  mFleet.Drain({ host_name("a-1") });
+  mFleet.Run(milliseconds(3000));
+  mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kLeaving);
+  mFleet.Run(milliseconds(1000));
+  mFleet.Drain({ host_name("a-0"), host_name("a-1") });
+  mFleet.Run(milliseconds(3000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kDrained);
+  const zone_share share = mFleet.Budget(pool_name("work")).mZones.at(Zone());
+  EXPECT_EQ(share.mPermits.size(), 2U);
+  EXPECT_THAT(share.mDown, IsEmpty());
+}
+
+TEST_F(zone_controller_test, AHostDrainedWhileDownHoldsItsPermitOnceItIsBack)
+{
+  mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kLeaving);
+  mFleet.Run(milliseconds(1000));
+  mFleet.Drain({ host_name("a-0") });
+  mFleet.Run(milliseconds(3000));
+  ASSERT_EQ(Host("a-0").mPhase, host_phase::kDrained);
+  mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kLive);
+  mFleet.StartWave("w1", false);
+  mFleet.Run(milliseconds(4000));
+  EXPECT_EQ(Host("a-1").mWave, "");
+  mFleet.Drain({});
+  mFleet.Run(milliseconds(12000));
+  EXPECT_EQ(Host("a-0").mWave, "w1");
+  EXPECT_EQ(Host("a-1").mWave, "w1");
+}
+
+TEST_F(zone_controller_test, AWaveSaysThatItWaitsForAHostThatIsDown)
+{
+  mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kLeaving);
+  mFleet.Apply(testing::TwoPools(2));
+  mFleet.Run(milliseconds(1000));
+  mFleet.StartWave("w1", false);
+  mFleet.Run(milliseconds(8000));
+  ASSERT_EQ(Status().mWaves.size(), 1U);
+  EXPECT_EQ(Status().mWaves[0].mState, "waits for hosts that are down: 1");
+  mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kLive);
+  mFleet.Run(milliseconds(4000));
+  EXPECT_EQ(Status().mWaves[0].mState, "done");
+}
+
+TEST_F(zone_controller_test, ADrainOfAGoneHostNamesTheHostAsTheCause)
+{
+  mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kGone);
+  mFleet.Run(milliseconds(800));
+  mFleet.Drain({ host_name("a-0") });
+  mFleet.Run(milliseconds(1500));
+  ASSERT_EQ(Status().mWaiting.size(), 1U);
+  EXPECT_EQ(Status().mWaiting[0].mReason, "waits for the host, which is gone");
+  mFleet.mHosts.SetState(host_name("a-0"), platform::host_state::kLive);
+  mFleet.Run(milliseconds(4000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kDrained);
+}
+
 TEST_F(zone_controller_test, AWaveRebootsEveryHostWithinTheBudget)
 {
   mFleet.StartWave("w1", false);
--- a/mangospan/fleet/zone_status.cc
+++ b/mangospan/fleet/zone_status.cc
@@ -24,12 +24,22 @@
   return text + " to acknowledge";
 }
 
+// No view lists a gone host, so no entry can say that it is empty there.
+bool
+IsGone(const platform::host_info* aHost)
+{
+  return aHost == nullptr || aHost->mState == platform::host_state::kGone;
+}
+
 std::string
 Reason(const status_inputs& aInputs,
        const host_name& aHost,
        const host_record& aRecord)
 {
   if (aRecord.mPhase == host_phase::kDraining) {
+    if (IsGone(aInputs.mHosts.Find(aHost))) {
+      return "waits for the host, which is gone";
+    }
     return WaitsForEntries(aInputs.mDrained.Missing(
       aHost, aRecord.mEpoch, aInputs.mMembership.Registered()));
   }
@@ -40,6 +50,20 @@
          Name(aRecord.mPhase);
 }
 
+// Why a host in service has not begun to drain.
+std::string
+PermitReason(const status_inputs& aInputs,
+             const host_name& aHost,
+             const host_record& aRecord)
+{
+  const platform::host_info* info = aInputs.mHosts.Find(aHost);
+  if (info == nullptr || info->mState != platform::host_state::kLive) {
+    return "waits for the host, which is down";
+  }
+  const std::string reason = aInputs.mBudgets.WaitReason(aRecord.mPool);
+  return reason.empty() ? "waits for its permit" : reason;
+}
+
 std::vector<waiting_host>
 WaitingHosts(const status_inputs& aInputs)
 {
@@ -54,10 +78,8 @@
     if (intent == aInputs.mIntents.end()) {
       continue;
     }
-    std::string reason = aInputs.mBudgets.WaitReason(record.mPool);
-    waiting.push_back({ host,
-                        intent->second.mPurpose,
-                        reason.empty() ? "waits for its permit" : reason });
+    waiting.push_back(
+      { host, intent->second.mPurpose, PermitReason(aInputs, host, record) });
   }
   return waiting;
 }
