A standby fleet process pushes configuration once, and only while nobody acts

Cause: entries report what they hold to the acting process only, so a standby process never heard an acknowledgement and repeated the whole configuration to every entry every two seconds. Ruled out: views and heartbeats (the acting process sent 3.33 kB/s in all).

Fleet processes now get a new revision once, as a patch; the push to other zones had been lost when pushes began to name their receivers, and only the two-second heartbeats carried revisions there.

--- a/mangospan/fleet/internal/controller_state.cc
+++ b/mangospan/fleet/internal/controller_state.cc
@@ -9,6 +9,8 @@
 
 // A push that an entry has not acknowledged is repeated after this time.
 constexpr std::chrono::milliseconds kRepeatPush{ 2000 };
+// Heartbeats after which nobody is taken to act.
+constexpr int kSilentHeartbeats = 4;
 // Time alone changes plans no faster than this.
 constexpr std::chrono::milliseconds kStepEvery{ 100 };
 
@@ -231,9 +233,22 @@
   mQueue.Push(push_view{ mView, { aEntry } });
 }
 
+// Entries report to the acting process only, so a standby process does not
+// learn what they hold: it stays silent while another acts, and pushes once
+// where none does, as in a zone that is cut from the platform.
+bool
+zone_controller::state::ServesConfiguration(time_point aNow) const
+{
+  return mActing ||
+         aNow - mHolderHeardAt >= kSilentHeartbeats * mSettings.mHeartbeatEvery;
+}
+
 void
 zone_controller::state::PushConfiguration(time_point aNow)
 {
+  if (!ServesConfiguration(aNow)) {
+    return;
+  }
   const config::revisioned_document& held = mConfiguration.Held();
   push_config whole{ held.mRevision, 0, held.mText, {} };
   push_config patch{
@@ -242,7 +257,7 @@
   for (auto& [entry, known] : mEntries) {
     const bool pushed = known.mPushedConfig == held.mRevision;
     if (!known.mConnected || known.mConfigRevision >= held.mRevision ||
-        (pushed && aNow - known.mPushedConfigAt < kRepeatPush)) {
+        (pushed && (!mActing || aNow - known.mPushedConfigAt < kRepeatPush))) {
       continue;
     }
     // A patch that is not acknowledged is followed by the whole document.
--- a/mangospan/fleet/internal/controller_state.h
+++ b/mangospan/fleet/internal/controller_state.h
@@ -69,6 +69,7 @@
                   time_point aNow);
   void PushConfiguration(time_point aNow);
   void Heartbeat(time_point aNow);
+  bool ServesConfiguration(time_point aNow) const;
   known_entry& Hear(const view::entry_id& aEntry, time_point aNow);
   std::vector<view::entry_id> RegisteredIds() const;
   void UpdateMembers();
@@ -94,6 +95,7 @@
   std::uint64_t mTerm = 0;
   time_point mActingSince;
   time_point mHeartbeatAt;
+  time_point mHolderHeardAt; // the last heartbeat of another process that acts
   std::int64_t mUtc = 0;
   view::zone_view mView;
   host_intents mIntents;
--- a/mangospan/fleet/zone_controller.cc
+++ b/mangospan/fleet/zone_controller.cc
@@ -183,6 +183,8 @@
                                  time_point aNow)
 {
   mState->mLeadership.OnHeartbeat(aSender.mTerm, aNow);
+  mState->mHolderHeardAt = aNow;
+
   return mState->Step(aNow);
 }
 
--- a/mangospan/fleet/zone_controller_test.cc
+++ b/mangospan/fleet/zone_controller_test.cc
@@ -1,10 +1,14 @@
 #include "mangospan/fleet/zone_controller.h"
 
+#include <algorithm>
+#include <cstddef>
 #include <string>
+#include <variant>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include "mangospan/config/parser.h"
 #include "mangospan/fleet/testing/fake_fleet.h"
 
 namespace mangospan::fleet {
@@ -260,6 +264,43 @@
   EXPECT_EQ(Host("a-0").mWave, "w2");
 }
 
+std::size_t
+CountConfigPushes(const actions& aActions)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aActions.begin(), aActions.end(), [](const action& aEach) {
+      return std::holds_alternative<push_config>(aEach);
+    }));
+}
+
+TEST(zone_controller_standby, ConfigurationIsPushedOnceAndOnlyWhileNobodyActs)
+{
+  zone_controller standby(zone_name("a"),
+                          { host_name("f"), boot_id{ 7 }, "" },
+                          {},
+                          &config::Parse,
+                          1);
+  const view::entry_id entry{ host_name("e"), boot_id{ 8 } };
+  wire::sender holder;
+  holder.mTerm = 3;
+  time_point now{ std::chrono::hours(1) };
+  standby.OnPeerHeartbeat(holder, {}, now);
+  standby.OnEntryHello(entry, {}, now);
+  std::size_t pushes = CountConfigPushes(
+    standby.OnConfiguration(9, config::ToText(testing::TwoPools(1)), now));
+  for (int i = 0; i < 20; ++i) {
+    now += milliseconds(500);
+    pushes += CountConfigPushes(standby.OnPeerHeartbeat(holder, {}, now));
+    pushes += CountConfigPushes(standby.OnTick(now, {}));
+  }
+  EXPECT_EQ(pushes, 0U);
+  for (int i = 0; i < 40; ++i) {
+    now += milliseconds(500);
+    pushes += CountConfigPushes(standby.OnTick(now, {}));
+  }
+  EXPECT_EQ(pushes, 1U);
+}
+
 TEST_F(zone_controller_test, AMinimumIsMetBeforeAnyDemandIsKnown)
 {
   config::document document = testing::TwoPools(1);
--- a/mangospan/fleetd/action_carrier.cc
+++ b/mangospan/fleetd/action_carrier.cc
@@ -33,9 +33,8 @@
 }
 
 void
-action_carrier::Carry(const fleet::actions& aActions, config_scope aScope)
+action_carrier::Carry(const fleet::actions& aActions)
 {
-  mScope = aScope;
   for (const fleet::action& each : aActions) {
     std::visit([this](const auto& aAction) { Do(aAction); }, each);
   }
@@ -154,17 +153,9 @@
 action_carrier::Do(const fleet::push_config& aPush)
 {
   mMetrics.Add("mangospan_fleet_config_pushes_total", {});
-  const wire::message message =
-    wire::config_push{ aPush.mRevision, aPush.mBaseRevision, aPush.mText };
-  if (!aPush.mTo.empty()) {
-    mHub.SendToEntries(message, aPush.mTo);
-    return;
-  }
-  if (mScope == config_scope::kEveryone) {
-    mHub.SendToEntries(message, {});
-    mHub.SendToZoneFleets(message);
-  }
-  mHub.SendToOtherZones(message);
+  mHub.SendToEntries(
+    wire::config_push{ aPush.mRevision, aPush.mBaseRevision, aPush.mText },
+    aPush.mTo);
 }
 
 void
--- a/mangospan/fleetd/action_carrier.h
+++ b/mangospan/fleetd/action_carrier.h
@@ -29,13 +29,6 @@
     mAction;
 };
 
-// Whom a `push_config` that names no receivers goes to.
-enum class config_scope
-{
-  kEveryone,
-  kOtherZones, // the zone's acting process has sent it to this zone already
-};
-
 class action_carrier
 {
 public:
@@ -47,8 +40,7 @@
                  daemon::metrics& aMetrics);
 
   // Carries the actions out in their order.
-  void Carry(const fleet::actions& aActions,
-             config_scope aScope = config_scope::kEveryone);
+  void Carry(const fleet::actions& aActions);
 
 private:
   void Do(const fleet::store_call& aCall);
@@ -79,7 +71,6 @@
   const zone_hub& mHub;
   result_feed mFeed;
   daemon::metrics& mMetrics;
-  config_scope mScope = config_scope::kEveryone; // of the current `Carry`
 };
 
 } // namespace mangospan::fleetd
--- a/mangospan/fleetd/fleet_process.cc
+++ b/mangospan/fleetd/fleet_process.cc
@@ -93,15 +93,15 @@
 {
   result_feed feed;
   feed.mStore = [this](fleet::call_id aId, const fleet::store_result& aResult) {
-    mCarrier.Carry(mController.OnStoreResult(aId, aResult, mClock.Now()));
+    Carry(mController.OnStoreResult(aId, aResult, mClock.Now()));
   };
   feed.mHosts = [this](fleet::call_id aId,
                        const result<platform::host_list>& aResult) {
-    mCarrier.Carry(mController.OnHostList(aId, aResult, mClock.Now()));
+    Carry(mController.OnHostList(aId, aResult, mClock.Now()));
   };
   feed.mAction = [this](fleet::call_id aId,
                         const result<platform::action_status>& aResult) {
-    mCarrier.Carry(mController.OnActionResult(aId, aResult, mClock.Now()));
+    Carry(mController.OnActionResult(aId, aResult, mClock.Now()));
   };
   return feed;
 }
@@ -125,7 +125,7 @@
   }
   mOnStopped = std::move(aDone);
   mStopBy = mClock.Now() + kRevokeWait;
-  mCarrier.Carry(mController.OnStop(mClock.Now()));
+  Carry(mController.OnStop(mClock.Now()));
   for (const auto& [connection, peer] : mHub.Peers()) {
     mLink.Send(connection, wire::goodbye{});
   }
@@ -159,13 +159,43 @@
       return;
     }
   } else {
-    mCarrier.Carry(mController.OnTick(now, std::chrono::system_clock::now()));
+    Carry(mController.OnTick(now, std::chrono::system_clock::now()));
     DialEntries();
     TellOtherZones();
   }
   ScheduleTick();
 }
 
+void
+fleet_process::Carry(const fleet::actions& aActions)
+{
+  mCarrier.Carry(aActions);
+  PassOnConfiguration();
+}
+
+// The controller serves the zone's entries; the other fleet processes, of this
+// zone and of its neighbours, get each new revision once from here, as a patch.
+// Whoever does not hold the patch's base asks for the whole.
+void
+fleet_process::PassOnConfiguration()
+{
+  const config::revisioned_document& held = mController.Configuration();
+  if (held.mRevision == mPassedOn.mRevision) {
+    return;
+  }
+  if (mPassedOn.mRevision != 0) {
+    const auto patch = config::MakePatch(mPassedOn.mText, held.mText);
+    if (patch.has_value()) {
+      const wire::config_push push{ held.mRevision,
+                                    mPassedOn.mRevision,
+                                    patch.assume_value() };
+      mHub.SendToZoneFleets(push);
+      mHub.SendToOtherZones(push);
+    }
+  }
+  mPassedOn = held;
+}
+
 // Entries learn the zone's fleet processes from their settings, which do not
 // name a process whose host has replaced another. So the acting process dials
 // the registered entries that have not reached it.
@@ -246,7 +276,7 @@
 {
   const std::optional<view::entry_id> lost = mHub.OnClose(aConnection);
   if (lost) {
-    mCarrier.Carry(mController.OnEntryLost(*lost, mClock.Now()));
+    Carry(mController.OnEntryLost(*lost, mClock.Now()));
   }
 }
 
@@ -266,7 +296,7 @@
 {
   mHub.OnHello(aConnection, aSender, aHello.mPeerAddress);
   if (IsZoneEntry(aSender)) {
-    mCarrier.Carry(mController.OnEntryHello(
+    Carry(mController.OnEntryHello(
       { aSender.mHost, aSender.mBoot }, aHello, mClock.Now()));
   } else if (aHello.mConfigRevision > mController.Configuration().mRevision) {
     mLink.Send(aConnection, wire::state_request{});
@@ -282,8 +312,7 @@
     return;
   }
   if (aSender.mZone == mSettings.mZone) {
-    mCarrier.Carry(
-      mController.OnPeerHeartbeat(aSender, aHeartbeat, mClock.Now()));
+    Carry(mController.OnPeerHeartbeat(aSender, aHeartbeat, mClock.Now()));
   }
   const bool lacksView = aSender.mZone == mSettings.mZone &&
                          !mController.Acting() &&
@@ -323,7 +352,7 @@
 
 void
 fleet_process::On(wire::connection_id aConnection,
-                  const wire::sender& aSender,
+                  const wire::sender& /*aSender*/,
                   const wire::config_push& aPush)
 {
   if (aPush.mRevision <= mController.Configuration().mRevision) {
@@ -334,12 +363,8 @@
     mLink.Send(aConnection, wire::state_request{});
     return;
   }
-  const bool fromActing =
-    aSender.mZone == mSettings.mZone && aSender.mTerm != 0;
-  mCarrier.Carry(mController.OnConfiguration(
-                   aPush.mRevision, text.assume_value(), mClock.Now()),
-                 fromActing ? config_scope::kOtherZones
-                            : config_scope::kEveryone);
+  Carry(mController.OnConfiguration(
+    aPush.mRevision, text.assume_value(), mClock.Now()));
 }
 
 void
@@ -364,7 +389,7 @@
                   const wire::entry_report& aReport)
 {
   if (IsZoneEntry(aSender)) {
-    mCarrier.Carry(mController.OnEntryReport(
+    Carry(mController.OnEntryReport(
       { aSender.mHost, aSender.mBoot }, aReport, mClock.Now()));
   }
 }
@@ -375,8 +400,8 @@
                   const wire::goodbye& /*aGoodbye*/)
 {
   if (IsZoneEntry(aSender)) {
-    mCarrier.Carry(mController.OnEntryGoodbye({ aSender.mHost, aSender.mBoot },
-                                              mClock.Now()));
+    Carry(mController.OnEntryGoodbye({ aSender.mHost, aSender.mBoot },
+                                     mClock.Now()));
   }
 }
 
--- a/mangospan/fleetd/fleet_process.h
+++ b/mangospan/fleetd/fleet_process.h
@@ -19,6 +19,7 @@
 #include "mangospan/base/error.h"
 #include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
+#include "mangospan/config/document.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/fleet/zone_controller.h"
 #include "mangospan/fleetd/action_carrier.h"
@@ -68,6 +69,8 @@
   wire::hello Hello() const;
   void ScheduleTick();
   void Tick();
+  void Carry(const fleet::actions& aActions);
+  void PassOnConfiguration();
   void DialEntries();
   void TellOtherZones();
   void FinishStop();
@@ -102,6 +105,7 @@
   zone_hub mHub;
   action_carrier mCarrier;
   boost::asio::steady_timer mTimer;
+  config::revisioned_document mPassedOn; // to other fleet processes
   view::zone_view mHeardView; // of the acting process, while it is another
   std::set<std::string> mDialled;
   time_point mNextDial;
