Waves take the hosts of one rack at a time per pool and zone

A budget and spare hosts for more than one rack let a wave drain hosts of several racks at once, so that a rack lost in the meantime took hosts of another rack out besides. Only hosts of the rack that is under way are now intended; the next rack, by name, follows once they are back. A host that failed holds up no other rack. A host that is off the list while it reboots has no known rack, so the wave waits for it.

With a budget of one host nothing changes in the decisions: the next host's permit is asked for in the same write that gives the last one back. No roll-out time was measured.

The fake platform can now leave rebooting hosts off its list.

--- a/mangospan/fleet/maintenance_waves.cc
+++ b/mangospan/fleet/maintenance_waves.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -28,8 +29,30 @@
   std::size_t mDone = 0;
   std::size_t mFailed = 0;
   std::size_t mDown = 0; // due, and not to be rebooted while down
+  // Without hosts that failed. A host may be off the list while it reboots; the
+  // empty name then stands for its rack, and the wave waits for its return.
+  std::set<rack_name> mActiveRacks;
 };
 
+// A rack that fails during a wave takes only hosts of its own, so hosts of the
+// next rack wait until those of this one are back. A host that failed may stay
+// out for long and holds up no other rack.
+void
+KeepOneRack(pool_wave& aWave)
+{
+  if (aWave.mDue.empty()) {
+    return;
+  }
+  const rack_name rack = aWave.mActiveRacks.empty()
+                           ? aWave.mDue.front().first
+                           : *aWave.mActiveRacks.begin();
+  aWave.mDue.erase(
+    std::remove_if(aWave.mDue.begin(),
+                   aWave.mDue.end(),
+                   [&](const auto& aDue) { return aDue.first != rack; }),
+    aWave.mDue.end());
+}
+
 class planner
 {
 public:
@@ -70,6 +93,9 @@
       if (record.mPurpose == host_purpose::kMaintenance) {
         ++wave.mActive;
         wave.mFailed += record.mFailed ? 1 : 0;
+        if (!record.mFailed) {
+          wave.mActiveRacks.insert(info == nullptr ? rack_name() : info->mRack);
+        }
         continue;
       }
       if (record.mPhase != host_phase::kServing || info == nullptr ||
@@ -85,8 +111,6 @@
         ++wave.mDone;
       }
     }
-    // Hosts of one rack go together, so that a rack lost in the meantime takes
-    // hosts that are out of service already.
     std::sort(wave.mDue.begin(), wave.mDue.end());
     return wave;
   }
@@ -116,7 +140,7 @@
 
   void PlanPool(const config::pool& aPool)
   {
-    const pool_wave wave = Collect(aPool.mName);
+    pool_wave wave = Collect(aPool.mName);
     const bool requested = IsRequested(mInputs.mRequest, aPool.mName);
     if (wave.mHosts == 0 ||
         (wave.mDue.empty() && wave.mActive == 0 && !requested)) {
@@ -133,6 +157,7 @@
     if (state != "running") {
       return;
     }
+    KeepOneRack(wave);
     // One host at a time goes even when demand needs every host; otherwise a
     // pool that is always short would never be maintained.
     const std::size_t needed = mInputs.mNeeded(aPool.mName);
--- a/mangospan/fleet/testing/fake_platform.cc
+++ b/mangospan/fleet/testing/fake_platform.cc
@@ -315,7 +315,9 @@
   list.mRevision = mRevision;
   if (mRevision > aKnown) {
     for (const auto& [host, info] : mShown) {
-      list.mHosts.push_back(info);
+      if (mListsRebooting || mRebooting.count(host) == 0) {
+        list.mHosts.push_back(info);
+      }
     }
   }
   mEvents.After(milliseconds(5),
@@ -345,6 +347,9 @@
       mHosts[aRequest.mHost].mService = {};
       Touch();
     }
+    if (reboot) {
+      mRebooting.insert(aRequest.mHost);
+    }
     mEvents.After(reboot ? mRebootTime : mRunnerTime,
                   [this, id, failed] { Finish(id, failed); });
   }
@@ -357,6 +362,7 @@
 fake_hosts::Finish(const std::string& aId, bool aFailed)
 {
   started_action& action = mActions.at(aId);
+  mRebooting.erase(action.mRequest.mHost);
   platform::host_info& host = mHosts[action.mRequest.mHost];
   if (aFailed) {
     action.mState = platform::action_state::kFailed;
--- a/mangospan/fleet/testing/fake_platform.h
+++ b/mangospan/fleet/testing/fake_platform.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -107,7 +108,8 @@
   const platform::host_info& At(const host_name& aHost) const;
 
   bool mDown = false;
-  double mFailures = 0; // of reboots
+  bool mListsRebooting = true; // false: a host is off the list as it reboots
+  double mFailures = 0;        // of reboots
   milliseconds mRebootTime{ 600 };
   milliseconds mRunnerTime{ 200 };
   milliseconds mLag{ 300 };
@@ -130,6 +132,7 @@
   std::map<host_name, platform::host_info> mHosts;
   std::map<host_name, platform::host_info> mShown; // lags behind
   std::map<std::string, started_action> mActions;
+  std::set<host_name> mRebooting;
 };
 
 } // namespace mangospan::fleet::testing
--- a/mangospan/fleet/zone_controller_test.cc
+++ b/mangospan/fleet/zone_controller_test.cc
@@ -1,5 +1,7 @@
 #include "mangospan/fleet/zone_controller.h"
 
+#include <algorithm>
+#include <set>
 #include <string>
 
 #include <gmock/gmock.h>
@@ -236,6 +238,49 @@
   EXPECT_EQ(mFleet.mDrains, 3U);
 }
 
+void
+CheckWaveByRacks(bool aListsRebooting)
+{
+  fleet_options options;
+  options.mSettings = testing::ShortSettings();
+  options.mHosts = 8;
+  options.mServices = { service_name("work") };
+  fake_fleet fleet(options, 7);
+  fleet.mHosts.mListsRebooting = aListsRebooting;
+  fleet.Apply(testing::TwoPools(3));
+  fleet.Run(milliseconds(3000));
+  fleet.StartWave("w1", false);
+  std::size_t most = 0;
+  for (int i = 0; i < 1200; ++i) {
+    fleet.Run(milliseconds(10));
+    std::size_t out = 0;
+    std::set<rack_name> racks;
+    for (const auto& [host, record] : fleet.Hosts(fleet.Zone(0)).mHosts) {
+      if (record.mPhase != host_phase::kServing) {
+        ++out;
+        racks.insert(fleet.mHosts.At(host).mRack);
+      }
+    }
+    ASSERT_LE(racks.size(), 1U) << "after " << i * 10 << " ms";
+    most = std::max(most, out);
+  }
+  EXPECT_EQ(most, 2U);
+  for (const auto& [host, record] : fleet.Hosts(fleet.Zone(0)).mHosts) {
+    EXPECT_EQ(record.mWave, "w1") << host.Str();
+  }
+  EXPECT_THAT(fleet.Violations(), IsEmpty());
+}
+
+TEST(zone_controller_racks, AWaveTakesTheHostsOfOneRackAtATimeTogether)
+{
+  CheckWaveByRacks(true);
+}
+
+TEST(zone_controller_racks, AWaveKeepsToOneRackWhileItsHostsAreOffTheList)
+{
+  CheckWaveByRacks(false);
+}
+
 TEST_F(zone_controller_test, APausedWaveDrainsNoMoreHosts)
 {
   mFleet.StartWave("w1", true);
