A holder without a configuration says why and starts no runner

If the stored configuration is refused and a new holder holds none, no status was written, so operators saw the last holder's, and recorded actions went on with an empty document: a runner was started for no service. Now the status is written, with the refusal and that entries keep the view they have, and actions wait until a configuration is held.

A standby that was given a configuration by a peer goes on with it; the test of that passed before and stays as a guard. The tests of the status and of the runner failed first (status of term 12 under term 24; host at epoch 3 in place of 2).

--- a/mangospan/fleet/internal/controller_state.cc
+++ b/mangospan/fleet/internal/controller_state.cc
@@ -122,15 +122,17 @@
   mMembership.Step(mTerm, mIds, aNow, mQueue);
   const config::document& document = mConfiguration.Held().mDocument;
   const bool ready = mHosts.Ready(mTerm) && mHosts.Listed() &&
-                     mMembership.Ready(mTerm) && mConfiguration.Ready() &&
-                     mConfiguration.Held().mRevision != 0;
-  if (ready && mHosts.Settled()) {
+                     mMembership.Ready(mTerm) && mConfiguration.Ready();
+  // A stored configuration that is refused may leave a new holder with none.
+  // Without one nothing is decided, and entries keep the view they have.
+  const bool configured = mConfiguration.Held().mRevision != 0;
+  if (ready && configured && mHosts.Settled()) {
     PlanIntents(aNow);
     mBudgets.Step(
       MakeDemands(mHosts, document, mIntents, mUtc), mTerm, mIds, aNow, mQueue);
   }
   mHosts.Step(StepInputs(), mTerm, mIds, aNow, mQueue);
-  if (mHosts.Ready(mTerm)) {
+  if (mHosts.Ready(mTerm) && configured) {
     mHosts.Act(document, aNow, mQueue);
   }
   if (ready) {
--- a/mangospan/fleet/zone_controller_test.cc
+++ b/mangospan/fleet/zone_controller_test.cc
@@ -325,6 +325,80 @@
   EXPECT_EQ(mFleet.mDrains, 0U);
 }
 
+TEST_F(zone_controller_test, AStandbyGoesOnWithItsOwnIfTheStoredOneIsRefused)
+{
+  const config::revisioned_document held =
+    Acting().mController->Configuration();
+  for (const auto& process : mFleet.Processes()) {
+    process->mController->OnConfiguration(
+      held.mRevision, "0", mFleet.mEvents.Now());
+  }
+  mFleet.mStore.Put(kConfigKey, "nonsense");
+  mFleet.Kill(Acting());
+  mFleet.Run(milliseconds(3500));
+  ASSERT_NE(mFleet.Acting(Zone()), nullptr);
+  EXPECT_EQ(Acting().mController->Configuration().mRevision, held.mRevision);
+  for (const auto& entry : mFleet.Entries()) {
+    EXPECT_EQ(entry->mReported.mTerm, Acting().mController->Term());
+    EXPECT_EQ(entry->mInFlight.at(host_name("a-0")), 2U);
+  }
+  EXPECT_NE(Status().mConfigError, "");
+}
+
+TEST_F(zone_controller_test, EntriesKeepTheirViewIfNoConfigurationIsHeld)
+{
+  for (const auto& process : mFleet.Processes()) {
+    mFleet.Kill(*process);
+  }
+  mFleet.mStore.Put(kConfigKey, "nonsense");
+  for (const auto& process : mFleet.Processes()) {
+    mFleet.Start(*process);
+  }
+  mFleet.Run(milliseconds(5000));
+  ASSERT_NE(mFleet.Acting(Zone()), nullptr);
+  EXPECT_EQ(Acting().mController->Configuration().mRevision, 0U);
+  for (const auto& entry : mFleet.Entries()) {
+    EXPECT_TRUE(entry->mRegistered);
+    EXPECT_EQ(entry->mView.mEndpoints.size(), 4U);
+    EXPECT_EQ(entry->mInFlight.at(host_name("a-0")), 2U);
+  }
+  EXPECT_EQ(Status().mTerm, Acting().mController->Term());
+  EXPECT_THAT(Status().mConfigError,
+              ::testing::HasSubstr("entries keep the view they have"));
+  mFleet.Apply(testing::TwoPools(1));
+  mFleet.Run(milliseconds(2000));
+  for (const auto& entry : mFleet.Entries()) {
+    EXPECT_EQ(entry->mReported, Acting().mController->View().mVersion);
+  }
+  EXPECT_EQ(Status().mConfigError, "");
+}
+
+TEST_F(zone_controller_test, NoRunnerIsStartedWhileNoConfigurationIsHeld)
+{
+  mFleet.Drain({ host_name("a-0") });
+  mFleet.Run(milliseconds(3000));
+  ASSERT_EQ(Host("a-0").mPhase, host_phase::kDrained);
+  mFleet.mHosts.mDown = true;
+  mFleet.Drain({});
+  mFleet.Run(milliseconds(1000));
+  ASSERT_EQ(Host("a-0").mPhase, host_phase::kStarting);
+  for (const auto& process : mFleet.Processes()) {
+    mFleet.Kill(*process);
+  }
+  mFleet.mStore.Put(kConfigKey, "nonsense");
+  mFleet.mHosts.mDown = false;
+  for (const auto& process : mFleet.Processes()) {
+    mFleet.Start(*process);
+  }
+  mFleet.Run(milliseconds(4000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kStarting);
+  mFleet.Apply(testing::TwoPools(1));
+  mFleet.Run(milliseconds(4000));
+  EXPECT_EQ(Host("a-0").mPhase, host_phase::kServing);
+  EXPECT_EQ(Host("a-0").mEpoch, 2U); // not started in vain before
+  EXPECT_EQ(mFleet.mHosts.At(host_name("a-0")).mService, service_name("work"));
+}
+
 TEST_F(zone_controller_test, DemandMovesHostsFromTheSparePoolAndBack)
 {
   mFleet.mDemand = true;
--- a/mangospan/fleet/zone_status.cc
+++ b/mangospan/fleet/zone_status.cc
@@ -92,6 +92,9 @@
   status_record status;
   status.mConfigRevision = aInputs.mConfiguration.Held().mRevision;
   status.mConfigError = aInputs.mConfiguration.Refusal();
+  if (status.mConfigRevision == 0 && !status.mConfigError.empty()) {
+    status.mConfigError += "; none is held, entries keep the view they have";
+  }
   for (const view::entry_member& member : aInputs.mMembership.Registered()) {
     const auto entry = aInputs.mEntries.find(member.mId);
     if (entry == aInputs.mEntries.end() ||
