One program frame, cut switch and configuration update for both daemons

The two mains, the test switches and the reading of configuration pushes stood twice. The fleet daemon's switch now refuses a wrong use with 400 and the uses, as the entry's did.

--- a/mangospan/config/patch.cc
+++ b/mangospan/config/patch.cc
@@ -41,4 +41,21 @@
   return patched;
 }
 
+result<std::string>
+ApplyUpdate(const revisioned_document& aHeld,
+            std::uint64_t aBaseRevision,
+            const std::string& aText)
+{
+  if (aBaseRevision == 0) {
+    return aText;
+  }
+  if (aHeld.mRevision != aBaseRevision) {
+    return error{ error_code::kConflict,
+                  "config.patch",
+                  "",
+                  "the patch is for another revision" };
+  }
+  return ApplyPatch(aHeld.mText, aText);
+}
+
 } // namespace mangospan::config
--- a/mangospan/config/patch.h
+++ b/mangospan/config/patch.h
@@ -6,10 +6,12 @@
 #ifndef MANGOSPAN_CONFIG_PATCH_H
 #define MANGOSPAN_CONFIG_PATCH_H
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 #include "mangospan/base/error.h"
+#include "mangospan/config/document.h"
 
 namespace mangospan::config {
 
@@ -25,6 +27,14 @@
 result<std::string>
 ApplyPatch(std::string_view aText, std::string_view aPatch);
 
+// The whole text after an update as processes pass it on: `aText` is whole if
+// `aBaseRevision` is 0, else a patch to the document of that revision. Errors:
+// kConflict if that is not the one held; as ApplyPatch.
+result<std::string>
+ApplyUpdate(const revisioned_document& aHeld,
+            std::uint64_t aBaseRevision,
+            const std::string& aText);
+
 } // namespace mangospan::config
 
 #endif // MANGOSPAN_CONFIG_PATCH_H
--- a/mangospan/config/patch_test.cc
+++ b/mangospan/config/patch_test.cc
@@ -30,6 +30,21 @@
   }
 }
 
+TEST(ConfigPatch, AnUpdateAppliesToItsOwnBaseOnly)
+{
+  std::mt19937_64 random(1);
+  const document before = DrawDocument(random);
+  const document after = DrawChanged(before, random);
+  const revisioned_document held{ 4, ToText(before), before };
+  const auto patch = MakePatch(held.mText, ToText(after));
+  ASSERT_TRUE(patch.has_value());
+  const std::string& text = patch.assume_value();
+  EXPECT_EQ(ApplyUpdate(held, 4, text).assume_value(), ToText(after));
+  EXPECT_EQ(ApplyUpdate(held, 3, text).assume_error().mCode,
+            error_code::kConflict);
+  EXPECT_EQ(ApplyUpdate(held, 0, ToText(after)).assume_value(), ToText(after));
+}
+
 TEST(ConfigPatch, OneChangeOfManyTeamsIsSmall)
 {
   constexpr int kTeams = 540;
--- a/mangospan/entry/entry_process.h
+++ b/mangospan/entry/entry_process.h
@@ -17,6 +17,7 @@
 #include "mangospan/base/error.h"
 #include "mangospan/base/time.h"
 #include "mangospan/daemon/metrics.h"
+#include "mangospan/daemon/program.h"
 #include "mangospan/entry/membership.h"
 #include "mangospan/entry/request_pipe.h"
 #include "mangospan/entry/suspension_clock.h"
@@ -36,7 +37,7 @@
   std::string mAddress; // of its link listener; empty before its hello
 };
 
-class entry_process
+class entry_process final : public daemon::process
 {
 public:
   // All references must outlive the process object.
@@ -48,24 +49,24 @@
 
   // Listens for callers and peers, and dials the peers of the settings.
   // Errors: as http::server::Listen and wire::link::Listen.
-  status Start();
+  status Start() override;
 
   // Graceful stop: refuses new work, finishes what is open within the stop
   // timeout, says goodbye, then calls `aDone`.
-  void Stop(std::function<void()> aDone);
+  void Stop(std::function<void()> aDone) override;
 
   // Whether requests can be served now; false too without a slot at any
   // endpoint.
-  bool IsHealthy() const;
+  bool IsHealthy() const override;
 
   // The state as JSON, for /state.
-  std::string DumpState() const;
+  std::string DumpState() const override;
 
   // Writes the gauges of /metrics.
-  void RefreshMetrics();
+  void RefreshMetrics() override;
 
   // POST /test/cut?zone=Z or ?host=H, and /test/heal.
-  http::response TestSwitch(const http::request& aRequest);
+  http::response TestSwitch(const http::request& aRequest) override;
 
   // The bound ports, once started.
   unsigned short CallerPort() const { return mServer.Port(); }
--- a/mangospan/entry/entry_state.cc
+++ b/mangospan/entry/entry_state.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "mangospan/daemon/command_line.h"
+#include "mangospan/daemon/cut_switch.h"
 #include "mangospan/entry/entry_process.h"
 
 namespace mangospan::entry {
@@ -148,23 +149,7 @@
 http::response
 entry_process::TestSwitch(const http::request& aRequest)
 {
-  const std::string_view path = http::Path(aRequest);
-  const std::string zone(http::QueryValue(aRequest, "zone"));
-  const std::string host(http::QueryValue(aRequest, "host"));
-  if (path == "/test/heal") {
-    mGate.Clear();
-  } else if (path == "/test/cut" && zone.empty() != host.empty()) {
-    if (host.empty()) {
-      mGate.BlockZone(zone_name(zone));
-    } else {
-      mGate.BlockHost(host_name(host));
-    }
-  } else {
-    return http::JsonResponse(
-      400,
-      R"({"message":"use /test/cut?zone=Z, /test/cut?host=H or /test/heal"})");
-  }
-  return http::JsonResponse(200, "{}");
+  return daemon::SwitchCut(mGate, aRequest);
 }
 
 } // namespace mangospan::entry
--- a/mangospan/entry/membership.cc
+++ b/mangospan/entry/membership.cc
@@ -12,23 +12,6 @@
 
 namespace {
 
-// The whole text; kConflict if the patch is for another revision.
-result<std::string>
-WholeText(const wire::config_push& aPush,
-          const config::revisioned_document& aHeld)
-{
-  if (aPush.mBaseRevision == 0) {
-    return aPush.mText;
-  }
-  if (aHeld.mRevision != aPush.mBaseRevision) {
-    return error{ error_code::kConflict,
-                  "config.patch",
-                  "",
-                  "the patch is for another revision" };
-  }
-  return config::ApplyPatch(aHeld.mText, aPush.mText);
-}
-
 // Whether there is such a view: sequence 0 stands for none of that term yet.
 bool
 IsIssued(const view::version& aVersion)
@@ -123,7 +106,8 @@
   if (aPush.mRevision <= mConfig.mRevision) {
     return effects;
   }
-  const result<std::string> text = WholeText(aPush, mConfig);
+  const result<std::string> text =
+    config::ApplyUpdate(mConfig, aPush.mBaseRevision, aPush.mText);
   if (text.has_error()) {
     effects.mAskState = true;
     return effects;
--- a/mangospan/fleetd/fleet_process.cc
+++ b/mangospan/fleetd/fleet_process.cc
@@ -14,6 +14,7 @@
 #include "mangospan/config/document.h"
 #include "mangospan/config/parser.h"
 #include "mangospan/config/patch.h"
+#include "mangospan/daemon/cut_switch.h"
 
 namespace mangospan::fleetd {
 
@@ -334,22 +335,6 @@
   }
 }
 
-result<std::string>
-fleet_process::WholeText(const wire::config_push& aPush) const
-{
-  if (aPush.mBaseRevision == 0) {
-    return aPush.mText;
-  }
-  const config::revisioned_document& held = mController.Configuration();
-  if (held.mRevision != aPush.mBaseRevision) {
-    return error{ error_code::kConflict,
-                  "config.patch",
-                  "",
-                  "the patch is for another revision" };
-  }
-  return config::ApplyPatch(held.mText, aPush.mText);
-}
-
 void
 fleet_process::On(wire::connection_id aConnection,
                   const wire::sender& /*aSender*/,
@@ -358,7 +343,8 @@
   if (aPush.mRevision <= mController.Configuration().mRevision) {
     return;
   }
-  const result<std::string> text = WholeText(aPush);
+  const result<std::string> text = config::ApplyUpdate(
+    mController.Configuration(), aPush.mBaseRevision, aPush.mText);
   if (text.has_error()) {
     mLink.Send(aConnection, wire::state_request{});
     return;
@@ -449,22 +435,7 @@
 http::response
 fleet_process::TestSwitch(const http::request& aRequest)
 {
-  if (http::Path(aRequest) == "/test/heal") {
-    mGate.Clear();
-    return http::JsonResponse(200, "{}");
-  }
-  const std::string zone(http::QueryValue(aRequest, "zone"));
-  const std::string host(http::QueryValue(aRequest, "host"));
-  if (http::Path(aRequest) != "/test/cut" || (zone.empty() && host.empty())) {
-    return http::JsonResponse(404, R"({"error":"no such test switch"})");
-  }
-  if (!zone.empty()) {
-    mGate.BlockZone(zone_name(zone));
-  }
-  if (!host.empty()) {
-    mGate.BlockHost(host_name(host));
-  }
-  return http::JsonResponse(200, "{}");
+  return daemon::SwitchCut(mGate, aRequest);
 }
 
 } // namespace mangospan::fleetd
--- a/mangospan/fleetd/fleet_process.h
+++ b/mangospan/fleetd/fleet_process.h
@@ -21,6 +21,7 @@
 #include "mangospan/base/time.h"
 #include "mangospan/config/document.h"
 #include "mangospan/daemon/metrics.h"
+#include "mangospan/daemon/program.h"
 #include "mangospan/fleet/zone_controller.h"
 #include "mangospan/fleetd/action_carrier.h"
 #include "mangospan/fleetd/zone_hub.h"
@@ -34,7 +35,7 @@
 
 namespace mangospan::fleetd {
 
-class fleet_process
+class fleet_process final : public daemon::process
 {
 public:
   // All references must outlive the process object.
@@ -48,19 +49,22 @@
 
   // Listens for peers, dials those of the settings and begins to tick. Errors:
   // as wire::link::Listen.
-  status Start();
+  status Start() override;
 
   // Graceful stop: gives the lease back, says goodbye, then calls `aDone`.
-  void Stop(std::function<void()> aDone);
+  void Stop(std::function<void()> aDone) override;
+
+  // Always: a standby process is as good as the acting one.
+  bool IsHealthy() const override { return true; }
 
   // The state as JSON, for /state.
-  std::string DumpState() const;
+  std::string DumpState() const override;
 
   // Writes the gauges of /metrics.
-  void RefreshMetrics();
+  void RefreshMetrics() override;
 
   // POST /test/cut?zone=Z or ?host=H, and /test/heal.
-  http::response TestSwitch(const http::request& aRequest);
+  http::response TestSwitch(const http::request& aRequest) override;
 
 private:
   wire::link_handlers LinkHandlers();
@@ -93,7 +97,6 @@
   void On(wire::connection_id, const wire::sender&, const Other&);
 
   bool IsZoneEntry(const wire::sender& aSender) const;
-  result<std::string> WholeText(const wire::config_push& aPush) const;
 
   settings::process_settings mSettings;
   const clock_source& mClock;
--- a/mangospan/fleetd/main.cc
+++ b/mangospan/fleetd/main.cc
@@ -1,20 +1,12 @@
 // The `mangospan-fleet` daemon: one process on every entry host, of which one
 // acts for its availability zone.
 
-#include <chrono>
-#include <iostream>
-#include <variant>
-
 #include <boost/asio/io_context.hpp>
 
-#include "mangospan/base/error.h"
 #include "mangospan/base/identity.h"
-#include "mangospan/base/log.h"
 #include "mangospan/base/time.h"
-#include "mangospan/daemon/command_line.h"
 #include "mangospan/daemon/metrics.h"
-#include "mangospan/daemon/operator_endpoint.h"
-#include "mangospan/daemon/signals.h"
+#include "mangospan/daemon/program.h"
 #include "mangospan/fleetd/fleet_process.h"
 #include "mangospan/http/client.h"
 #include "mangospan/platform/http_platform.h"
@@ -34,28 +26,6 @@
   "peers": ["127.0.0.1:7402", "127.0.0.1:7411"]
 })";
 
-daemon::operator_handlers
-OperatorHandlers(fleetd::fleet_process& aProcess, bool aTestSwitches)
-{
-  daemon::operator_handlers handlers;
-  handlers.mBeforeMetrics = [&aProcess] { aProcess.RefreshMetrics(); };
-  handlers.mDumpState = [&aProcess] { return aProcess.DumpState(); };
-  handlers.mIsHealthy = [] { return true; };
-  if (aTestSwitches) {
-    handlers.mTestSwitch = [&aProcess](const http::request& aRequest) {
-      return aProcess.TestSwitch(aRequest);
-    };
-  }
-  return handlers;
-}
-
-int
-Refuse(const error& aError)
-{
-  std::cerr << Describe(aError) << '\n';
-  return daemon::kExitRefused;
-}
-
 int
 Run(const settings::process_settings& aSettings)
 {
@@ -69,25 +39,7 @@
     io, client, aSettings.mPlatformAddress, aSettings.mZone);
   fleetd::fleet_process process(
     io, aSettings, store, hosts, clock, metrics, DrawBootId());
-  daemon::operator_endpoint operators(
-    io, metrics, OperatorHandlers(process, aSettings.mTestSwitches));
-  const status listening = operators.Listen(aSettings.mOperatorAddress);
-  if (listening.has_error()) {
-    return Refuse(listening.assume_error());
-  }
-  const status started = process.Start();
-  if (started.has_error()) {
-    return Refuse(started.assume_error());
-  }
-  const daemon::stop_signals signals(
-    io, [&] { process.Stop([&io] { io.stop(); }); });
-  LogEvent(
-    log_level::kInfo,
-    "process.started",
-    { { "host", aSettings.mHost.Str() }, { "zone", aSettings.mZone.Str() } });
-  io.run();
-  LogEvent(log_level::kInfo, "process.stopped", {});
-  return daemon::kExitOk;
+  return daemon::Serve(io, metrics, process, aSettings);
 }
 
 } // namespace
@@ -95,26 +47,14 @@
 int
 main(int aCount, char** aArguments)
 {
-  const auto parsed = daemon::ParseCommandLine(
+  return daemon::RunProgram(
     aCount,
     aArguments,
-    { "mangospan-fleet",
-      "Acts for one availability zone, or stands ready to: sizes pools, moves "
-      "hosts, runs maintenance waves.",
-      kExample });
-  if (const int* code = std::get_if<int>(&parsed)) {
-    return *code;
-  }
-  const auto& options = std::get<daemon::command_line>(parsed);
-  const auto settings =
-    settings::Load(options.mSettingsFile, settings::program::kFleet);
-  if (settings.has_error()) {
-    return Refuse(settings.assume_error());
-  }
-  if (options.mCheckSettings) {
-    std::cout << options.mSettingsFile << ": settings are valid\n";
-    return daemon::kExitOk;
-  }
-  ConfigureLog("fleet", settings.assume_value().mLogLevel);
-  return Run(settings.assume_value());
+    { "fleet",
+      settings::program::kFleet,
+      { "mangospan-fleet",
+        "Acts for one availability zone, or stands ready to: sizes pools, "
+        "moves hosts, runs maintenance waves.",
+        kExample } },
+    &Run);
 }
