--- a/mangospan/entry/answers.cc
+++ b/mangospan/entry/answers.cc
@@ -30,6 +30,17 @@
   milliseconds mRetryAfter;
 };
 
+// The two kinds of refusal name the same things with their own codes.
+template<typename Refusal>
+refusal_fields
+FieldsOf(const Refusal& aRefusal)
+{
+  return {
+    aRefusal.mHttpStatus, Name(aRefusal.mOutcome), Name(aRefusal.mCode),
+    aRefusal.mStep,       aRefusal.mPeer,          aRefusal.mRetryAfter
+  };
+}
+
 http::response
 ToAnswer(const refusal_fields& aFields)
 {
@@ -73,23 +84,13 @@
 http::response
 RefusalAnswer(const request::refusal& aRefusal)
 {
-  return ToAnswer({ aRefusal.mHttpStatus,
-                    Name(aRefusal.mOutcome),
-                    Name(aRefusal.mCode),
-                    aRefusal.mStep,
-                    aRefusal.mPeer,
-                    aRefusal.mRetryAfter });
+  return ToAnswer(FieldsOf(aRefusal));
 }
 
 http::response
 RefusalAnswer(const request::ticket_refusal& aRefusal)
 {
-  return ToAnswer({ aRefusal.mHttpStatus,
-                    Name(aRefusal.mOutcome),
-                    Name(aRefusal.mCode),
-                    aRefusal.mStep,
-                    aRefusal.mPeer,
-                    aRefusal.mRetryAfter });
+  return ToAnswer(FieldsOf(aRefusal));
 }
 
 http::response
