zone_hub: one loop picks the newest connection; unused send and copied document go

The choice of the newest connection stood twice, and the fleet process kept a whole parsed document where it needs the revision and the text it passed on last.

--- a/mangospan/fleetd/fleet_process.cc
+++ b/mangospan/fleetd/fleet_process.cc
@@ -181,20 +181,21 @@
 fleet_process::PassOnConfiguration()
 {
   const config::revisioned_document& held = mController.Configuration();
-  if (held.mRevision == mPassedOn.mRevision) {
+  if (held.mRevision == mPassedOnRevision) {
     return;
   }
-  if (mPassedOn.mRevision != 0) {
-    const auto patch = config::MakePatch(mPassedOn.mText, held.mText);
+  if (mPassedOnRevision != 0) {
+    const auto patch = config::MakePatch(mPassedOnText, held.mText);
     if (patch.has_value()) {
       const wire::config_push push{ held.mRevision,
-                                    mPassedOn.mRevision,
+                                    mPassedOnRevision,
                                     patch.assume_value() };
       mHub.SendToZoneFleets(push);
       mHub.SendToOtherZones(push);
     }
   }
-  mPassedOn = held;
+  mPassedOnRevision = held.mRevision;
+  mPassedOnText = held.mText;
 }
 
 // Entries learn the zone's fleet processes from their settings, which do not
--- a/mangospan/fleetd/fleet_process.h
+++ b/mangospan/fleetd/fleet_process.h
@@ -19,7 +19,6 @@
 #include "mangospan/base/error.h"
 #include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
-#include "mangospan/config/document.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/daemon/program.h"
 #include "mangospan/fleet/zone_controller.h"
@@ -108,7 +107,8 @@
   zone_hub mHub;
   action_carrier mCarrier;
   boost::asio::steady_timer mTimer;
-  config::revisioned_document mPassedOn; // to other fleet processes
+  std::uint64_t mPassedOnRevision = 0; // to other fleet processes
+  std::string mPassedOnText;
   view::zone_view mHeardView; // of the acting process, while it is another
   std::set<std::string> mDialled;
   time_point mNextDial;
--- a/mangospan/fleetd/zone_hub.cc
+++ b/mangospan/fleetd/zone_hub.cc
@@ -1,6 +1,7 @@
 #include "mangospan/fleetd/zone_hub.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,6 +24,12 @@
   return { aPeer.mSender.mHost, aPeer.mSender.mBoot };
 }
 
+bool
+IsFleet(const hub_peer& aPeer)
+{
+  return aPeer.mSender.mRole == wire::process_role::kFleet;
+}
+
 } // namespace
 
 zone_hub::zone_hub(zone_name aZone, send_function aSend)
@@ -61,32 +68,15 @@
   return EntryOf(peer);
 }
 
+// Both sides may have dialled: the newest connection to a process is the one
+// most likely to be whole, since the other may be a half-open leftover.
 void
-zone_hub::SendToEntries(const wire::message& aMessage,
-                        const std::vector<view::entry_id>& aTo) const
-{
-  // Both sides may have dialled: the newest connection is the one most likely
-  // to be whole, since the other may be a half-open leftover.
-  std::map<view::entry_id, wire::connection_id> newest;
-  for (const auto& [connection, peer] : mPeers) {
-    if (IsZoneEntry(peer)) {
-      newest[EntryOf(peer)] = connection;
-    }
-  }
-  for (const auto& [entry, connection] : newest) {
-    if (aTo.empty() || std::find(aTo.begin(), aTo.end(), entry) != aTo.end()) {
-      mSend(connection, aMessage);
-    }
-  }
-}
-
-void
-zone_hub::SendToFleets(const wire::message& aMessage, bool aOwnZone) const
+zone_hub::SendToEach(const wire::message& aMessage,
+                     const std::function<bool(const hub_peer&)>& aWanted) const
 {
   std::map<std::pair<host_name, boot_id>, wire::connection_id> newest;
   for (const auto& [connection, peer] : mPeers) {
-    if (peer.mSender.mRole == wire::process_role::kFleet &&
-        (peer.mSender.mZone == mZone) == aOwnZone) {
+    if (aWanted(peer)) {
       newest[{ peer.mSender.mHost, peer.mSender.mBoot }] = connection;
     }
   }
@@ -96,22 +86,30 @@
 }
 
 void
-zone_hub::SendToZoneFleets(const wire::message& aMessage) const
+zone_hub::SendToEntries(const wire::message& aMessage,
+                        const std::vector<view::entry_id>& aTo) const
 {
-  SendToFleets(aMessage, true);
+  SendToEach(aMessage, [&](const hub_peer& aPeer) {
+    return IsZoneEntry(aPeer) &&
+           (aTo.empty() ||
+            std::find(aTo.begin(), aTo.end(), EntryOf(aPeer)) != aTo.end());
+  });
 }
 
 void
-zone_hub::SendToOtherZones(const wire::message& aMessage) const
+zone_hub::SendToZoneFleets(const wire::message& aMessage) const
 {
-  SendToFleets(aMessage, false);
+  SendToEach(aMessage, [this](const hub_peer& aPeer) {
+    return IsFleet(aPeer) && aPeer.mSender.mZone == mZone;
+  });
 }
 
 void
-zone_hub::Send(wire::connection_id aConnection,
-               const wire::message& aMessage) const
+zone_hub::SendToOtherZones(const wire::message& aMessage) const
 {
-  mSend(aConnection, aMessage);
+  SendToEach(aMessage, [this](const hub_peer& aPeer) {
+    return IsFleet(aPeer) && aPeer.mSender.mZone != mZone;
+  });
 }
 
 std::set<view::entry_id>
--- a/mangospan/fleetd/zone_hub.h
+++ b/mangospan/fleetd/zone_hub.h
@@ -57,9 +57,6 @@
   // To the fleet processes of other zones that are connected.
   void SendToOtherZones(const wire::message& aMessage) const;
 
-  void Send(wire::connection_id aConnection,
-            const wire::message& aMessage) const;
-
   // The connected entries of the zone.
   std::set<view::entry_id> Entries() const;
 
@@ -70,7 +67,8 @@
 
 private:
   bool IsZoneEntry(const hub_peer& aPeer) const;
-  void SendToFleets(const wire::message& aMessage, bool aOwnZone) const;
+  void SendToEach(const wire::message& aMessage,
+                  const std::function<bool(const hub_peer&)>& aWanted) const;
 
   zone_name mZone;
   send_function mSend;
