--- /dev/null
+++ b/mangospan/jobs/codec.cc
@@ -0,0 +1,286 @@
+#include "mangospan/jobs/codec.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace mangospan::jobs {
+
+using nlohmann::json;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+error
+Malformed(const char* aStep, const std::string& aMessage)
+{
+  return error{ error_code::kInvalidArgument, aStep, "", aMessage };
+}
+
+std::int64_t
+ToMilliseconds(wall_time aTime)
+{
+  return duration_cast<milliseconds>(aTime.time_since_epoch()).count();
+}
+
+wall_time
+FromMilliseconds(std::int64_t aValue)
+{
+  return wall_time(milliseconds(aValue));
+}
+
+json
+StepToJson(const step_spec& aStep)
+{
+  json out{ { "tasks", aStep.mTasks },
+            { "cpu", aStep.mNeed.mCpu },
+            { "memory_mb", aStep.mNeed.mMemoryMb },
+            { "estimate_ms", aStep.mEstimate.count() } };
+  const auto put = [&out](const char* aKey, const auto& aValue) {
+    if (aValue != std::decay_t<decltype(aValue)>{}) {
+      out[aKey] = aValue;
+    }
+  };
+  put("gpus", aStep.mNeed.mGpus);
+  put("after", aStep.mAfter);
+  put("checkpoints", aStep.mCheckpoints);
+  put("gang", aStep.mGang);
+  put("colocate", aStep.mColocate);
+  put("label", aStep.mLabel);
+  put("data_rack", aStep.mDataRack.Str());
+  put("max_per_runner", aStep.mMaxPerRunner);
+  put("speculative", aStep.mSpeculative);
+  put("lasting", aStep.mLasting);
+  put("image", aStep.mImage);
+  put("target_latency_ms", aStep.mTargetLatency.count());
+  put("filler", aStep.mFiller);
+  put("max_away", aStep.mMaxAway);
+  return out;
+}
+
+step_spec
+StepFromJson(const json& aValue)
+{
+  step_spec out;
+  out.mTasks = aValue.at("tasks").get<std::size_t>();
+  out.mNeed.mCpu = aValue.at("cpu").get<std::int64_t>();
+  out.mNeed.mMemoryMb = aValue.at("memory_mb").get<std::int64_t>();
+  out.mNeed.mGpus = aValue.value("gpus", std::int64_t{ 0 });
+  out.mEstimate =
+    milliseconds(aValue.value("estimate_ms", std::int64_t{ 0 }));
+  out.mAfter = aValue.value("after", std::vector<std::size_t>{});
+  out.mCheckpoints = aValue.value("checkpoints", false);
+  out.mGang = aValue.value("gang", false);
+  out.mColocate = aValue.value("colocate", false);
+  out.mLabel = aValue.value("label", std::string());
+  out.mDataRack = rack_name{ aValue.value("data_rack", std::string()) };
+  out.mMaxPerRunner = aValue.value("max_per_runner", std::size_t{ 0 });
+  out.mSpeculative = aValue.value("speculative", false);
+  out.mLasting = aValue.value("lasting", false);
+  out.mImage = aValue.value("image", std::string());
+  out.mTargetLatency =
+    milliseconds(aValue.value("target_latency_ms", std::int64_t{ 0 }));
+  out.mFiller = aValue.value("filler", false);
+  out.mMaxAway = aValue.value("max_away", std::size_t{ 0 });
+  return out;
+}
+
+json
+SpecToJson(const job_spec& aSpec)
+{
+  json steps = json::array();
+  for (const step_spec& each : aSpec.mSteps) {
+    steps.push_back(StepToJson(each));
+  }
+  json out{ { "queue", aSpec.mQueue.Str() },
+            { "payload", aSpec.mPayload },
+            { "steps", std::move(steps) } };
+  if (aSpec.mRepetitions > 0) {
+    out["repetitions"] = aSpec.mRepetitions;
+    out["first_due_ms"] = ToMilliseconds(aSpec.mFirstDue);
+    out["interval_ms"] = aSpec.mInterval.count();
+  }
+  return out;
+}
+
+job_spec
+SpecFromJson(const json& aValue)
+{
+  job_spec out;
+  out.mQueue = queue_name{ aValue.at("queue").get<std::string>() };
+  out.mPayload = aValue.value("payload", std::string());
+  for (const json& each : aValue.at("steps")) {
+    out.mSteps.push_back(StepFromJson(each));
+  }
+  out.mRepetitions = aValue.value("repetitions", std::size_t{ 0 });
+  out.mFirstDue =
+    FromMilliseconds(aValue.value("first_due_ms", std::int64_t{ 0 }));
+  out.mInterval =
+    milliseconds(aValue.value("interval_ms", std::int64_t{ 0 }));
+  return out;
+}
+
+// One character a task: '1' is done.
+json
+DoneToJson(const job& aJob)
+{
+  json occurrences = json::array();
+  for (const occurrence& each : aJob.mOccurrences) {
+    json steps = json::array();
+    for (const step& one : each.mSteps) {
+      std::string done;
+      for (const task& oneTask : one.mTasks) {
+        done += oneTask.mDone ? '1' : '0';
+      }
+      steps.push_back(std::move(done));
+    }
+    occurrences.push_back(std::move(steps));
+  }
+  return occurrences;
+}
+
+// `Job` is `job` or `const job`.
+template<typename Job, typename Visit>
+void
+ForEachTask(Job& aJob, Visit aVisit)
+{
+  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
+    auto& steps = aJob.mOccurrences[k].mSteps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      for (std::size_t i = 0; i < steps[s].mTasks.size(); ++i) {
+        aVisit(task_id{ aJob.mName, k, s, i }, steps[s], steps[s].mTasks[i]);
+      }
+    }
+  }
+}
+
+void
+DoneFromJson(const json& aDone, job& aJob)
+{
+  ForEachTask(aJob, [&aDone](const task_id& aId, step& aStep, task& aTask) {
+    const auto& text =
+      aDone.at(aId.mOccurrence).at(aId.mStep).get_ref<const std::string&>();
+    if (aId.mIndex < text.size() && text[aId.mIndex] == '1') {
+      aTask.mDone = true;
+      ++aStep.mDone;
+    }
+  });
+}
+
+json
+DetailsToJson(const job& aJob)
+{
+  json failures = json::object();
+  json checkpoints = json::object();
+  ForEachTask(
+    aJob,
+    [&](const task_id& aId, const step& /*aStep*/, const task& aTask) {
+      if (aTask.mFailures > 0 && !aTask.mDone) {
+        failures[aId.Text()] = aTask.mFailures;
+      }
+      if (!aTask.mCheckpoint.empty() && !aTask.mDone) {
+        checkpoints[aId.Text()] = aTask.mCheckpoint;
+      }
+    });
+  return json{ { "failures", std::move(failures) },
+               { "checkpoints", std::move(checkpoints) } };
+}
+
+void
+DetailsFromJson(const json& aValue, job& aJob)
+{
+  for (const auto& [text, failures] : aValue.at("failures").items()) {
+    const auto id = ParseTaskId(text);
+    task* const found = id ? aJob.Find(*id) : nullptr;
+    if (found != nullptr) {
+      found->mFailures = failures.get<std::size_t>();
+    }
+  }
+  for (const auto& [text, checkpoint] : aValue.at("checkpoints").items()) {
+    const auto id = ParseTaskId(text);
+    task* const found = id ? aJob.Find(*id) : nullptr;
+    if (found != nullptr) {
+      found->mCheckpoint = checkpoint.get<std::string>();
+    }
+  }
+}
+
+job
+RecordFromJson(const job_name& aName, const json& aValue)
+{
+  const auto state = ParseJobState(aValue.at("state").get<std::string>());
+  if (!state) {
+    throw std::invalid_argument("unknown state");
+  }
+  if (IsFinal(*state)) {
+    job out;
+    out.mName = aName;
+    out.mSpec.mQueue = queue_name{ aValue.at("queue").get<std::string>() };
+    out.mState = *state;
+    out.mEndedAt = FromMilliseconds(aValue.at("ended_ms").get<std::int64_t>());
+    return out;
+  }
+  job out = MakeJob(aName, SpecFromJson(aValue.at("spec")));
+  out.mState = *state;
+  out.mAcceptedAt =
+    FromMilliseconds(aValue.at("accepted_ms").get<std::int64_t>());
+  DoneFromJson(aValue.at("done"), out);
+  DetailsFromJson(aValue, out);
+  return out;
+}
+
+} // namespace
+
+std::string
+EncodeSpec(const job_spec& aSpec)
+{
+  return SpecToJson(aSpec).dump(
+    -1, ' ', false, json::error_handler_t::replace);
+}
+
+result<job_spec>
+DecodeSpec(std::string_view aText)
+{
+  try {
+    job_spec spec = SpecFromJson(json::parse(aText));
+    const std::string flaw = FindFlaw(spec);
+    if (!flaw.empty()) {
+      return Malformed("job.spec", flaw);
+    }
+    return spec;
+  } catch (const std::exception& failure) {
+    return Malformed("job.spec", failure.what());
+  }
+}
+
+std::string
+EncodeRecord(const job& aJob)
+{
+  json out{ { "state", Name(aJob.mState) } };
+  if (IsFinal(aJob.mState)) {
+    out["queue"] = aJob.mSpec.mQueue.Str();
+    out["ended_ms"] = ToMilliseconds(aJob.mEndedAt);
+  } else {
+    out["spec"] = SpecToJson(aJob.mSpec);
+    out["accepted_ms"] = ToMilliseconds(aJob.mAcceptedAt);
+    out["done"] = DoneToJson(aJob);
+    out.update(DetailsToJson(aJob));
+  }
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+result<job>
+DecodeRecord(const job_name& aName, std::string_view aText)
+{
+  try {
+    return RecordFromJson(aName, json::parse(aText));
+  } catch (const std::exception& failure) {
+    return error{ error_code::kInvalidArgument,
+                  "job.record",
+                  aName.Str(),
+                  failure.what() };
+  }
+}
+
+} // namespace mangospan::jobs
--- /dev/null
+++ b/mangospan/jobs/runner.cc
@@ -0,0 +1,101 @@
+#include "mangospan/jobs/runner.h"
+
+#include <algorithm>
+
+namespace mangospan::jobs {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// A runner's clock may be this much slower than ours.
+constexpr double kSlowestClock = 0.98;
+// Covers rounding to whole milliseconds and late timers.
+constexpr milliseconds kLeaseSlack{ 100 };
+
+} // namespace
+
+runner::runner(runner_info aInfo)
+  : mInfo(std::move(aInfo))
+{
+}
+
+runner_time
+runner::ClockAt(time_point aNow) const
+{
+  return mClock + duration_cast<milliseconds>(aNow - mClockAt);
+}
+
+void
+runner::OnClock(runner_time aClock, time_point aNow)
+{
+  mClock = aClock;
+  mClockAt = aNow;
+}
+
+void
+runner::ExtendLease(runner_time aUntil, time_point aNow)
+{
+  const auto left =
+    duration_cast<milliseconds>(aUntil - mClock).count() / kSlowestClock;
+  const time_point dead = mClockAt +
+                          milliseconds(static_cast<std::int64_t>(left)) +
+                          kLeaseSlack;
+  mDeadAt = std::max({ mDeadAt, dead, aNow });
+}
+
+resources
+runner::Room() const
+{
+  resources room = mInfo.mCapacity;
+  room -= mUsed;
+  return room;
+}
+
+std::size_t
+runner::CountOf(const job_name& aJob,
+                std::size_t aOccurrence,
+                std::size_t aStep) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mRuns.begin(), mRuns.end(), [&](const auto& aEntry) {
+      const task_id& task = aEntry.second.mTask;
+      return task.mJob == aJob && task.mOccurrence == aOccurrence &&
+             task.mStep == aStep;
+    }));
+}
+
+bool
+runner::HasLabel(const std::string& aLabel) const
+{
+  const auto& labels = mInfo.mLabels;
+  return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
+run&
+runner::Add(run aRun)
+{
+  const run_key key{ aRun.mTask.Text(), aRun.mNumber };
+  mUsed += aRun.mClaim;
+  return mRuns.insert_or_assign(key, std::move(aRun)).first->second;
+}
+
+void
+runner::Remove(const run_key& aKey)
+{
+  const auto found = mRuns.find(aKey);
+  if (found != mRuns.end()) {
+    mUsed -= found->second.mClaim;
+    mRuns.erase(found);
+  }
+}
+
+run*
+runner::Find(const run_key& aKey)
+{
+  const auto found = mRuns.find(aKey);
+  return found == mRuns.end() ? nullptr : &found->second;
+}
+
+} // namespace mangospan::jobs
--- /dev/null
+++ b/mangospan/jobs/scheduler.cc
@@ -0,0 +1,343 @@
+#include "mangospan/jobs/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mangospan/base/log.h"
+
+namespace mangospan::jobs {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+// Run numbers of one term; no task is started this often within one.
+constexpr std::uint32_t kRunsPerTerm = 1'000;
+constexpr milliseconds kMaxRetryAfter{ 8'000 };
+
+// Tasks of the step that are not at work.
+std::size_t
+CountAway(const job& aJob, const task_id& aTask)
+{
+  const auto& tasks =
+    aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep].mTasks;
+  return static_cast<std::size_t>(
+    std::count_if(tasks.begin(), tasks.end(), [](const task& aEach) {
+      return !aEach.mAtWork;
+    }));
+}
+
+} // namespace
+
+scheduler::scheduler(scheduler_settings aSettings, ownership aOwnership)
+  : mSettings(aSettings)
+  , mOwnership(aOwnership)
+  , mRunBase(static_cast<std::uint32_t>(
+      (std::max<std::uint64_t>(aOwnership.mTerm, 1) - 1) * kRunsPerTerm))
+{
+}
+
+void
+scheduler::Load(std::vector<job> aJobs, time_point aNow)
+{
+  for (job& each : aJobs) {
+    each.mInherited = true;
+    each.mAccepted = aNow;
+    each.mStoredVersion = each.mVersion;
+    each.mDueBy = aNow;
+    if (!IsFinal(each.mState)) {
+      mActive.insert(each.mName);
+    }
+    const job_name jobName = each.mName;
+    mJobs.insert_or_assign(jobName, std::move(each));
+  }
+}
+
+void
+scheduler::SetCatalog(catalog aCatalog)
+{
+  mCatalog = std::move(aCatalog);
+}
+
+void
+scheduler::OnRunner(const runner_info& aInfo, time_point aNow)
+{
+  const auto found = mRunners.find(aInfo.mName);
+  if (found == mRunners.end()) {
+    LogEvent(log_level::kInfo,
+             "runner.listed",
+             { { "runner", aInfo.mName.Str() },
+               { "service", aInfo.mService.Str() },
+               { "address", aInfo.mAddress },
+               { "zone", aInfo.mZone.Str() } });
+    runner made(aInfo);
+    made.mClosed = mClosed.count(aInfo.mName) > 0;
+    mRunners.emplace(aInfo.mName, std::move(made));
+    return;
+  }
+  runner& known = found->second;
+  if (known.mInfo.mBoot != 0 && aInfo.mBoot > known.mInfo.mBoot) {
+    LogEvent(log_level::kInfo,
+             "runner.rebooted",
+             { { "runner", aInfo.mName.Str() } });
+    ReleaseAll(known, aNow);
+    known = runner(aInfo);
+    known.mClosed = mClosed.count(aInfo.mName) > 0;
+    return;
+  }
+  if (known.mInfo.mDraining != aInfo.mDraining) {
+    LogEvent(log_level::kInfo,
+             "runner.draining",
+             { { "runner", aInfo.mName.Str() },
+               { "draining", aInfo.mDraining } });
+  }
+  known.mInfo = aInfo;
+  known.mListed = true;
+}
+
+void
+scheduler::OnRunnerUnlisted(const runner_name& aRunner, time_point aNow)
+{
+  const auto found = mRunners.find(aRunner);
+  if (found == mRunners.end() || !found->second.mListed) {
+    return;
+  }
+  LogEvent(
+    log_level::kInfo,
+    "runner.unlisted",
+    { { "runner", aRunner.Str() },
+      { "runs", static_cast<std::uint64_t>(found->second.Runs().size()) } });
+  found->second.mListed = false;
+  found->second.SetDeadAt(std::max(found->second.DeadAt(), aNow));
+}
+
+void
+scheduler::OnRunnerDead(const runner_name& aRunner, time_point aNow)
+{
+  const auto found = mRunners.find(aRunner);
+  if (found == mRunners.end()) {
+    return;
+  }
+  ReleaseAll(found->second, aNow);
+  mRunners.erase(found);
+}
+
+submit_answer
+scheduler::Submit(const job_name& aJob,
+                  const job_spec& aSpec,
+                  time_point aNow,
+                  wall_time aWall)
+{
+  const auto found = mJobs.find(aJob);
+  if (found != mJobs.end()) {
+    const bool isStored = found->second.mStoredVersion > 0;
+    return { isStored ? submit_outcome::kStored : submit_outcome::kPending,
+             milliseconds(0) };
+  }
+  const queue_policy* const queue = mCatalog.FindQueue(aSpec.mQueue);
+  if (queue == nullptr) {
+    return { submit_outcome::kRefused, kMaxRetryAfter };
+  }
+  job made = MakeJob(aJob, aSpec);
+  made.mAccepted = aNow;
+  made.mAcceptedAt = aWall;
+  made.mDueBy = aNow + queue->Objective(aSpec);
+  mJobs.emplace(aJob, std::move(made));
+  mActive.insert(aJob);
+  mUnstored.insert(aJob);
+  return { submit_outcome::kPending, milliseconds(0) };
+}
+
+bool
+scheduler::Cancel(const job_name& aJob, time_point aNow, wall_time aWall)
+{
+  job* const found = Mutable(aJob);
+  if (found == nullptr) {
+    return false;
+  }
+  if (!IsFinal(found->mState)) {
+    LogEvent(
+      log_level::kInfo,
+      "job.cancelled",
+      { { "job", aJob.Str() },
+        { "age_ms",
+          static_cast<std::int64_t>(
+            duration_cast<milliseconds>(aNow - found->mAccepted).count()) } });
+    Finish(*found, job_state::kCancelled, aWall);
+  }
+  return true;
+}
+
+const job*
+scheduler::Find(const job_name& aJob) const
+{
+  const auto found = mJobs.find(aJob);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+job*
+scheduler::Mutable(const job_name& aJob)
+{
+  const auto found = mJobs.find(aJob);
+  return found == mJobs.end() ? nullptr : &found->second;
+}
+
+std::size_t
+scheduler::Waiting(const queue_name& aQueue) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mActive.begin(), mActive.end(), [&](const job_name& aJob) {
+      const job& each = mJobs.at(aJob);
+      return each.mSpec.mQueue == aQueue && each.mState == job_state::kQueued;
+    }));
+}
+
+std::vector<job_name>
+scheduler::Unstored(std::size_t aMost, bool aUrgentOnly) const
+{
+  std::vector<job_name> urgent;
+  std::vector<job_name> others;
+  for (const job_name& each : mUnstored) {
+    const job& one = mJobs.at(each);
+    const bool isUrgent = one.mStoredVersion == 0 || IsFinal(one.mState);
+    (isUrgent ? urgent : others).push_back(each);
+  }
+  if (!aUrgentOnly || !urgent.empty()) {
+    // A write that is due anyway takes the others along.
+    urgent.insert(urgent.end(), others.begin(), others.end());
+  }
+  urgent.resize(std::min(urgent.size(), aMost));
+  return urgent;
+}
+
+void
+scheduler::OnStored(const std::vector<stored_job>& aStored)
+{
+  for (const stored_job& each : aStored) {
+    job* const found = Mutable(each.mJob);
+    if (found == nullptr) {
+      continue;
+    }
+    found->mStoredVersion = std::max(found->mStoredVersion, each.mVersion);
+    found->mRevision = each.mRevision;
+    if (found->IsStored()) {
+      mUnstored.erase(each.mJob);
+    }
+  }
+  for (auto& [runnerName, each] : mRunners) {
+    Acknowledge(each);
+  }
+}
+
+std::vector<job_name>
+scheduler::TakeExpired(wall_time aWall, std::size_t aMost)
+{
+  std::vector<job_name> expired;
+  for (const auto& [jobName, each] : mJobs) {
+    if (expired.size() == aMost) {
+      break;
+    }
+    if (IsFinal(each.mState) && each.IsStored() &&
+        aWall - each.mEndedAt > mSettings.mKeepEnded) {
+      expired.push_back(jobName);
+    }
+  }
+  for (const job_name& each : expired) {
+    mJobs.erase(each);
+    mRunnersOfJob.erase(each);
+  }
+  return expired;
+}
+
+void
+scheduler::SetClosed(const std::set<runner_name>& aRunners)
+{
+  mClosed = aRunners;
+  for (auto& [runnerName, each] : mRunners) {
+    each.mClosed = aRunners.count(runnerName) > 0;
+  }
+}
+
+void
+scheduler::Evict(const runner_name& aRunner, time_point aNow)
+{
+  const auto at = mRunners.find(aRunner);
+  if (at == mRunners.end()) {
+    return;
+  }
+  for (auto& [key, live] : at->second.Runs()) {
+    job* const owner = Mutable(live.mTask.mJob);
+    if (!live.mLasting || live.mStopWanted || owner == nullptr) {
+      continue;
+    }
+    const std::size_t away = CountAway(*owner, live.mTask);
+    const std::size_t allowed = owner->mSpec.mSteps[live.mTask.mStep].mMaxAway;
+    if (allowed > 0 && away >= allowed) {
+      continue;
+    }
+    LogEvent(log_level::kInfo,
+             "task.evicted",
+             { { "task", key.first },
+               { "runner", aRunner.Str() },
+               { "away", static_cast<std::uint64_t>(away) } });
+    live.mStopWanted = true;
+    live.mSince = aNow;
+    if (task* const one = owner->Find(live.mTask)) {
+      one->mAtWork = false;
+    }
+  }
+}
+
+void
+scheduler::Touch(job& aJob)
+{
+  ++aJob.mVersion;
+  mUnstored.insert(aJob.mName);
+}
+
+void
+scheduler::Finish(job& aJob, job_state aState, wall_time aWall)
+{
+  aJob.mState = aState;
+  aJob.mEndedAt = aWall;
+  mActive.erase(aJob.mName);
+  Touch(aJob);
+  StopRuns(aJob.mName);
+}
+
+void
+scheduler::StopRuns(const job_name& aJob)
+{
+  const auto found = mRunnersOfJob.find(aJob);
+  if (found == mRunnersOfJob.end()) {
+    return;
+  }
+  for (const runner_name& each : found->second) {
+    const auto one = mRunners.find(each);
+    if (one == mRunners.end()) {
+      continue;
+    }
+    for (auto& [key, live] : one->second.Runs()) {
+      if (live.mTask.mJob == aJob) {
+        live.mStopWanted = true;
+      }
+    }
+  }
+}
+
+void
+scheduler::Acknowledge(runner& aRunner)
+{
+  while (!aRunner.mUnstored.empty()) {
+    const seen_end& oldest = aRunner.mUnstored.front();
+    const job* const owner = Find(oldest.mJob);
+    if (owner != nullptr && owner->mStoredVersion < oldest.mVersion) {
+      return;
+    }
+    aRunner.mAckedEnds = oldest.mNumber;
+    aRunner.mUnstored.pop_front();
+  }
+}
+
+} // namespace mangospan::jobs
--- /dev/null
+++ b/mangospan/jobs/spec.cc
@@ -0,0 +1,156 @@
+#include "mangospan/jobs/spec.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace mangospan::jobs {
+
+namespace {
+
+constexpr std::size_t kMaxTasksPerStep = 10'000;
+constexpr std::size_t kMaxSteps = 1'000;
+
+bool
+StartsWith(std::string_view aText, std::string_view aPrefix)
+{
+  return aText.substr(0, aPrefix.size()) == aPrefix;
+}
+
+std::string
+FindFlawInStep(const job_spec& aSpec, std::size_t aIndex)
+{
+  const step_spec& step = aSpec.mSteps[aIndex];
+  const std::string where = "step " + std::to_string(aIndex) + ": ";
+  if (step.mTasks == 0 || step.mTasks > kMaxTasksPerStep) {
+    return where + "the number of tasks is not from 1 to " +
+           std::to_string(kMaxTasksPerStep);
+  }
+  if (step.mNeed.mCpu < 0 || step.mNeed.mMemoryMb < 0 || step.mNeed.mGpus < 0) {
+    return where + "a need is negative";
+  }
+  const bool isOrdered =
+    std::all_of(step.mAfter.begin(),
+                step.mAfter.end(),
+                [aIndex](std::size_t aBefore) { return aBefore < aIndex; });
+  return isOrdered ? std::string() : where + "comes after a later step";
+}
+
+} // namespace
+
+bool
+resources::FitsIn(const resources& aRoom) const
+{
+  return mCpu <= aRoom.mCpu && mMemoryMb <= aRoom.mMemoryMb &&
+         mGpus <= aRoom.mGpus;
+}
+
+resources&
+resources::operator+=(const resources& aOther)
+{
+  mCpu += aOther.mCpu;
+  mMemoryMb += aOther.mMemoryMb;
+  mGpus += aOther.mGpus;
+  return *this;
+}
+
+resources&
+resources::operator-=(const resources& aOther)
+{
+  mCpu -= aOther.mCpu;
+  mMemoryMb -= aOther.mMemoryMb;
+  mGpus -= aOther.mGpus;
+  return *this;
+}
+
+resources
+step_spec::Claim() const
+{
+  resources claim = mNeed;
+  if (mFiller) {
+    claim.mCpu = 0;
+  }
+  return claim;
+}
+
+std::size_t
+job_spec::Occurrences() const
+{
+  return std::max<std::size_t>(mRepetitions, 1);
+}
+
+wall_time
+job_spec::DueAt(std::size_t aOccurrence) const
+{
+  return mFirstDue + mInterval * static_cast<std::int64_t>(aOccurrence);
+}
+
+bool
+job_spec::HasLastingStep() const
+{
+  return std::any_of(mSteps.begin(), mSteps.end(), [](const step_spec& aStep) {
+    return aStep.mLasting;
+  });
+}
+
+std::string
+FindFlaw(const job_spec& aSpec)
+{
+  if (aSpec.mSteps.empty() || aSpec.mSteps.size() > kMaxSteps) {
+    return "a job has from 1 to " + std::to_string(kMaxSteps) + " steps";
+  }
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    const std::string flaw = FindFlawInStep(aSpec, i);
+    if (!flaw.empty()) {
+      return flaw;
+    }
+  }
+  return {};
+}
+
+std::chrono::milliseconds
+LongestChain(const std::vector<step_spec>& aSteps)
+{
+  std::vector<std::chrono::milliseconds> ends(aSteps.size());
+  std::chrono::milliseconds longest{ 0 };
+  for (std::size_t i = 0; i < aSteps.size(); ++i) {
+    std::chrono::milliseconds begin{ 0 };
+    for (const std::size_t before : aSteps[i].mAfter) {
+      begin = std::max(begin, ends[before]);
+    }
+    ends[i] = begin + aSteps[i].mEstimate;
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+std::chrono::milliseconds
+queue_policy::Objective(const job_spec& aSpec) const
+{
+  const auto chain = LongestChain(aSpec.mSteps).count();
+  return mTargetLatency + std::chrono::milliseconds(static_cast<std::int64_t>(
+                            mStretch * static_cast<double>(chain)));
+}
+
+const queue_policy*
+catalog::FindQueue(std::string_view aHost, std::string_view aPath) const
+{
+  const queue_policy* best = nullptr;
+  for (const auto& [queueName, queue] : mQueues) {
+    if (queue.mHost != aHost || !StartsWith(aPath, queue.mPrefix)) {
+      continue;
+    }
+    if (best == nullptr || queue.mPrefix.size() > best->mPrefix.size()) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+const queue_policy*
+catalog::FindQueue(const queue_name& aName) const
+{
+  const auto found = mQueues.find(aName);
+  return found == mQueues.end() ? nullptr : &found->second;
+}
+
+} // namespace mangospan::jobs
--- /dev/null
+++ b/mangospan/node/election.cc
@@ -0,0 +1,367 @@
+#include "mangospan/node/election.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "mangospan/base/identity.h"
+#include "mangospan/base/log.h"
+
+namespace mangospan::node {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr const char* kPrefix = "mangospan/own/";
+constexpr const char* kLeaseKey = "mangospan/own/lease";
+constexpr const char* kTermKey = "mangospan/own/term";
+
+std::string
+Encode(const owner_record& aRecord)
+{
+  return json{ { "term", aRecord.mTerm },
+               { "node", aRecord.mNode },
+               { "address", aRecord.mAddress } }
+    .dump();
+}
+
+std::optional<owner_record>
+Decode(const platform::record& aRecord)
+{
+  const json body = json::parse(aRecord.mValue, nullptr, false);
+  if (!body.is_object() || !body.contains("term")) {
+    return std::nullopt;
+  }
+  return owner_record{ body.value("term", std::uint64_t{ 0 }),
+                       body.value("node", std::string()),
+                       body.value("address", std::string()),
+                       aRecord.mRevision };
+}
+
+} // namespace
+
+election::election(boost::asio::io_context& aIo,
+                   const clock_source& aClock,
+                   platform::transactional_store& aStore,
+                   std::string aNode,
+                   std::string aAddress,
+                   election_settings aSettings,
+                   election_handlers aHandlers)
+  : mTryTimer(aIo)
+  , mRenewTimer(aIo)
+  , mClock(aClock)
+  , mStore(aStore)
+  , mNode(std::move(aNode))
+  , mAddress(std::move(aAddress))
+  , mSettings(aSettings)
+  , mHandlers(std::move(aHandlers))
+  , mRandom(static_cast<std::minstd_rand::result_type>(DrawBootId().mValue))
+  , mIo(aIo)
+{
+}
+
+std::string
+election::TermKey()
+{
+  return kTermKey;
+}
+
+void
+election::Start()
+{
+  mirror_settings settings;
+  mMirror = std::make_shared<mirror>(
+    mIo,
+    mClock,
+    mStore,
+    kPrefix,
+    settings,
+    mirror_handlers{
+      [weak = weak_from_this()](const platform::record& aRecord) {
+        if (const auto self = weak.lock()) {
+          self->OnRecord(aRecord);
+        }
+      },
+      [weak = weak_from_this()](const std::string& aKey) {
+        if (const auto self = weak.lock()) {
+          self->OnDeleted(aKey);
+        }
+      },
+      [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          self->OnSynced();
+        }
+      } });
+  mMirror->Start();
+}
+
+bool
+election::IsValid() const
+{
+  return mIsOwner &&
+         mClock.Now() < mRenewedAt + mSettings.mTtl - mSettings.mMargin;
+}
+
+std::optional<owner_record>
+election::Owner() const
+{
+  if (mLeaseHolder.empty() || mTerm.mTerm == 0) {
+    return std::nullopt;
+  }
+  return mTerm;
+}
+
+void
+election::OnRecord(const platform::record& aRecord)
+{
+  const auto record = Decode(aRecord);
+  if (!record) {
+    LogEvent(log_level::kWarning,
+             "election.malformed_record",
+             { { "key", aRecord.mKey } });
+    return;
+  }
+  if (aRecord.mRevision < mTerm.mRevision) {
+    return; // older than the own claim, which the watch has yet to report
+  }
+  if (aRecord.mKey == kTermKey) {
+    if (record->mTerm != mTerm.mTerm) {
+      LogEvent(log_level::kInfo,
+               "owner.changed",
+               { { "term", record->mTerm },
+                 { "node", record->mNode },
+                 { "revision", record->mRevision } });
+    }
+    mTerm = *record;
+  } else if (aRecord.mKey == kLeaseKey) {
+    mLeaseHolder = aRecord.mValue;
+  }
+  if (mIsOwner && mTerm.mNode + mTerm.mAddress != mNode + mAddress) {
+    Lose("superseded");
+  }
+}
+
+void
+election::OnDeleted(const std::string& aKey)
+{
+  if (aKey != kLeaseKey) {
+    return;
+  }
+  mLeaseHolder.clear();
+  if (mIsOwner) {
+    Lose("lease_gone");
+  }
+  ScheduleTry();
+}
+
+void
+election::OnSynced()
+{
+  if (mLeaseHolder.empty()) {
+    ScheduleTry();
+  }
+}
+
+void
+election::ScheduleTry()
+{
+  if (mIsRetired || mIsTrying || mIsOwner) {
+    return;
+  }
+  mIsTrying = true;
+  const bool wasOwner =
+    mTerm.mTerm > 0 && mTerm.mNode == mNode && mTerm.mAddress == mAddress;
+  const auto patience = mSettings.mPatience.count();
+  std::uniform_int_distribution<std::int64_t> jitter(patience, 2 * patience);
+  mTryTimer.expires_after(
+    milliseconds(wasOwner || mTerm.mTerm == 0 ? 0 : jitter(mRandom)));
+  mTryTimer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aAbort) {
+      if (!aAbort) {
+        self->Try();
+      }
+    });
+}
+
+void
+election::Try()
+{
+  if (mIsRetired || mIsOwner || !mLeaseHolder.empty()) {
+    mIsTrying = false;
+    return;
+  }
+  mStore.GrantLease(
+    mSettings.mTtl,
+    mSettings.mCallTimeout,
+    [self = shared_from_this()](result<platform::lease_id> aResult) {
+      if (aResult.has_error()) {
+        self->mIsTrying = false;
+        LogError("election.no_lease", aResult.assume_error());
+        self->ScheduleTry();
+        return;
+      }
+      self->Claim(aResult.assume_value());
+    });
+}
+
+void
+election::Claim(platform::lease_id aLease)
+{
+  const owner_record claim{ mTerm.mTerm + 1, mNode, mAddress, 0 };
+  platform::transaction change;
+  change.mExpected = { { kLeaseKey, 0 }, { kTermKey, mTerm.mRevision } };
+  change.mWrites = { { kLeaseKey, 0, Encode(claim), aLease },
+                     { kTermKey, 0, Encode(claim), std::nullopt } };
+  const time_point sentAt = mClock.Now();
+  mStore.Commit(std::move(change),
+                mSettings.mCallTimeout,
+                [self = shared_from_this(), claim, aLease, sentAt](
+                  result<platform::commit_outcome> aResult) {
+                  self->OnClaimed(claim, aLease, sentAt, aResult);
+                });
+}
+
+void
+election::OnClaimed(const owner_record& aClaim,
+                    platform::lease_id aLease,
+                    time_point aSentAt,
+                    const result<platform::commit_outcome>& aResult)
+{
+  mIsTrying = false;
+  if (aResult.has_error() || !aResult.assume_value().mCommitted) {
+    // An unknown result shows in the mirror as a lease that nobody renews; it
+    // lapses, and everybody tries again.
+    if (aResult.has_error()) {
+      LogError("election.claim_failed", aResult.assume_error());
+    }
+    mLease = aLease;
+    EndLease();
+    mTryTimer.expires_after(mSettings.mPatience);
+    mTryTimer.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& aAbort) {
+        if (!aAbort && self->mLeaseHolder.empty()) {
+          self->ScheduleTry();
+        }
+      });
+    return;
+  }
+  mTerm = aClaim;
+  mTerm.mRevision = aResult.assume_value().mRevision;
+  mLeaseHolder = Encode(aClaim);
+  mLease = aLease;
+  mRenewedAt = aSentAt;
+  mIsOwner = true;
+  LogEvent(log_level::kInfo,
+           "owner.elected",
+           { { "term", mTerm.mTerm },
+             { "node", mNode },
+             { "revision", mTerm.mRevision } });
+  if (mIsRetired) {
+    Lose("retired");
+    EndLease();
+    return;
+  }
+  ScheduleRenewal();
+  mHandlers.mOnElected(mTerm);
+}
+
+void
+election::ScheduleRenewal()
+{
+  mRenewTimer.expires_after(mSettings.mRenewal);
+  mRenewTimer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aAbort) {
+      if (!aAbort && self->mIsOwner) {
+        self->Renew();
+      }
+    });
+}
+
+void
+election::Renew()
+{
+  const time_point sentAt = mClock.Now();
+  mStore.RenewLease(
+    *mLease,
+    mSettings.mCallTimeout,
+    [self = shared_from_this(),
+     sentAt](const result<platform::lease_id>& aResult) {
+      if (!self->mIsOwner) {
+        return;
+      }
+      if (aResult.has_value()) {
+        self->mRenewedAt = sentAt;
+      } else if (aResult.assume_error().mCode == error_code::kNotFound) {
+        self->Lose("lease_ended");
+        self->mLeaseHolder.clear();
+        self->ScheduleTry();
+        return;
+      } else {
+        LogError("election.renewal_failed", aResult.assume_error());
+      }
+      self->ScheduleRenewal();
+    });
+}
+
+void
+election::Lose(const char* aReason)
+{
+  if (!mIsOwner) {
+    return;
+  }
+  mIsOwner = false;
+  LogEvent(log_level::kInfo,
+           "owner.lost",
+           { { "term", mTerm.mTerm }, { "reason", aReason } });
+  mRenewTimer.cancel();
+  mHandlers.mOnLost();
+}
+
+void
+election::StepDown()
+{
+  Lose("fenced");
+  EndLease();
+}
+
+void
+election::EndLease()
+{
+  if (mLease) {
+    mStore.RevokeLease(
+      *mLease,
+      mSettings.mCallTimeout,
+      [](const result<platform::lease_id>& aResult) {
+        if (aResult.has_error()) { // it lapses by itself
+          LogError("election.revoke_failed", aResult.assume_error());
+        }
+      });
+    mLease.reset();
+  }
+}
+
+void
+election::Retire(std::function<void()> aDone)
+{
+  mIsRetired = true;
+  mTryTimer.cancel();
+  Lose("retired");
+  if (!mLease) {
+    aDone();
+    return;
+  }
+  mStore.RevokeLease(
+    *mLease,
+    mSettings.mCallTimeout,
+    [done = std::move(aDone)](const result<platform::lease_id>& aResult) {
+      if (aResult.has_error()) {
+        LogError("election.revoke_failed", aResult.assume_error());
+      }
+      done();
+    });
+  mLease.reset();
+}
+
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/fleet_duty.cc
@@ -0,0 +1,322 @@
+#include "mangospan/node/fleet_duty.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "mangospan/base/log.h"
+#include "mangospan/daemon/metrics.h"
+
+namespace mangospan::node {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kBusyListPeriod{ 400 };
+// Beyond the platform's own bound: an old holder may have ordered until its
+// lease was over.
+constexpr milliseconds kHolderSlack{ 1'700 };
+constexpr milliseconds kStatusTimeout{ 1'000 };
+
+const char*
+Name(host_order_outcome aOutcome)
+{
+  switch (aOutcome) {
+    case host_order_outcome::kDone:
+      return "done";
+    case host_order_outcome::kFenced:
+      return "fenced";
+    case host_order_outcome::kBusy:
+      return "busy";
+    case host_order_outcome::kRefused:
+      return "refused";
+    case host_order_outcome::kNotDone:
+      return "not_done";
+    case host_order_outcome::kUnknown:
+      return "unknown";
+  }
+  return "";
+}
+
+std::string
+WaveRecordKey(std::uint64_t aWave)
+{
+  return "mangospan/waves/" + std::to_string(aWave);
+}
+
+} // namespace
+
+fleet_duty::fleet_duty(fleet_dependencies aDependencies,
+                       fleet_settings aSettings,
+                       order_fence aFence,
+                       std::shared_ptr<owner> aOwner,
+                       std::function<bool()> aMayOrder)
+  : mDeps(aDependencies)
+  , mSettings(aSettings)
+  , mFence(std::move(aFence))
+  , mOwner(std::move(aOwner))
+  , mMayOrder(std::move(aMayOrder))
+  , mTimer(aDependencies.mIo)
+  , mPlan(jobs::upkeep_settings{})
+{
+}
+
+void
+fleet_duty::Start()
+{
+  const time_point now = mDeps.mClock.Now();
+  // The first owner of all has no predecessor.
+  mOrdersFrom =
+    mFence.mTerm == 1 ? now : now + mSettings.mHostLease + kHolderSlack;
+  Tick();
+}
+
+void
+fleet_duty::Stop()
+{
+  mIsStopped = true;
+  mTimer.cancel();
+}
+
+void
+fleet_duty::OnWave(const wave_request& aWave)
+{
+  const time_point now = mDeps.mClock.Now();
+  LogEvent(log_level::kInfo,
+           "wave.requested",
+           { { "wave", aWave.mNumber },
+             { "hosts", static_cast<std::uint64_t>(aWave.mHosts.size()) },
+             { "max_down", static_cast<std::uint64_t>(aWave.mMaxDown) },
+             { "complete_by_ms",
+               static_cast<std::int64_t>(aWave.mCompleteBy.count()) } });
+  mPlan.AddWave(
+    aWave.mNumber, aWave.mHosts, now + aWave.mCompleteBy, aWave.mMaxDown);
+  mDeps.mStore.Read(
+    WaveRecordKey(aWave.mNumber),
+    kStatusTimeout,
+    [self = shared_from_this(), number = aWave.mNumber](
+      const result<std::optional<platform::record>>& aResult) {
+      if (self->mIsStopped || aResult.has_error() || !aResult.assume_value()) {
+        return; // repeated upkeep of a host is no harm
+      }
+      const json hosts =
+        json::parse(aResult.assume_value()->mValue, nullptr, false);
+      std::vector<host_name> maintained;
+      for (const json& each : hosts) {
+        if (each.is_string()) {
+          maintained.push_back(host_name{ each.get<std::string>() });
+        }
+      }
+      self->mPlan.AddMaintained(number, maintained);
+    });
+}
+
+void
+fleet_duty::Tick()
+{
+  if (mIsStopped) {
+    return;
+  }
+  if (mDeps.mClock.Now() >= mNextList && !mIsListing && mPlan.IsBusy()) {
+    List();
+  }
+  Act();
+  ReportWaves();
+  mTimer.expires_after(mSettings.mTick);
+  mTimer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aAbort) {
+      if (!aAbort) {
+        self->Tick();
+      }
+    });
+}
+
+void
+fleet_duty::List()
+{
+  mIsListing = true;
+  const time_point sentAt = mDeps.mClock.Now();
+  mNextList = sentAt + kBusyListPeriod;
+  mDeps.mHosts.List([self = shared_from_this(), sentAt](
+                      result<std::vector<host_entry>> aResult) {
+    self->mIsListing = false;
+    if (self->mIsStopped) {
+      return;
+    }
+    if (aResult.has_error()) {
+      LogError("hosts.list_failed", aResult.assume_error());
+      return;
+    }
+    self->mHosts = std::move(aResult).assume_value();
+    self->mListedAt = sentAt;
+  });
+}
+
+std::vector<jobs::host_view>
+fleet_duty::HostViews() const
+{
+  std::vector<jobs::host_view> views;
+  const auto& runners = mOwner->Scheduler().Runners();
+  const auto& services = mOwner->Scheduler().Catalog().mServices;
+  for (const host_entry& each : mHosts) {
+    jobs::host_view view;
+    view.mHost = each.mHost;
+    view.mPool = each.mPool;
+    view.mIsUp = each.mState == host_state::kUp;
+    const auto pool = services.find(each.mPool);
+    view.mIsSpare = pool != services.end() && pool->second.mSpare;
+    const auto found = runners.find(each.mRunner);
+    if (found != runners.end()) {
+      for (const auto& [key, run] : found->second.Runs()) {
+        ++view.mRuns;
+        view.mLasting += run.mLasting ? 1 : 0;
+      }
+    }
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+void
+fleet_duty::Act()
+{
+  if (mHosts.empty() || !mOwner->IsServing()) {
+    return;
+  }
+  const time_point now = mDeps.mClock.Now();
+  if (now < mOrdersFrom || !mMayOrder()) {
+    return;
+  }
+  const jobs::upkeep_decision decision =
+    mPlan.Decide(HostViews(), mListedAt, now);
+  std::set<jobs::runner_name> closed;
+  std::map<host_name, jobs::runner_name> runnerOf;
+  for (const host_entry& each : mHosts) {
+    runnerOf[each.mHost] = each.mRunner;
+  }
+  for (const host_name& each : decision.mClosed) {
+    closed.insert(runnerOf[each]);
+  }
+  mOwner->Scheduler().SetClosed(closed);
+  for (const host_name& each : decision.mEvict) {
+    mOwner->Scheduler().Evict(runnerOf[each], now);
+  }
+  for (const jobs::upkeep_order& each : decision.mOrders) {
+    Maintain(each);
+  }
+  mOwner->Wake();
+}
+
+void
+fleet_duty::Maintain(const jobs::upkeep_order& aOrder)
+{
+  if (!mInFlight.insert(aOrder.mHost).second) {
+    return;
+  }
+  jobs::runner_name runner;
+  for (const host_entry& each : mHosts) {
+    if (each.mHost == aOrder.mHost) {
+      runner = each.mRunner;
+    }
+  }
+  mDeps.mHosts.Maintain(
+    mFence,
+    aOrder.mHost,
+    aOrder.mWave,
+    [self = shared_from_this(), aOrder, runner](host_order_outcome aOutcome) {
+      self->mInFlight.erase(aOrder.mHost);
+      LogEvent(log_level::kInfo,
+               "host.upkeep",
+               { { "host", aOrder.mHost.Str() },
+                 { "wave", aOrder.mWave },
+                 { "outcome", Name(aOutcome) } });
+      if (self->mIsStopped) {
+        return;
+      }
+      const time_point now = self->mDeps.mClock.Now();
+      switch (aOutcome) {
+        case host_order_outcome::kDone:
+          self->mPlan.OnBegun(aOrder, now);
+          self->mOwner->Scheduler().OnRunnerDead(runner, now);
+          self->KeepRecord(aOrder.mWave);
+          break;
+        case host_order_outcome::kRefused:
+          self->mPlan.OnRefused(aOrder);
+          break;
+        case host_order_outcome::kUnknown:
+          self->mPlan.OnUnknown(aOrder, now);
+          break;
+        default:
+          self->mPlan.OnNotDone(aOrder, now);
+          break;
+      }
+      self->mOwner->Wake();
+    });
+}
+
+// Tells a later owner which hosts need no second upkeep.
+void
+fleet_duty::KeepRecord(std::uint64_t aWave)
+{
+  json hosts = json::array();
+  for (const host_name& each : mPlan.Maintained(aWave)) {
+    hosts.push_back(each.Str());
+  }
+  platform::transaction change;
+  change.mExpected.push_back(
+    { election::TermKey(), mOwner->Term().mRevision });
+  change.mWrites.push_back(
+    { WaveRecordKey(aWave), 0, hosts.dump(), std::nullopt });
+  mDeps.mStore.Commit(std::move(change),
+                      kStatusTimeout,
+                      [](const result<platform::commit_outcome>& aResult) {
+                        if (aResult.has_error()) {
+                          LogError("wave.record_failed",
+                                   aResult.assume_error());
+                        }
+                      });
+}
+
+void
+fleet_duty::ReportWaves()
+{
+  if (mIsReporting) {
+    return;
+  }
+  for (const std::uint64_t each : mPlan.Waves()) {
+    const bool isCompleted = mPlan.IsCompleted(each);
+    const auto reported = mReported.find(each);
+    if (reported != mReported.end() && reported->second == isCompleted) {
+      continue;
+    }
+    platform::transaction change;
+    change.mExpected.push_back(
+      { election::TermKey(), mOwner->Term().mRevision });
+    change.mWrites.push_back({ mDeps.mFormat.WaveStatusKey(each),
+                               0,
+                               mDeps.mFormat.EncodeWaveStatus(each, isCompleted),
+                               std::nullopt });
+    mIsReporting = true;
+    mDeps.mStore.Commit(
+      std::move(change),
+      kStatusTimeout,
+      [self = shared_from_this(), each, isCompleted](
+        const result<platform::commit_outcome>& aResult) {
+        self->mIsReporting = false;
+        if (aResult.has_value() && aResult.assume_value().mCommitted) {
+          self->mReported[each] = isCompleted;
+          LogEvent(log_level::kInfo,
+                   "wave.reported",
+                   { { "wave", each }, { "completed", isCompleted } });
+        } else if (aResult.has_error()) {
+          LogError("wave.status_failed", aResult.assume_error());
+        }
+      });
+    return;
+  }
+}
+
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/job_http.cc
@@ -0,0 +1,225 @@
+#include "mangospan/node/job_http.h"
+
+#include <charconv>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "mangospan/base/log.h"
+#include "mangospan/jobs/codec.h"
+
+namespace mangospan::node {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view kJobs = "/mangospan/v1/jobs/";
+constexpr std::string_view kQueues = "/mangospan/v1/queues/";
+constexpr const char* kPatienceHeader = "Mangospan-Patience-Ms";
+// For the way back of an answer that the owner gives at the last moment.
+constexpr milliseconds kTransit{ 50 };
+
+int
+StatusOf(reply_kind aKind)
+{
+  switch (aKind) {
+    case reply_kind::kOk:
+      return 200;
+    case reply_kind::kNoSuchJob:
+      return 410;
+    case reply_kind::kRefused:
+      return 429;
+    case reply_kind::kUnavailable:
+      return 503;
+    case reply_kind::kUnknown:
+      return 504;
+  }
+  return 504;
+}
+
+reply_kind
+KindOf(int aStatus)
+{
+  switch (aStatus) {
+    case 200:
+      return reply_kind::kOk;
+    case 410:
+      return reply_kind::kNoSuchJob;
+    case 429:
+      return reply_kind::kRefused;
+    case 503:
+      return reply_kind::kUnavailable;
+    default:
+      return reply_kind::kUnknown;
+  }
+}
+
+http::response
+Encode(const job_reply& aReply)
+{
+  return http::JsonResponse(
+    StatusOf(aReply.mKind),
+    json{ { "state", jobs::Name(aReply.mState) },
+          { "waiting", aReply.mWaiting },
+          { "retry_after_ms", aReply.mRetryAfter.count() } }
+      .dump());
+}
+
+job_reply
+Decode(const http::response& aResponse)
+{
+  job_reply out;
+  out.mKind = KindOf(aResponse.mStatus);
+  const json body = json::parse(aResponse.mBody, nullptr, false);
+  if (!body.is_object()) {
+    out.mKind = reply_kind::kUnknown;
+    return out;
+  }
+  const auto state = jobs::ParseJobState(body.value("state", std::string()));
+  if (state) {
+    out.mState = *state;
+  }
+  out.mWaiting = body.value("waiting", std::size_t{ 0 });
+  out.mRetryAfter =
+    milliseconds(body.value("retry_after_ms", std::int64_t{ 0 }));
+  return out;
+}
+
+milliseconds
+PatienceOf(const http::request& aRequest)
+{
+  const std::string_view text = aRequest.Get(kPatienceHeader);
+  std::int64_t count = 0;
+  std::from_chars(text.data(), text.data() + text.size(), count);
+  return milliseconds(count);
+}
+
+http::request
+Request(const char* aMethod, std::string aTarget)
+{
+  http::request out;
+  out.mMethod = aMethod;
+  out.mTarget = std::move(aTarget);
+  return out;
+}
+
+std::string
+JobPath(const jobs::job_name& aJob)
+{
+  return std::string(kJobs) + aJob.Str();
+}
+
+} // namespace
+
+remote_jobs::remote_jobs(http::client& aClient, std::string aAddress)
+  : mClient(aClient)
+  , mAddress(std::move(aAddress))
+{
+}
+
+void
+remote_jobs::Send(http::request aRequest,
+                  milliseconds aPatience,
+                  reply_handler aHandler)
+{
+  aRequest.Set(kPatienceHeader, std::to_string(aPatience.count()));
+  mClient.Send(
+    mAddress,
+    std::move(aRequest),
+    aPatience + kTransit,
+    [peer = mAddress,
+     handler = std::move(aHandler)](const result<http::response>& aResult) {
+      if (aResult.has_value()) {
+        handler(Decode(aResult.assume_value()));
+        return;
+      }
+      LogError("forward.failed", aResult.assume_error());
+      job_reply reply;
+      reply.mKind = aResult.assume_error().mCode == error_code::kUnavailable
+                      ? reply_kind::kUnavailable
+                      : reply_kind::kUnknown;
+      handler(reply);
+    });
+}
+
+void
+remote_jobs::Submit(const jobs::job_name& aJob,
+                    const jobs::job_spec& aSpec,
+                    milliseconds aPatience,
+                    reply_handler aHandler)
+{
+  http::request call = Request("POST", JobPath(aJob));
+  call.Set("Content-Type", "application/json");
+  call.mBody = jobs::EncodeSpec(aSpec);
+  Send(std::move(call), aPatience, std::move(aHandler));
+}
+
+void
+remote_jobs::Cancel(const jobs::job_name& aJob,
+                    milliseconds aPatience,
+                    reply_handler aHandler)
+{
+  Send(Request("DELETE", JobPath(aJob)), aPatience, std::move(aHandler));
+}
+
+void
+remote_jobs::Read(const jobs::job_name& aJob,
+                  milliseconds aPatience,
+                  reply_handler aHandler)
+{
+  Send(Request("GET", JobPath(aJob)), aPatience, std::move(aHandler));
+}
+
+void
+remote_jobs::CountWaiting(const jobs::queue_name& aQueue,
+                          milliseconds aPatience,
+                          reply_handler aHandler)
+{
+  Send(Request("GET", std::string(kQueues) + aQueue.Str()),
+       aPatience,
+       std::move(aHandler));
+}
+
+void
+ServeJobs(const http::request& aRequest,
+          job_service& aService,
+          const http::responder& aRespond)
+{
+  const auto answer = [aRespond](const job_reply& aReply) {
+    aRespond(Encode(aReply));
+  };
+  const std::string_view path = http::Path(aRequest);
+  const milliseconds patience = PatienceOf(aRequest);
+  if (path.substr(0, kQueues.size()) == kQueues &&
+      aRequest.mMethod == "GET") {
+    aService.CountWaiting(
+      jobs::queue_name{ std::string(path.substr(kQueues.size())) },
+      patience,
+      answer);
+    return;
+  }
+  if (path.substr(0, kJobs.size()) != kJobs) {
+    aRespond(http::JsonResponse(404, R"({"message":"no such path"})"));
+    return;
+  }
+  const jobs::job_name job{ std::string(path.substr(kJobs.size())) };
+  if (aRequest.mMethod == "GET") {
+    aService.Read(job, patience, answer);
+  } else if (aRequest.mMethod == "DELETE") {
+    aService.Cancel(job, patience, answer);
+  } else if (aRequest.mMethod == "POST") {
+    auto spec = jobs::DecodeSpec(aRequest.mBody);
+    if (spec.has_error()) {
+      aRespond(http::JsonResponse(
+        400, json{ { "message", Describe(spec.assume_error()) } }.dump()));
+      return;
+    }
+    aService.Submit(job, spec.assume_value(), patience, answer);
+  } else {
+    aRespond(http::JsonResponse(405, R"({"message":"method not allowed"})"));
+  }
+}
+
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/job_http.h
@@ -0,0 +1,57 @@
+// The own interface for jobs over HTTP: what one node asks of the owner.
+//
+//   POST   /mangospan/v1/jobs/JOB     submit (body: the specification)
+//   GET    /mangospan/v1/jobs/JOB     {"state":"running"}, or 410
+//   DELETE /mangospan/v1/jobs/JOB     cancel
+//   GET    /mangospan/v1/queues/NAME  {"waiting":12}
+//
+// A node that does not own the jobs answers 503.
+#ifndef MANGOSPAN_NODE_JOB_HTTP_H
+#define MANGOSPAN_NODE_JOB_HTTP_H
+
+#include <string>
+
+#include "mangospan/http/client.h"
+#include "mangospan/http/server.h"
+#include "mangospan/node/job_service.h"
+
+namespace mangospan::node {
+
+// Calls another node's interface.
+class remote_jobs final : public job_service
+{
+public:
+  remote_jobs(http::client& aClient, std::string aAddress);
+
+  void Submit(const jobs::job_name& aJob,
+              const jobs::job_spec& aSpec,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler) override;
+  void Cancel(const jobs::job_name& aJob,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler) override;
+  void Read(const jobs::job_name& aJob,
+            std::chrono::milliseconds aPatience,
+            reply_handler aHandler) override;
+  void CountWaiting(const jobs::queue_name& aQueue,
+                    std::chrono::milliseconds aPatience,
+                    reply_handler aHandler) override;
+
+private:
+  void Send(http::request aRequest,
+            std::chrono::milliseconds aPatience,
+            reply_handler aHandler);
+
+  http::client& mClient;
+  const std::string mAddress;
+};
+
+// Serves a request of the interface from `aService`.
+void
+ServeJobs(const http::request& aRequest,
+          job_service& aService,
+          const http::responder& aRespond);
+
+} // namespace mangospan::node
+
+#endif // MANGOSPAN_NODE_JOB_HTTP_H
--- /dev/null
+++ b/mangospan/node/mirror.cc
@@ -0,0 +1,165 @@
+#include "mangospan/node/mirror.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "mangospan/base/log.h"
+
+namespace mangospan::node {
+
+mirror::mirror(boost::asio::io_context& aIo,
+               const clock_source& aClock,
+               platform::transactional_store& aStore,
+               std::string aPrefix,
+               mirror_settings aSettings,
+               mirror_handlers aHandlers)
+  : mTimer(aIo)
+  , mClock(aClock)
+  , mStore(aStore)
+  , mPrefix(std::move(aPrefix))
+  , mSettings(aSettings)
+  , mHandlers(std::move(aHandlers))
+{
+}
+
+void
+mirror::Start()
+{
+  List();
+}
+
+void
+mirror::Stop()
+{
+  mIsStopped = true;
+  mTimer.cancel();
+}
+
+void
+mirror::List()
+{
+  const time_point sentAt = mClock.Now();
+  mStore.ListForWatch(
+    mPrefix,
+    mSettings.mTimeout,
+    [self = shared_from_this(), sentAt](result<platform::listing> aResult) {
+      if (self->mIsStopped) {
+        return;
+      }
+      if (aResult.has_error()) {
+        self->Retry(true, aResult.assume_error());
+        return;
+      }
+      self->mConfirmedAt = sentAt;
+      self->OnListing(aResult.assume_value());
+      self->Watch();
+    });
+}
+
+void
+mirror::OnListing(const platform::listing& aListing)
+{
+  mRevision = aListing.mRevision;
+  std::set<std::string> present;
+  for (const platform::record& each : aListing.mRecords) {
+    present.insert(each.mKey);
+    OnChange({ each, false });
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, revision] : mKnown) {
+    if (present.count(key) == 0) {
+      missing.push_back(key);
+    }
+  }
+  for (const std::string& each : missing) {
+    mKnown.erase(each);
+    mHandlers.mOnDeleted(each);
+  }
+  mIsSynced = true;
+  if (mHandlers.mOnSynced) {
+    mHandlers.mOnSynced();
+  }
+}
+
+void
+mirror::OnChange(const platform::change& aChange)
+{
+  const platform::record& changed = aChange.mRecord;
+  if (aChange.mDeleted) {
+    if (mKnown.erase(changed.mKey) > 0) {
+      mHandlers.mOnDeleted(changed.mKey);
+    }
+    return;
+  }
+  platform::revision& known = mKnown[changed.mKey];
+  if (changed.mRevision > known) {
+    known = changed.mRevision;
+    mHandlers.mOnRecord(changed);
+  }
+}
+
+void
+mirror::Watch()
+{
+  const time_point sentAt = mClock.Now();
+  mStore.Watch(
+    mPrefix,
+    mRevision,
+    mSettings.mWait,
+    [self = shared_from_this(),
+     sentAt](result<platform::change_batch> aResult) {
+      if (self->mIsStopped) {
+        return;
+      }
+      if (aResult.has_error()) {
+        const bool isHistoryGone =
+          aResult.assume_error().mCode == error_code::kNotFound;
+        self->Retry(isHistoryGone, aResult.assume_error());
+        return;
+      }
+      if (self->mIsFailing) {
+        self->mIsFailing = false;
+        LogEvent(
+          log_level::kInfo, "store.regained", { { "prefix", self->mPrefix } });
+      }
+      self->mConfirmedAt = sentAt;
+      for (const platform::change& each : aResult.assume_value().mChanges) {
+        self->OnChange(each);
+        if (self->mIsStopped) {
+          return;
+        }
+      }
+      self->mRevision = aResult.assume_value().mRevision;
+      self->Watch();
+    });
+}
+
+void
+mirror::Retry(bool aList, const error& aError)
+{
+  if (!mIsFailing) {
+    mIsFailing = true;
+    LogEvent(log_level::kWarning,
+             "store.lost",
+             { { "prefix", mPrefix },
+               { "code", Name(aError.mCode) },
+               { "step", aError.mStep },
+               { "peer", aError.mPeer },
+               { "message", aError.mMessage } });
+  }
+  mTimer.expires_after(mSettings.mRetry);
+  mTimer.async_wait([self = shared_from_this(), aList](
+                      const boost::system::error_code& aAbort) {
+    if (aAbort || self->mIsStopped) {
+      return;
+    }
+    if (aList || !self->mIsSynced) {
+      self->List();
+    } else {
+      self->Watch();
+    }
+  });
+}
+
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/owner.h
@@ -0,0 +1,147 @@
+// Carries out what the scheduler decides while this node owns all jobs: writes
+// to the store, orders to runners, answers to those who wait for a write.
+#ifndef MANGOSPAN_NODE_OWNER_H
+#define MANGOSPAN_NODE_OWNER_H
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "mangospan/base/time.h"
+#include "mangospan/jobs/scheduler.h"
+#include "mangospan/node/election.h"
+#include "mangospan/node/job_service.h"
+#include "mangospan/node/mirror.h"
+#include "mangospan/node/ports.h"
+
+namespace mangospan::daemon {
+class metrics;
+}
+
+namespace mangospan::node {
+
+struct owner_settings
+{
+  // Accepted and ended jobs that come within it share one write.
+  std::chrono::milliseconds mWriteDelay{ 8 };
+  std::chrono::milliseconds mProgressDelay{ 400 }; // of mere progress
+  std::chrono::milliseconds mWriteTimeout{ 1'000 };
+  std::chrono::milliseconds mWriteRetry{ 60 };
+  std::chrono::milliseconds mTick{ 50 };
+  std::chrono::milliseconds mLoadTimeout{ 2'000 };
+};
+
+// What the owner uses. The references must outlive it.
+struct owner_dependencies
+{
+  boost::asio::io_context& mIo;
+  const clock_source& mClock;
+  platform::transactional_store& mStore;
+  runner_port& mRunners;
+  const record_format& mFormat;
+  daemon::metrics& mMetrics;
+};
+
+class owner
+  : public job_service
+  , public std::enable_shared_from_this<owner>
+{
+public:
+  owner(owner_dependencies aDependencies,
+        owner_settings aSettings,
+        jobs::scheduler_settings aScheduling,
+        owner_record aTerm,
+        // Called once when a newer owner was found.
+        std::function<void()> aOnSuperseded);
+
+  void Start(const jobs::catalog& aCatalog);
+  // Answers everybody who waits and stops at once.
+  void Stop();
+  void SetCatalog(const jobs::catalog& aCatalog);
+
+  // Whether jobs and runners have been read.
+  bool IsServing() const { return mIsLoaded && mRunnerMirror->IsSynced(); }
+  // Whether the last write was confirmed, as far as there was one.
+  bool CanWrite() const { return mFailedWrites == 0; }
+
+  void Submit(const jobs::job_name& aJob,
+              const jobs::job_spec& aSpec,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler) override;
+  void Cancel(const jobs::job_name& aJob,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler) override;
+  void Read(const jobs::job_name& aJob,
+            std::chrono::milliseconds aPatience,
+            reply_handler aHandler) override;
+  void CountWaiting(const jobs::queue_name& aQueue,
+                    std::chrono::milliseconds aPatience,
+                    reply_handler aHandler) override;
+
+  jobs::scheduler& Scheduler() { return mScheduler; }
+  const owner_record& Term() const { return mTerm; }
+  // Plans again soon; call it after changing the scheduler.
+  void Wake();
+
+private:
+  struct waiter
+  {
+    time_point mUntil;
+    reply_handler mHandler;
+  };
+  struct written_job
+  {
+    jobs::stored_job mStored;
+    std::string mText;
+  };
+
+  void Load();
+  void OnLoaded(const std::vector<platform::record>& aRecords);
+  void StartRunnerMirror();
+  void Tick();
+  void Plan();
+  void Send(const jobs::order& aOrder);
+  runner_target TargetOf(const jobs::runner_name& aRunner) const;
+  void SendStart(const jobs::start_order& aOrder);
+  void SendStop(const jobs::stop_order& aOrder);
+  void SendPace(const jobs::pace_order& aOrder);
+  void SendLook(const jobs::look_order& aOrder);
+  void ScheduleWrite();
+  void Write();
+  void OnWritten(const std::vector<written_job>& aWritten,
+                 const result<platform::commit_outcome>& aResult);
+  void OnConflict(const std::vector<written_job>& aWritten,
+                  const std::vector<platform::record>& aPresent);
+  void Forget();
+  void AnswerWaiters();
+  bool AnswerIfStored(const jobs::job_name& aJob, const waiter& aWaiter);
+  void CheckFence();
+
+  owner_dependencies mDeps;
+  const owner_settings mSettings;
+  const owner_record mTerm;
+  std::function<void()> mOnSuperseded;
+  jobs::scheduler mScheduler;
+  std::shared_ptr<mirror> mRunnerMirror;
+  boost::asio::steady_timer mTickTimer;
+  boost::asio::steady_timer mWriteTimer;
+  boost::asio::steady_timer mLoadTimer;
+  std::multimap<jobs::job_name, waiter> mWaiters;
+  time_point mNextProgress{};
+  bool mIsLoaded = false;
+  bool mIsStopped = false;
+  bool mIsPlanPosted = false;
+  bool mIsWriteScheduled = false;
+  bool mIsWriting = false;
+  int mFailedWrites = 0; // in a row
+};
+
+} // namespace mangospan::node
+
+#endif // MANGOSPAN_NODE_OWNER_H
--- /dev/null
+++ b/mangospan/node/settings.cc
@@ -0,0 +1,93 @@
+#include "mangospan/node/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include "mangospan/json/checked_json.h"
+#include "mangospan/json/text_file.h"
+#include "mangospan/settings/settings.h"
+
+namespace mangospan::node {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+status
+ReadAddress(const nlohmann::json& aValue,
+            const json::location& aWhere,
+            std::string& aInto)
+{
+  BOOST_OUTCOME_TRY(json::ReadValue(aValue, aWhere, aInto));
+  if (!settings::IsAddress(aInto, false)) {
+    return json::Refuse(aWhere, "'" + aInto + "' is not of the form ip:port");
+  }
+  return boost::outcome_v2::success();
+}
+
+status
+ReadOptionalAddress(const nlohmann::json& aValue,
+                    const json::location& aWhere,
+                    std::string& aInto)
+{
+  if (aValue.is_string() && aValue.get_ref<const std::string&>().empty()) {
+    aInto.clear();
+    return boost::outcome_v2::success();
+  }
+  return ReadAddress(aValue, aWhere, aInto);
+}
+
+status
+ReadMilliseconds(const nlohmann::json& aValue,
+                 const json::location& aWhere,
+                 milliseconds& aInto)
+{
+  double count = 0;
+  BOOST_OUTCOME_TRY(json::ReadValue(aValue, aWhere, count));
+  aInto = milliseconds(static_cast<std::int64_t>(count));
+  return boost::outcome_v2::success();
+}
+
+const json::field_table<node_settings>&
+Fields()
+{
+  using s = node_settings;
+  using json::Optional;
+  using json::Required;
+  using json::With;
+  static const json::field_table<node_settings> kFields{
+    Required("node", &s::mNode),
+    Required("zone", &s::mZone),
+    Required(With("caller_address", &s::mCallerAddress, ReadAddress)),
+    Required(With("readiness_address", &s::mReadinessAddress, ReadAddress)),
+    Required(With("node_address", &s::mNodeAddress, ReadAddress)),
+    With("operator_address", &s::mOperatorAddress, ReadOptionalAddress),
+    Required(With("store_address", &s::mStoreAddress, ReadAddress)),
+    With("host_service_address", &s::mHostServiceAddress, ReadOptionalAddress),
+    Optional("max_body_bytes", &s::mMaxBodyBytes),
+    Optional("max_connections", &s::mMaxConnections),
+    With("stop_timeout_ms", &s::mStopTimeout, ReadMilliseconds),
+    With("host_lease_ms", &s::mHostLease, ReadMilliseconds),
+  };
+  return kFields;
+}
+
+} // namespace
+
+result<node_settings>
+ParseSettings(std::string_view aText, std::string_view aSource)
+{
+  const json::location where{ "settings.parse", std::string(aSource), "" };
+  BOOST_OUTCOME_TRY(value, json::ParseText(aText, where));
+  node_settings settings;
+  BOOST_OUTCOME_TRY(json::ReadObject(value, where, Fields(), settings));
+  return settings;
+}
+
+result<node_settings>
+LoadSettings(const std::string& aFile)
+{
+  BOOST_OUTCOME_TRY(text, json::ReadFile(aFile, "settings.read"));
+  return ParseSettings(text, aFile);
+}
+
+} // namespace mangospan::node
--- a/mangospan/platform/store.h
+++ b/mangospan/platform/store.h
@@ -124,6 +124,56 @@
                      handler<change_batch> aHandler) = 0;
 };
 
+// A key that must have this revision (0: must not exist) when a transaction is
+// carried out.
+struct expectation
+{
+  std::string mKey;
+  revision mRevision = 0;
+};
+
+// All writes of a transaction take effect together, and only if every
+// expectation holds.
+struct transaction
+{
+  std::vector<expectation> mExpected;
+  std::vector<swap_request> mWrites; // `mExpected` of each is not looked at
+  std::vector<std::string> mDeletes;
+};
+
+// The outcome of a transaction that the store has answered: either the revision
+// of its writes, or the present state of the keys whose expectation failed.
+struct commit_outcome
+{
+  bool mCommitted = false;
+  revision mRevision = 0;
+  std::vector<record> mPresent;
+};
+
+// A listing and the revision to watch from so that no change is missed.
+struct listing
+{
+  std::vector<record> mRecords;
+  revision mRevision = 0;
+};
+
+// A store that also offers transactions over several keys.
+class transactional_store : public store
+{
+public:
+  // At most `kMaxTransactionKeys` expectations, writes and deletes together.
+  virtual void Commit(transaction aTransaction,
+                      std::chrono::milliseconds aTimeout,
+                      handler<commit_outcome> aHandler) = 0;
+
+  // As `List`, with the revision as of which the first key was read.
+  virtual void ListForWatch(std::string aPrefix,
+                            std::chrono::milliseconds aTimeout,
+                            handler<listing> aHandler) = 0;
+};
+
+inline constexpr std::size_t kMaxTransactionKeys = 32;
+
 } // namespace mangospan::platform
 
 #endif // MANGOSPAN_PLATFORM_STORE_H
