A successor waits for the leases that an unreached predecessor may have given

A new owner forgot a runner that it had never reached as soon as discovery unlisted it, though the old owner's runs there lived on; and an owner cut off from the store extended leases without end. SIGHUP ended the process (code 129).

Ruled out: waiting for every runner always; a dark runner would stall all jobs.

--- a/mangospan/daemon/signals.cc
+++ b/mangospan/daemon/signals.cc
@@ -93,4 +93,48 @@
   mImpl->Cancel();
 }
 
+class reload_signal::impl : public std::enable_shared_from_this<impl>
+{
+public:
+  impl(boost::asio::io_context& aIo, std::function<void()> aOnReload)
+    : mSignals(aIo, SIGHUP)
+    , mOnReload(std::move(aOnReload))
+  {
+  }
+
+  void Wait()
+  {
+    mSignals.async_wait(
+      [self = shared_from_this()](const boost::system::error_code& aFailure,
+                                  int /*aSignal*/) {
+        if (!aFailure) {
+          self->mOnReload();
+          self->Wait();
+        }
+      });
+  }
+
+  void Cancel()
+  {
+    boost::system::error_code ignored;
+    mSignals.cancel(ignored);
+  }
+
+private:
+  boost::asio::signal_set mSignals;
+  const std::function<void()> mOnReload;
+};
+
+reload_signal::reload_signal(boost::asio::io_context& aIo,
+                             std::function<void()> aOnReload)
+  : mImpl(std::make_shared<impl>(aIo, std::move(aOnReload)))
+{
+  mImpl->Wait();
+}
+
+reload_signal::~reload_signal()
+{
+  mImpl->Cancel();
+}
+
 } // namespace mangospan::daemon
--- a/mangospan/daemon/signals.h
+++ b/mangospan/daemon/signals.h
@@ -35,6 +35,20 @@
   std::shared_ptr<impl> mImpl;
 };
 
+// Calls a handler at each SIGHUP, which would otherwise end the process.
+class reload_signal
+{
+public:
+  reload_signal(boost::asio::io_context& aIo, std::function<void()> aOnReload);
+  ~reload_signal();
+  reload_signal(const reload_signal&) = delete;
+  reload_signal& operator=(const reload_signal&) = delete;
+
+private:
+  class impl;
+  std::shared_ptr<impl> mImpl;
+};
+
 } // namespace mangospan::daemon
 
 #endif // MANGOSPAN_DAEMON_SIGNALS_H
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -109,7 +109,10 @@
     { { "runner", aRunner.Str() },
       { "runs", static_cast<std::uint64_t>(found->second.Runs().size()) } });
   found->second.mListed = false;
-  found->second.SetDeadAt(std::max(found->second.DeadAt(), aNow));
+  // One that this owner has not reached may run what an earlier owner started.
+  const time_point earliest =
+    found->second.mContacted ? aNow : std::max(aNow, LeasesOver());
+  found->second.SetDeadAt(std::max(found->second.DeadAt(), earliest));
 }
 
 void
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -35,6 +35,10 @@
   // Runs outlive their owner for this long. A runner that is lost is waited for
   // just as long before its tasks start elsewhere.
   std::chrono::milliseconds mLease{ 6'000 };
+  // An owner that can not confirm its ownership orders starts and extends
+  // leases for this long after its successor may have claimed it, so that an
+  // outage of the store does not stop work.
+  std::chrono::milliseconds mUnconfirmed{ 2'500 };
   // A start that arrives later than this is refused by the runner.
   std::chrono::milliseconds mStartValidity{ 1'200 };
   std::chrono::milliseconds mLookWait{ 1'500 };
@@ -85,6 +89,9 @@
   void Load(std::vector<job> aJobs, time_point aNow);
 
   void SetCatalog(catalog aCatalog);
+  // False: no starts and no longer leases, since a successor may count on the
+  // leases given so far. Stops and looks go on.
+  void SetMayStart(bool aMayStart) { mMayStart = aMayStart; }
   const catalog& Catalog() const { return mCatalog; }
 
   // Service discovery: a runner is listed, or is no longer.
@@ -143,6 +150,7 @@
 private:
   struct candidate;
 
+  time_point LeasesOver() const;
   bool MayStartInherited(time_point aNow) const;
   void ReleaseDead(time_point aNow);
   void Release(runner& aRunner, const run_key& aKey, time_point aNow);
@@ -207,6 +215,7 @@
   std::map<runner_name, std::map<job_name, time_point>> mFailuresOfRunner;
   std::set<runner_name> mClosed;
   bool mFenced = false;
+  bool mMayStart = true;
 };
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -14,6 +14,8 @@
 
 using std::chrono::milliseconds;
 
+// A lease on a runner's clock may last this much longer on ours.
+constexpr int kSlowClockPercent = 103;
 // After a look that failed.
 constexpr milliseconds kLookRetry{ 250 };
 // An idle runner's ends are acknowledged after this long, so that several
@@ -50,21 +52,29 @@
   std::vector<order> orders;
   ReleaseDead(aNow);
   PlanStops(aNow, orders);
-  PlanStarts(aNow, aWall, orders);
+  if (mMayStart) {
+    PlanStarts(aNow, aWall, orders);
+  }
   PlanPaces(orders);
   PlanLooks(aNow, orders);
   return orders;
 }
 
+// When every run has ended that an earlier owner has started, on runners too
+// that this owner has not reached.
+time_point
+scheduler::LeasesOver() const
+{
+  return mOwnership.mSince + mSettings.mUnconfirmed +
+         mSettings.mLease * kSlowClockPercent / 100 + mSettings.mStartValidity;
+}
+
 // A task of a taken-over job may still run on a runner that this owner has not
 // reached, so it starts only once every runner is fenced or its lease is over.
 bool
 scheduler::MayStartInherited(time_point aNow) const
 {
-  const time_point leasesOver =
-    mOwnership.mSince + mSettings.mLease * 102 / 100 +
-    mSettings.mStartValidity;
-  if (aNow >= leasesOver) {
+  if (aNow >= LeasesOver()) {
     return true;
   }
   return !mRunners.empty() &&
@@ -373,9 +383,11 @@
   if (isReachable && !aRunner.Runs().empty()) {
     // A runner that does not answer gets no longer lease, so that its tasks can
     // start elsewhere in time.
-    look.mLeaseUntil = aRunner.ClockAt(aNow) + mSettings.mLease;
     look.mWait = IsShared(aRunner) ? kSharedLookWait : mSettings.mLookWait;
-    aRunner.ExtendLease(*look.mLeaseUntil, aNow);
+    if (mMayStart) {
+      look.mLeaseUntil = aRunner.ClockAt(aNow) + mSettings.mLease;
+      aRunner.ExtendLease(*look.mLeaseUntil, aNow);
+    }
   }
   aRunner.mLookInFlight = true;
   aRunner.mNextLook =
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -98,10 +98,10 @@
 }
 
 bool
-election::IsValid() const
+election::IsValidFor(milliseconds aSince) const
 {
   return mIsOwner &&
-         mClock.Now() < mRenewedAt + mSettings.mTtl - mSettings.mMargin;
+         mClock.Now() < mRenewedAt + mSettings.mTtl - mSettings.mMargin + aSince;
 }
 
 std::optional<owner_record>
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -70,7 +70,9 @@
 
   bool IsOwner() const { return mIsOwner; }
   // Whether the lease certainly holds.
-  bool IsValid() const;
+  bool IsValid() const { return IsValidFor(std::chrono::milliseconds(0)); }
+  // Whether it certainly held `aSince` ago.
+  bool IsValidFor(std::chrono::milliseconds aSince) const;
   // The owner that the store named last, if its lease is there.
   std::optional<owner_record> Owner() const;
   static std::string TermKey();
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds kNoOwnerRetry{ 1'000 };
 // The balancer stops sending callers after two failed checks, a second apart.
 constexpr milliseconds kDrainTime{ 2'500 };
+// Less than the scheduler's own bound by the longest time between two plans.
+constexpr milliseconds kUnconfirmedStarts{ 2'300 };
 constexpr const char* kHealthPath = "/mangospan/v1/health";
 
 // Stands in for the owner while nobody owns the jobs.
@@ -145,6 +147,7 @@
     owner_settings{},
     jobs::scheduler_settings{},
     aTerm,
+    [this] { return mElection->IsValidFor(kUnconfirmedStarts); },
     [this] { mElection->StepDown(); });
   mOwner->Start(mCatalog ? *mCatalog : jobs::catalog{});
   mDuty = std::make_shared<fleet_duty>(
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -48,10 +48,12 @@
              owner_settings aSettings,
              jobs::scheduler_settings aScheduling,
              owner_record aTerm,
+             std::function<bool()> aMayStart,
              std::function<void()> aOnSuperseded)
   : mDeps(aDependencies)
   , mSettings(aSettings)
   , mTerm(std::move(aTerm))
+  , mMayStart(std::move(aMayStart))
   , mOnSuperseded(std::move(aOnSuperseded))
   , mScheduler(aScheduling, { mTerm.mTerm, mDeps.mClock.Now() })
   , mTickTimer(mDeps.mIo)
@@ -217,6 +219,7 @@
   if (mIsStopped || !IsServing()) {
     return;
   }
+  mScheduler.SetMayStart(mMayStart());
   for (const jobs::order& each :
        mScheduler.Plan(mDeps.mClock.Now(), WallNow())) {
     Send(each);
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -57,6 +57,8 @@
         owner_settings aSettings,
         jobs::scheduler_settings aScheduling,
         owner_record aTerm,
+        // Whether this node may still act as owner for now.
+        std::function<bool()> aMayStart,
         // Called once when a newer owner was found.
         std::function<void()> aOnSuperseded);
 
@@ -126,6 +128,7 @@
   owner_dependencies mDeps;
   const owner_settings mSettings;
   const owner_record mTerm;
+  const std::function<bool()> mMayStart;
   std::function<void()> mOnSuperseded;
   jobs::scheduler mScheduler;
   std::shared_ptr<mirror> mRunnerMirror;
