--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -16,18 +16,6 @@
 constexpr std::uint32_t kRunsPerTerm = 1'000;
 constexpr milliseconds kMaxRetryAfter{ 8'000 };
 
-// Tasks of the step that are not at work.
-std::size_t
-CountAway(const job& aJob, const task_id& aTask)
-{
-  const auto& tasks =
-    aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep].mTasks;
-  return static_cast<std::size_t>(
-    std::count_if(tasks.begin(), tasks.end(), [](const task& aEach) {
-      return !aEach.mAtWork;
-    }));
-}
-
 } // namespace
 
 scheduler::scheduler(scheduler_settings aSettings, ownership aOwnership)
@@ -262,6 +250,22 @@
   }
 }
 
+// Tasks of the step that are not known to be at work: what a silent runner
+// listed last proves nothing.
+std::size_t
+scheduler::CountAway(const job& aJob, const task_id& aTask) const
+{
+  const auto& tasks =
+    aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep].mTasks;
+  return static_cast<std::size_t>(
+    std::count_if(tasks.begin(), tasks.end(), [this](const task& aEach) {
+      const auto at = mRunners.find(aEach.mRunner);
+      const bool isHeard = at != mRunners.end() && at->second.mListed &&
+                           at->second.mFailedLooks == 0;
+      return !aEach.mAtWork || !isHeard;
+    }));
+}
+
 void
 scheduler::Evict(const runner_name& aRunner, time_point aNow)
 {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -201,6 +201,7 @@
   void Touch(job& aJob);
   void Finish(job& aJob, job_state aState, wall_time aWall);
   void StopRuns(const job_name& aJob);
+  std::size_t CountAway(const job& aJob, const task_id& aTask) const;
   void Acknowledge(runner& aRunner);
 
   const scheduler_settings mSettings;
