Hosts follow the load from pool to pool

Jobs waited 2 to 10 s and passed their objective.

Ruled out: a better order alone. Jobs past their objective are last already.

--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -176,8 +176,8 @@
   ForEachTask(
     aJob,
     [&](const task_id& aId, const step& /*aStep*/, const task& aTask) {
-      if (aTask.mFailures > 0 && !aTask.mDone) {
-        failures[aId.Text()] = aTask.mFailures;
+      if (!aTask.mFailedRuns.empty() && !aTask.mDone) {
+        failures[aId.Text()] = aTask.mFailedRuns;
       }
       if (!aTask.mCheckpoint.empty() && !aTask.mDone) {
         checkpoints[aId.Text()] = aTask.mCheckpoint;
@@ -194,7 +194,7 @@
     const auto id = ParseTaskId(text);
     task* const found = id ? aJob.Find(*id) : nullptr;
     if (found != nullptr) {
-      found->mFailures = failures.get<std::size_t>();
+      found->mFailedRuns = failures.get<std::vector<std::uint32_t>>();
     }
   }
   for (const auto& [text, checkpoint] : aValue.at("checkpoints").items()) {
@@ -230,8 +230,71 @@
   return out;
 }
 
+json
+ResourcesToJson(const resources& aValue)
+{
+  return json{ { "cpu", aValue.mCpu },
+               { "memory_mb", aValue.mMemoryMb },
+               { "gpus", aValue.mGpus } };
+}
+
+json
+RunnerToJson(const runner_info& aInfo)
+{
+  return json{ { "runner", aInfo.mName.Str() },
+               { "service", aInfo.mService.Str() },
+               { "address", aInfo.mAddress },
+               { "zone", aInfo.mZone.Str() },
+               { "rack", aInfo.mRack.Str() },
+               { "labels", aInfo.mLabels },
+               { "capacity", ResourcesToJson(aInfo.mCapacity) },
+               { "boot", aInfo.mBoot } };
+}
+
+runner_info
+RunnerFromJson(const json& aValue)
+{
+  runner_info out;
+  out.mName = runner_name{ aValue.at("runner").get<std::string>() };
+  out.mService = service_name{ aValue.at("service").get<std::string>() };
+  out.mAddress = aValue.at("address").get<std::string>();
+  out.mZone = zone_name{ aValue.at("zone").get<std::string>() };
+  out.mRack = rack_name{ aValue.at("rack").get<std::string>() };
+  out.mLabels = aValue.at("labels").get<std::vector<std::string>>();
+  const json& capacity = aValue.at("capacity");
+  out.mCapacity.mCpu = capacity.at("cpu").get<std::int64_t>();
+  out.mCapacity.mMemoryMb = capacity.at("memory_mb").get<std::int64_t>();
+  out.mCapacity.mGpus = capacity.at("gpus").get<std::int64_t>();
+  out.mBoot = aValue.at("boot").get<std::int64_t>();
+  return out;
+}
+
 } // namespace
 
+std::string
+EncodeRoster(const std::vector<runner_info>& aRunners)
+{
+  json out = json::array();
+  for (const runner_info& each : aRunners) {
+    out.push_back(RunnerToJson(each));
+  }
+  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+result<std::vector<runner_info>>
+DecodeRoster(std::string_view aText)
+{
+  try {
+    std::vector<runner_info> out;
+    for (const json& each : json::parse(aText)) {
+      out.push_back(RunnerFromJson(each));
+    }
+    return out;
+  } catch (const std::exception& failure) {
+    return Malformed("runner.roster", failure.what());
+  }
+}
+
 std::string
 EncodeSpec(const job_spec& aSpec)
 {
--- a/mangospan/jobs/codec.h
+++ b/mangospan/jobs/codec.h
@@ -4,9 +4,11 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "mangospan/base/error.h"
 #include "mangospan/jobs/job.h"
+#include "mangospan/jobs/orders.h"
 
 namespace mangospan::jobs {
 
@@ -25,6 +27,14 @@
 result<job>
 DecodeRecord(const job_name& aName, std::string_view aText);
 
+// The runners that an owner uses, for its successor.
+std::string
+EncodeRoster(const std::vector<runner_info>& aRunners);
+
+// Errors: kInvalidArgument.
+result<std::vector<runner_info>>
+DecodeRoster(std::string_view aText);
+
 } // namespace mangospan::jobs
 
 #endif // MANGOSPAN_JOBS_CODEC_H
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -51,7 +51,9 @@
 struct task
 {
   bool mDone = false;
-  std::size_t mFailures = 0;
+  // The runs that failed. Their number is what the queue limits; a runner
+  // repeats an end until it is acknowledged, so each is counted by its number.
+  std::vector<std::uint32_t> mFailedRuns;
   std::uint32_t mLastRun = 0; // the highest number given to a run of it
   bool mLive = false;         // a run of it exists or may exist
   bool mAtWork = false;       // the run was seen at work
--- a/mangospan/jobs/placement.cc
+++ b/mangospan/jobs/placement.cc
@@ -1,5 +1,6 @@
 #include "mangospan/jobs/placement.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace mangospan::jobs {
@@ -10,8 +11,21 @@
 // while another runner could begin at once.
 constexpr int kMaxStartsInFlight = 6;
 
+// More lasting tasks of one step on a runner than this are avoided, so that one
+// host's loss takes few of them.
+constexpr std::size_t kLastingTogether = 2;
+
 // Compared in order; the lowest is the best.
-using score = std::tuple<bool, bool, bool, std::int64_t>;
+using score = std::tuple<bool, bool, bool, bool, bool, std::int64_t>;
+
+bool
+HasLasting(const runner& aRunner)
+{
+  return std::any_of(
+    aRunner.Runs().begin(), aRunner.Runs().end(), [](const auto& aEntry) {
+      return aEntry.second.mLasting;
+    });
+}
 
 bool
 Fits(const placement_request& aRequest, const runner& aRunner)
@@ -37,15 +51,18 @@
     !spec.mDataRack.Empty() && aRunner.mInfo.mRack != spec.mDataRack;
   const bool isFarFromSiblings =
     !aRequest.mNearRack.Empty() && aRunner.mInfo.mRack != aRequest.mNearRack;
-  const std::int64_t room = aRunner.Room().mCpu;
-  // Lasting tasks are spread, so that one host's loss takes few of them; the
-  // others fill the fullest runner, which keeps whole runners free for wide
-  // tasks.
-  const std::int64_t order = spec.mLasting ? -room : room;
+  // Tasks fill the fullest runner, and lasting ones share runners among
+  // themselves, so that whole hosts stay free to follow the load.
+  const task_id& id = aRequest.mTask;
+  const bool isCrowded =
+    spec.mLasting && aRunner.CountOf(id.mJob, id.mOccurrence, id.mStep) >=
+                       kLastingTogether;
   return { aRunner.mInfo.mName == aRequest.mAvoid,
            isFarFromData,
            isFarFromSiblings,
-           order };
+           isCrowded,
+           spec.mLasting && !HasLasting(aRunner),
+           aRunner.Room().mCpu };
 }
 
 } // namespace
@@ -53,7 +70,8 @@
 bool
 TakesRuns(const runner& aRunner, time_point aNow)
 {
-  return aRunner.mListed && aRunner.mContacted && !aRunner.mInfo.mDraining &&
+  return aRunner.mListed && aRunner.mContacted && aRunner.mIsInRoster &&
+         !aRunner.mInfo.mDraining &&
          !aRunner.mClosed && aRunner.mFailedLooks == 0 &&
          aNow >= aRunner.mShunUntil &&
          aRunner.mStartsInFlight < kMaxStartsInFlight;
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -89,6 +89,7 @@
   runner_info mInfo;
   bool mListed = true;      // service discovery lists it
   bool mContacted = false;  // it has answered this owner, so it is fenced
+  bool mIsInRoster = false; // the stored roster names it
   bool mLookInFlight = false;
   time_point mNextLook{};
   int mFailedLooks = 0;     // in a row
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -16,6 +16,20 @@
 constexpr std::uint32_t kRunsPerTerm = 1'000;
 constexpr milliseconds kMaxRetryAfter{ 8'000 };
 
+// The steps in one word each, for the log: "4x500" is four tasks of half a
+// core, "5x1300L" five lasting ones.
+std::string
+Summary(const job_spec& aSpec)
+{
+  std::string text;
+  for (const step_spec& each : aSpec.mSteps) {
+    text += (text.empty() ? "" : ",") + std::to_string(each.mTasks) + "x" +
+            std::to_string(each.mNeed.mCpu) + (each.mLasting ? "L" : "") +
+            (each.mFiller ? "F" : "") + (each.mGang ? "G" : "");
+  }
+  return text;
+}
+
 } // namespace
 
 scheduler::scheduler(scheduler_settings aSettings, ownership aOwnership)
@@ -27,8 +41,19 @@
 }
 
 void
-scheduler::Load(std::vector<job> aJobs, time_point aNow)
+scheduler::Load(std::vector<job> aJobs,
+                const std::vector<runner_info>& aRoster,
+                time_point aNow)
 {
+  for (const runner_info& each : aRoster) {
+    const auto added = mRunners.emplace(each.mName, runner(each));
+    runner& known = added.first->second;
+    known.mIsInRoster = true;
+    if (added.second) {
+      known.mListed = false;
+      known.SetDeadAt(LeasesOver());
+    }
+  }
   for (job& each : aJobs) {
     each.mInherited = true;
     each.mAccepted = aNow;
@@ -134,6 +159,14 @@
   made.mAccepted = aNow;
   made.mAcceptedAt = aWall;
   made.mDueBy = aNow + queue->Objective(aSpec);
+  LogEvent(log_level::kInfo,
+           "job.submitted",
+           { { "job", aJob.Str() },
+             { "queue", aSpec.mQueue.Str() },
+             { "catalog", mCatalog.mVersion },
+             { "objective_ms",
+               static_cast<std::int64_t>(queue->Objective(aSpec).count()) },
+             { "steps", Summary(aSpec) } });
   mJobs.emplace(aJob, std::move(made));
   mActive.insert(aJob);
   mUnstored.insert(aJob);
@@ -221,6 +254,32 @@
   }
 }
 
+std::vector<runner_info>
+scheduler::Roster() const
+{
+  std::vector<runner_info> roster;
+  for (const auto& [runnerName, each] : mRunners) {
+    if (each.mContacted || each.mIsInRoster) {
+      roster.push_back(each.mInfo);
+    }
+  }
+  return roster;
+}
+
+void
+scheduler::OnRosterStored(std::uint64_t aVersion,
+                          const std::vector<runner_info>& aRoster)
+{
+  mStoredRosterVersion = aVersion;
+  for (const runner_info& each : aRoster) {
+    const auto found = mRunners.find(each.mName);
+    if (found != mRunners.end() &&
+        found->second.mInfo.mAddress == each.mAddress) {
+      found->second.mIsInRoster = true;
+    }
+  }
+}
+
 std::vector<job_name>
 scheduler::TakeExpired(wall_time aWall, std::size_t aMost)
 {
@@ -296,6 +355,54 @@
   }
 }
 
+std::map<service_name, pool_load>
+scheduler::Loads(wall_time aWall) const
+{
+  std::map<service_name, pool_load> loads;
+  for (const auto& [service, policy] : mCatalog.mServices) {
+    if (!policy.mSpare) {
+      loads[service];
+    }
+  }
+  for (const job_name& each : mActive) {
+    const job& one = mJobs.at(each);
+    const queue_policy* const queue = mCatalog.FindQueue(one.mSpec.mQueue);
+    const auto load =
+      queue == nullptr ? loads.end() : loads.find(queue->mService);
+    if (load != loads.end()) {
+      AddLoad(one, aWall, load->second);
+    }
+  }
+  return loads;
+}
+
+void
+scheduler::AddLoad(const job& aJob, wall_time aWall, pool_load& aInto) const
+{
+  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
+    if (aJob.mSpec.mRepetitions > 0 && aWall < aJob.mSpec.DueAt(k)) {
+      break;
+    }
+    for (std::size_t s = 0; s < aJob.mSpec.mSteps.size(); ++s) {
+      const step& state = aJob.mOccurrences[k].mSteps[s];
+      const step_spec& spec = aJob.mSpec.mSteps[s];
+      const std::size_t open = state.mTasks.size() - state.mDone;
+      if (open == 0 || !aJob.IsStepReady(k, s)) {
+        continue;
+      }
+      const resources claim = spec.Claim();
+      for (std::size_t i = 0; i < open; ++i) {
+        aInto.mWanted += claim;
+      }
+      if (spec.mLasting && spec.mMaxPerRunner > 0) {
+        aInto.mMinHosts =
+          std::max(aInto.mMinHosts,
+                   (open + spec.mMaxPerRunner - 1) / spec.mMaxPerRunner);
+      }
+    }
+  }
+}
+
 void
 scheduler::Touch(job& aJob)
 {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -26,6 +26,7 @@
 #include "mangospan/jobs/job.h"
 #include "mangospan/jobs/orders.h"
 #include "mangospan/jobs/runner.h"
+#include "mangospan/jobs/sizing.h"
 #include "mangospan/jobs/spec.h"
 
 namespace mangospan::jobs {
@@ -85,8 +86,11 @@
 public:
   scheduler(scheduler_settings aSettings, ownership aOwnership);
 
-  // Jobs that earlier owners have stored. Call it once, before anything else.
-  void Load(std::vector<job> aJobs, time_point aNow);
+  // Jobs and runners that earlier owners have stored. Call it once, before
+  // anything else.
+  void Load(std::vector<job> aJobs,
+            const std::vector<runner_info>& aRoster,
+            time_point aNow);
 
   void SetCatalog(catalog aCatalog);
   // False: no starts and no longer leases, since a successor may count on the
@@ -133,6 +137,14 @@
   std::vector<job_name> Unstored(std::size_t aMost, bool aUrgentOnly) const;
   job* Mutable(const job_name& aJob);
   void OnStored(const std::vector<stored_job>& aStored);
+  // The runners in use. A runner gets its first run only once the roster that
+  // names it is stored, so that a successor knows of it even if service
+  // discovery has forgotten it.
+  std::vector<runner_info> Roster() const;
+  std::uint64_t RosterVersion() const { return mRosterVersion; }
+  std::uint64_t StoredRosterVersion() const { return mStoredRosterVersion; }
+  void OnRosterStored(std::uint64_t aVersion,
+                      const std::vector<runner_info>& aRoster);
   // Ended jobs that need not be kept any longer; they are forgotten.
   std::vector<job_name> TakeExpired(wall_time aWall, std::size_t aMost);
 
@@ -144,6 +156,9 @@
   // Stops the lasting runs there, as far as their steps' allowance permits.
   void Evict(const runner_name& aRunner, time_point aNow);
 
+  // What each service would use now if it had room for all.
+  std::map<service_name, pool_load> Loads(wall_time aWall) const;
+
   const std::map<runner_name, runner>& Runners() const { return mRunners; }
   const std::map<job_name, job>& Jobs() const { return mJobs; }
 
@@ -198,6 +213,7 @@
                       const look_report& aReport,
                       time_point aSentAt,
                       time_point aNow);
+  void AddLoad(const job& aJob, wall_time aWall, pool_load& aInto) const;
   void Touch(job& aJob);
   void Finish(job& aJob, job_state aState, wall_time aWall);
   void StopRuns(const job_name& aJob);
@@ -215,6 +231,8 @@
   std::map<job_name, std::set<runner_name>> mRunnersOfJob;
   std::map<runner_name, std::map<job_name, time_point>> mFailuresOfRunner;
   std::set<runner_name> mClosed;
+  std::uint64_t mRosterVersion = 0;
+  std::uint64_t mStoredRosterVersion = 0;
   bool mFenced = false;
   bool mMayStart = true;
 };
--- a/mangospan/jobs/scheduler_answers.cc
+++ b/mangospan/jobs/scheduler_answers.cc
@@ -186,7 +186,10 @@
              { { "runner", aOrder.mRunner.Str() } });
   }
   where.mFailedLooks = 0;
-  where.mContacted = true;
+  if (!where.mContacted) {
+    where.mContacted = true;
+    mRosterVersion += where.mIsInRoster ? 0 : 1;
+  }
   if (where.mInfo.mBoot == 0) {
     where.mInfo.mBoot = aReport->mBoot;
   }
@@ -257,7 +260,11 @@
     return; // started again however it ends
   }
   if (aEnd.mEnd == run_end::kFailed) {
-    OnFailure(aJob, aTask, aWall);
+    auto& failed = one.mFailedRuns;
+    if (std::find(failed.begin(), failed.end(), aEnd.mRun) == failed.end()) {
+      failed.push_back(aEnd.mRun);
+      OnFailure(aJob, aTask, aWall);
+    }
     return;
   }
   if (aEnd.mEnd != run_end::kDone) {
@@ -290,16 +297,15 @@
 void
 scheduler::OnFailure(job& aJob, const task_id& aTask, wall_time aWall)
 {
-  task& one = *aJob.Find(aTask);
-  ++one.mFailures;
+  const std::size_t failures = aJob.Find(aTask)->mFailedRuns.size();
   Touch(aJob);
   const queue_policy* const queue = mCatalog.FindQueue(aJob.mSpec.mQueue);
-  if (queue != nullptr && one.mFailures >= queue->mMaxAttempts) {
+  if (queue != nullptr && failures >= queue->mMaxAttempts) {
     LogEvent(log_level::kInfo,
              "job.failed",
              { { "job", aJob.mName.Str() },
                { "task", aTask.Text() },
-               { "attempts", static_cast<std::uint64_t>(one.mFailures) } });
+               { "attempts", static_cast<std::uint64_t>(failures) } });
     Finish(aJob, job_state::kFailed, aWall);
   }
 }
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -358,7 +358,8 @@
     const auto service = mCatalog.mServices.find(each.mInfo.mService);
     const bool isSpare =
       service == mCatalog.mServices.end() || service->second.mSpare;
-    const bool isFirst = each.mListed && !each.mContacted && !isSpare;
+    const bool isFirst =
+      (each.mListed || each.mIsInRoster) && !each.mContacted && !isSpare;
     const bool hasRuns = std::any_of(
       each.Runs().begin(), each.Runs().end(), [](const auto& aEntry) {
         return aEntry.second.mPhase != run_phase::kOrdered;
--- a/mangospan/jobs/upkeep.h
+++ b/mangospan/jobs/upkeep.h
@@ -12,6 +12,7 @@
 
 #include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
+#include "mangospan/jobs/spec.h"
 
 namespace mangospan::jobs {
 
@@ -22,6 +23,8 @@
   service_name mPool;
   bool mIsUp = false;        // neither down nor on its way
   bool mIsSpare = false;     // in the pool of hosts that are off
+  bool mIsSettled = false;   // its runner is known and takes runs
+  resources mCapacity;
   std::size_t mRuns = 0;     // that exist or may exist on its runner
   std::size_t mLasting = 0;  // of these, lasting ones
 };
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -26,9 +26,9 @@
 
 struct election_settings
 {
-  std::chrono::milliseconds mTtl{ 1'600 };
-  std::chrono::milliseconds mRenewal{ 400 };
-  std::chrono::milliseconds mCallTimeout{ 700 };
+  std::chrono::milliseconds mTtl{ 1'800 };
+  std::chrono::milliseconds mRenewal{ 350 };
+  std::chrono::milliseconds mCallTimeout{ 400 };
   // A node other than the last owner waits this long, and up to as much again,
   // so that an owner whose lease was revoked goes on without a takeover.
   std::chrono::milliseconds mPatience{ 100 };
--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -61,6 +61,7 @@
   , mMayOrder(std::move(aMayOrder))
   , mTimer(aDependencies.mIo)
   , mPlan(jobs::upkeep_settings{})
+  , mSizing(jobs::sizing_settings{})
 {
 }
 
@@ -120,7 +121,7 @@
   if (mIsStopped) {
     return;
   }
-  if (mDeps.mClock.Now() >= mNextList && !mIsListing && mPlan.IsBusy()) {
+  if (mDeps.mClock.Now() >= mNextList && !mIsListing) {
     List();
   }
   Act();
@@ -168,8 +169,10 @@
     view.mIsUp = each.mState == host_state::kUp;
     const auto pool = services.find(each.mPool);
     view.mIsSpare = pool != services.end() && pool->second.mSpare;
+    view.mCapacity = each.mCapacity;
     const auto found = runners.find(each.mRunner);
     if (found != runners.end()) {
+      view.mIsSettled = found->second.mIsInRoster;
       for (const auto& [key, run] : found->second.Runs()) {
         ++view.mRuns;
         view.mLasting += run.mLasting ? 1 : 0;
@@ -190,24 +193,76 @@
   if (now < mOrdersFrom || !mMayOrder()) {
     return;
   }
-  const jobs::upkeep_decision decision =
-    mPlan.Decide(HostViews(), mListedAt, now);
+  const std::vector<jobs::host_view> views = HostViews();
+  const jobs::upkeep_decision upkeep = mPlan.Decide(views, mListedAt, now);
+  const auto moves =
+    mSizing.Decide(mOwner->Scheduler().Loads(std::chrono::system_clock::now()),
+                   views,
+                   upkeep.mClosed,
+                   mListedAt,
+                   now);
+  for (const jobs::upkeep_order& each : upkeep.mOrders) {
+    Maintain(each);
+  }
+  for (const jobs::move_order& each : moves) {
+    Move(each);
+  }
+  CloseAndEvict(upkeep, now);
+  mOwner->Wake();
+}
+
+jobs::runner_name
+fleet_duty::RunnerOf(const host_name& aHost) const
+{
+  const auto found = std::find_if(
+    mHosts.begin(), mHosts.end(), [&aHost](const host_entry& aEntry) {
+      return aEntry.mHost == aHost;
+    });
+  return found == mHosts.end() ? jobs::runner_name() : found->mRunner;
+}
+
+void
+fleet_duty::CloseAndEvict(const jobs::upkeep_decision& aUpkeep, time_point aNow)
+{
   std::set<jobs::runner_name> closed;
-  std::map<host_name, jobs::runner_name> runnerOf;
-  for (const host_entry& each : mHosts) {
-    runnerOf[each.mHost] = each.mRunner;
+  for (const host_name& each : aUpkeep.mClosed) {
+    closed.insert(RunnerOf(each));
   }
-  for (const host_name& each : decision.mClosed) {
-    closed.insert(runnerOf[each]);
+  for (const host_name& each : mSizing.Leaving()) {
+    closed.insert(RunnerOf(each));
   }
   mOwner->Scheduler().SetClosed(closed);
-  for (const host_name& each : decision.mEvict) {
-    mOwner->Scheduler().Evict(runnerOf[each], now);
+  for (const host_name& each : aUpkeep.mEvict) {
+    mOwner->Scheduler().Evict(RunnerOf(each), aNow);
   }
-  for (const jobs::upkeep_order& each : decision.mOrders) {
-    Maintain(each);
-  }
-  mOwner->Wake();
+}
+
+void
+fleet_duty::Move(const jobs::move_order& aOrder)
+{
+  mSizing.OnMoving(aOrder, mDeps.mClock.Now());
+  const jobs::runner_name runner = RunnerOf(aOrder.mHost);
+  mDeps.mHosts.Move(
+    mFence,
+    aOrder.mHost,
+    aOrder.mPool,
+    [self = shared_from_this(), aOrder, runner](host_order_outcome aOutcome) {
+      LogEvent(log_level::kInfo,
+               "host.move",
+               { { "host", aOrder.mHost.Str() },
+                 { "pool", aOrder.mPool.Str() },
+                 { "outcome", Name(aOutcome) } });
+      if (self->mIsStopped) {
+        return;
+      }
+      const time_point now = self->mDeps.mClock.Now();
+      if (aOutcome == host_order_outcome::kDone) {
+        self->mSizing.OnMoving(aOrder, now);
+        self->mOwner->Scheduler().OnRunnerDead(runner, now);
+      } else if (aOutcome != host_order_outcome::kUnknown) {
+        self->mSizing.OnNotMoved(aOrder.mHost);
+      }
+    });
 }
 
 void
@@ -216,12 +271,7 @@
   if (!mInFlight.insert(aOrder.mHost).second) {
     return;
   }
-  jobs::runner_name runner;
-  for (const host_entry& each : mHosts) {
-    if (each.mHost == aOrder.mHost) {
-      runner = each.mRunner;
-    }
-  }
+  const jobs::runner_name runner = RunnerOf(aOrder.mHost);
   mDeps.mHosts.Maintain(
     mFence,
     aOrder.mHost,
--- a/mangospan/node/fleet_duty.h
+++ b/mangospan/node/fleet_duty.h
@@ -14,6 +14,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "mangospan/base/time.h"
+#include "mangospan/jobs/sizing.h"
 #include "mangospan/jobs/upkeep.h"
 #include "mangospan/node/owner.h"
 #include "mangospan/node/ports.h"
@@ -57,6 +58,9 @@
   void List();
   void Act();
   void Maintain(const jobs::upkeep_order& aOrder);
+  void Move(const jobs::move_order& aOrder);
+  void CloseAndEvict(const jobs::upkeep_decision& aUpkeep, time_point aNow);
+  jobs::runner_name RunnerOf(const host_name& aHost) const;
   void KeepRecord(std::uint64_t aWave);
   void ReportWaves();
   std::vector<jobs::host_view> HostViews() const;
@@ -73,6 +77,7 @@
   std::vector<host_entry> mHosts;
   std::set<host_name> mInFlight;
   jobs::upkeep_plan mPlan;
+  jobs::pool_sizing mSizing;
   std::map<std::uint64_t, bool> mReported; // wave, completed
   bool mIsListing = false;
   bool mIsReporting = false;
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -16,9 +16,11 @@
 
 namespace {
 
-constexpr const char* kJobPrefix = "mangospan/jobs/";
-// Of a transaction's keys, one is the term's.
-constexpr std::size_t kJobsPerWrite = platform::kMaxTransactionKeys / 2 - 1;
+constexpr const char* kOwnedPrefix = "mangospan/owned/";
+constexpr const char* kJobPrefix = "mangospan/owned/jobs/";
+constexpr const char* kRosterKey = "mangospan/owned/runners";
+// Each job takes two of a transaction's entries; two more keys may be needed.
+constexpr std::size_t kJobsPerWrite = platform::kMaxTransactionKeys / 2 - 2;
 constexpr std::size_t kJobsPerDelete = 16;
 constexpr milliseconds kUnavailableRetry{ 1'000 };
 
@@ -99,7 +101,7 @@
 owner::Load()
 {
   mDeps.mStore.List(
-    kJobPrefix,
+    kOwnedPrefix,
     mSettings.mLoadTimeout,
     [self = shared_from_this()](
       const result<std::vector<platform::record>>& aResult) {
@@ -125,7 +127,18 @@
 owner::OnLoaded(const std::vector<platform::record>& aRecords)
 {
   std::vector<jobs::job> loaded;
+  std::vector<jobs::runner_info> roster;
   for (const platform::record& each : aRecords) {
+    if (each.mKey == kRosterKey) {
+      mRosterRevision = each.mRevision;
+      auto known = jobs::DecodeRoster(each.mValue);
+      if (known.has_error()) {
+        LogError("owner.malformed_roster", known.assume_error());
+      } else {
+        roster = std::move(known).assume_value();
+      }
+      continue;
+    }
     const jobs::job_name name{ each.mKey.substr(
       std::string_view(kJobPrefix).size()) };
     auto decoded = jobs::DecodeRecord(name, each.mValue);
@@ -140,7 +153,7 @@
            "owner.loaded",
            { { "term", mTerm.mTerm },
              { "jobs", static_cast<std::uint64_t>(loaded.size()) } });
-  mScheduler.Load(std::move(loaded), mDeps.mClock.Now());
+  mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now());
   mIsLoaded = true;
   Tick();
 }
@@ -343,7 +356,9 @@
     return;
   }
   const bool progressIsDue = mDeps.mClock.Now() >= mNextProgress;
-  if (mScheduler.Unstored(1, !progressIsDue).empty()) {
+  const bool rosterIsDue =
+    mScheduler.RosterVersion() != mScheduler.StoredRosterVersion();
+  if (!rosterIsDue && mScheduler.Unstored(1, !progressIsDue).empty()) {
     return;
   }
   mIsWriteScheduled = true;
@@ -358,21 +373,36 @@
     });
 }
 
+void
+owner::AddRoster(platform::transaction& aChange, written_records& aWritten)
+{
+  if (mScheduler.RosterVersion() == mScheduler.StoredRosterVersion()) {
+    return;
+  }
+  written_roster& roster = aWritten.mRoster;
+  roster.mVersion = mScheduler.RosterVersion();
+  roster.mRunners = mScheduler.Roster();
+  roster.mText = jobs::EncodeRoster(roster.mRunners);
+  aChange.mExpected.push_back({ kRosterKey, mRosterRevision });
+  aChange.mWrites.push_back({ kRosterKey, 0, roster.mText, std::nullopt });
+}
+
 void
 owner::Write()
 {
   platform::transaction change;
+  written_records written;
   change.mExpected.push_back({ election::TermKey(), mTerm.mRevision });
-  std::vector<written_job> written;
+  AddRoster(change, written);
   for (const jobs::job_name& each :
        mScheduler.Unstored(kJobsPerWrite, false)) {
     const jobs::job& one = *mScheduler.Find(each);
     written_job record{ { each, one.mVersion, 0 }, jobs::EncodeRecord(one) };
     change.mExpected.push_back({ JobKey(each), one.mRevision });
     change.mWrites.push_back({ JobKey(each), 0, record.mText, std::nullopt });
-    written.push_back(std::move(record));
+    written.mJobs.push_back(std::move(record));
   }
-  if (written.empty()) {
+  if (change.mWrites.empty()) {
     return;
   }
   mIsWriting = true;
@@ -390,7 +420,7 @@
 }
 
 void
-owner::OnWritten(const std::vector<written_job>& aWritten,
+owner::OnWritten(const written_records& aWritten,
                  const result<platform::commit_outcome>& aResult)
 {
   if (aResult.has_error()) {
@@ -410,10 +440,16 @@
     OnConflict(aWritten, aResult.assume_value().mPresent);
     return;
   }
+  const platform::revision revision = aResult.assume_value().mRevision;
   std::vector<jobs::stored_job> stored;
-  for (const written_job& each : aWritten) {
+  for (const written_job& each : aWritten.mJobs) {
     stored.push_back(each.mStored);
-    stored.back().mRevision = aResult.assume_value().mRevision;
+    stored.back().mRevision = revision;
+  }
+  if (!aWritten.mRoster.mText.empty()) {
+    mRosterRevision = revision;
+    mScheduler.OnRosterStored(aWritten.mRoster.mVersion,
+                              aWritten.mRoster.mRunners);
   }
   mScheduler.OnStored(stored);
   AnswerWaiters();
@@ -424,7 +460,7 @@
 // Either a newer owner has claimed the term, or an earlier attempt of ours took
 // effect although its answer was lost.
 void
-owner::OnConflict(const std::vector<written_job>& aWritten,
+owner::OnConflict(const written_records& aWritten,
                   const std::vector<platform::record>& aPresent)
 {
   std::map<std::string, const platform::record*> present;
@@ -444,8 +480,12 @@
     }
     return;
   }
+  const auto roster = present.find(kRosterKey);
+  if (roster != present.end()) {
+    mRosterRevision = roster->second->mRevision; // written again over it
+  }
   std::vector<jobs::stored_job> stored;
-  for (const written_job& each : aWritten) {
+  for (const written_job& each : aWritten.mJobs) {
     const auto found = present.find(JobKey(each.mStored.mJob));
     if (found == present.end()) {
       continue;
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -31,7 +31,7 @@
   // Accepted and ended jobs that come within it share one write.
   std::chrono::milliseconds mWriteDelay{ 8 };
   std::chrono::milliseconds mProgressDelay{ 400 }; // of mere progress
-  std::chrono::milliseconds mWriteTimeout{ 1'000 };
+  std::chrono::milliseconds mWriteTimeout{ 500 };
   std::chrono::milliseconds mWriteRetry{ 60 };
   std::chrono::milliseconds mTick{ 50 };
   std::chrono::milliseconds mLoadTimeout{ 2'000 };
@@ -102,9 +102,22 @@
     jobs::stored_job mStored;
     std::string mText;
   };
+  struct written_roster
+  {
+    std::uint64_t mVersion = 0;
+    std::vector<jobs::runner_info> mRunners;
+    std::string mText; // empty: not part of the write
+  };
+  // What one transaction writes.
+  struct written_records
+  {
+    std::vector<written_job> mJobs;
+    written_roster mRoster;
+  };
 
   void Load();
   void OnLoaded(const std::vector<platform::record>& aRecords);
+  void AddRoster(platform::transaction& aChange, written_records& aWritten);
   void StartRunnerMirror();
   void Tick();
   void Plan();
@@ -116,9 +129,9 @@
   void SendLook(const jobs::look_order& aOrder);
   void ScheduleWrite();
   void Write();
-  void OnWritten(const std::vector<written_job>& aWritten,
+  void OnWritten(const written_records& aWritten,
                  const result<platform::commit_outcome>& aResult);
-  void OnConflict(const std::vector<written_job>& aWritten,
+  void OnConflict(const written_records& aWritten,
                   const std::vector<platform::record>& aPresent);
   void Forget();
   void AnswerWaiters();
@@ -137,6 +150,7 @@
   boost::asio::steady_timer mLoadTimer;
   std::multimap<jobs::job_name, waiter> mWaiters;
   time_point mNextProgress{};
+  platform::revision mRosterRevision = 0;
   bool mIsLoaded = false;
   bool mIsStopped = false;
   bool mIsPlanPosted = false;
