Host orders are announced in the store; a successor orders at once

The bound is per host, and only orders of the last 3 s matter.

Ruled out: asking hosts' age from the listing; spare hosts have no runner to ask.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -355,6 +355,14 @@
   }
 }
 
+bool
+scheduler::KnowsRunsOf(const runner_name& aRunner, time_point aNow) const
+{
+  const auto found = mRunners.find(aRunner);
+  return (found != mRunners.end() && found->second.mContacted) ||
+         aNow >= LeasesOver();
+}
+
 std::map<service_name, pool_load>
 scheduler::Loads(wall_time aWall) const
 {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -156,6 +156,10 @@
   // Stops the lasting runs there, as far as their steps' allowance permits.
   void Evict(const runner_name& aRunner, time_point aNow);
 
+  // Whether all that runs on the runner is known: it has answered this owner,
+  // or every lease that an earlier one gave is over.
+  bool KnowsRunsOf(const runner_name& aRunner, time_point aNow) const;
+
   // What each service would use now if it had room for all.
   std::map<service_name, pool_load> Loads(wall_time aWall) const;
 
--- a/mangospan/jobs/sizing.cc
+++ b/mangospan/jobs/sizing.cc
@@ -64,6 +64,7 @@
 
 std::vector<move_order>
 pool_sizing::Decide(const std::map<service_name, pool_load>& aLoads,
+                    const service_name& aSparePool,
                     const std::vector<host_view>& aHosts,
                     const std::set<host_name>& aTaken,
                     time_point aListedAt,
@@ -73,15 +74,11 @@
   NoteIdle(aHosts, aNow);
   std::map<service_name, pool> pools;
   std::vector<host_name> spare;
-  service_name sparePool;
   for (const auto& [service, load] : aLoads) {
     pools[service];
   }
   for (const host_view& each : aHosts) {
     const auto journey = mJourneys.find(each.mHost);
-    if (each.mIsSpare) {
-      sparePool = each.mPool;
-    }
     if (journey != mJourneys.end()) {
       const auto to = pools.find(journey->second.mTo);
       if (to != pools.end()) {
@@ -150,7 +147,7 @@
       moves.push_back({ chosen, service });
     }
   }
-  if (sparePool.Empty()) {
+  if (aSparePool.Empty()) {
     return moves;
   }
   for (auto& [service, each] : pools) {
@@ -161,7 +158,7 @@
       }
       if (aNow - mIdleSince.at(host) >= mSettings.mIdleTime) {
         --each.mHave;
-        moves.push_back({ host, sparePool });
+        moves.push_back({ host, aSparePool });
       }
     }
   }
--- a/mangospan/jobs/sizing.h
+++ b/mangospan/jobs/sizing.h
@@ -39,10 +39,12 @@
 public:
   explicit pool_sizing(sizing_settings aSettings);
 
-  // The moves to order now. `aTaken` are hosts that maintenance has claimed;
-  // `aListedAt` is when the listing behind `aHosts` was asked for.
+  // The moves to order now. Hosts that nobody needs go to `aSparePool`, if there
+  // is one. `aTaken` are hosts that maintenance has claimed; `aListedAt` is when
+  // the listing behind `aHosts` was asked for.
   std::vector<move_order> Decide(
     const std::map<service_name, pool_load>& aLoads,
+    const service_name& aSparePool,
     const std::vector<host_view>& aHosts,
     const std::set<host_name>& aTaken,
     time_point aListedAt,
--- a/mangospan/jobs/upkeep.cc
+++ b/mangospan/jobs/upkeep.cc
@@ -115,9 +115,10 @@
       if (view.mLasting > 0) {
         aInto.mEvict.push_back(host);
       }
-      const bool isOverdue = view.mLasting == 0 &&
+      const bool isOverdue = view.mIsKnown && view.mLasting == 0 &&
                              aNow - each.mSince > mSettings.mPatience;
-      if ((view.mRuns == 0 || isOverdue) && aNow >= each.mNotBefore) {
+      const bool isEmpty = view.mIsKnown && view.mRuns == 0;
+      if ((isEmpty || isOverdue) && aNow >= each.mNotBefore) {
         ready.emplace_back(view.mRuns, host);
       }
     }
--- a/mangospan/jobs/upkeep.h
+++ b/mangospan/jobs/upkeep.h
@@ -23,7 +23,8 @@
   service_name mPool;
   bool mIsUp = false;        // neither down nor on its way
   bool mIsSpare = false;     // in the pool of hosts that are off
-  bool mIsSettled = false;   // its runner is known and takes runs
+  bool mIsKnown = false;     // what runs there is known
+  bool mIsSettled = false;   // its runner is in use, or would be
   resources mCapacity;
   std::size_t mRuns = 0;     // that exist or may exist on its runner
   std::size_t mLasting = 0;  // of these, lasting ones
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -71,6 +71,7 @@
 void
 election::Start()
 {
+  mStartedAt = mClock.Now();
   mirror_settings settings;
   mMirror = std::make_shared<mirror>(
     mIo,
@@ -175,8 +176,10 @@
     mTerm.mTerm > 0 && mTerm.mNode == mNode && mTerm.mAddress == mAddress;
   const auto patience = mSettings.mPatience.count();
   std::uniform_int_distribution<std::int64_t> jitter(patience, 2 * patience);
-  mTryTimer.expires_after(
-    milliseconds(wasOwner || mTerm.mTerm == 0 ? 0 : jitter(mRandom)));
+  const bool isRecent = mClock.Now() - mStartedAt < mSettings.mRecentStart;
+  const bool isAtOnce = wasOwner || mTerm.mTerm == 0;
+  mTryTimer.expires_after(milliseconds(
+    isAtOnce ? 0 : jitter(mRandom) + (isRecent ? 0 : patience)));
   mTryTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aAbort) {
       if (!aAbort) {
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -32,6 +32,9 @@
   // A node other than the last owner waits this long, and up to as much again,
   // so that an owner whose lease was revoked goes on without a takeover.
   std::chrono::milliseconds mPatience{ 100 };
+  // A node that started longer ago waits once more as long: in a rolling
+  // restart, the one that came back lately is the last to go again.
+  std::chrono::milliseconds mRecentStart{ 45'000 };
   // How much sooner than the store the owner counts its lease as over.
   std::chrono::milliseconds mMargin{ 200 };
 };
@@ -107,6 +110,7 @@
   std::string mLeaseHolder;   // empty: nobody holds the lease
   std::optional<platform::lease_id> mLease;
   time_point mRenewedAt{};
+  time_point mStartedAt{};
   bool mIsOwner = false;
   bool mIsTrying = false;
   bool mIsRetired = false;
--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -16,10 +16,11 @@
 namespace {
 
 constexpr milliseconds kBusyListPeriod{ 400 };
-// Beyond the platform's own bound: an old holder may have ordered until its
-// lease was over.
-constexpr milliseconds kHolderSlack{ 1'700 };
+// Hosts' clocks differ by less than this.
+constexpr milliseconds kClockSlack{ 300 };
+constexpr const char* kOrdersKey = "mangospan/orders";
 constexpr milliseconds kStatusTimeout{ 1'000 };
+constexpr milliseconds kAnnounceTimeout{ 500 };
 
 const char*
 Name(host_order_outcome aOutcome)
@@ -68,13 +69,126 @@
 void
 fleet_duty::Start()
 {
-  const time_point now = mDeps.mClock.Now();
-  // The first owner of all has no predecessor.
-  mOrdersFrom =
-    mFence.mTerm == 1 ? now : now + mSettings.mHostLease + kHolderSlack;
+  LoadOrders();
   Tick();
 }
 
+void
+fleet_duty::LoadOrders()
+{
+  mDeps.mStore.Read(
+    kOrdersKey,
+    kStatusTimeout,
+    [self = shared_from_this()](
+      const result<std::optional<platform::record>>& aResult) {
+      if (self->mIsStopped || self->mIsLoaded) {
+        return;
+      }
+      if (aResult.has_error()) {
+        LogError("hosts.orders_unknown", aResult.assume_error());
+        return; // asked again at the next tick
+      }
+      self->mIsLoaded = true;
+      if (!aResult.assume_value()) {
+        return;
+      }
+      const json orders =
+        json::parse(aResult.assume_value()->mValue, nullptr, false);
+      for (const auto& [host, at] : orders.items()) {
+        if (at.is_number_integer()) {
+          self->mOrderedAt[host_name{ host }] =
+            jobs::wall_time(milliseconds(at.get<std::int64_t>()));
+          self->mForeign.insert(host_name{ host });
+        }
+      }
+    });
+}
+
+// The platform takes orders of two holders for one host only some time apart.
+bool
+fleet_duty::MayOrder(const host_name& aHost) const
+{
+  if (mForeign.count(aHost) == 0) {
+    return true;
+  }
+  return std::chrono::system_clock::now() - mOrderedAt.at(aHost) >=
+         mSettings.mHostLease + kClockSlack;
+}
+
+void
+fleet_duty::Announce(std::vector<jobs::upkeep_order> aUpkeep,
+                     std::vector<jobs::move_order> aMoves)
+{
+  const auto now = std::chrono::system_clock::now();
+  const auto keep = [this, now](const auto& aOrder) {
+    if (!MayOrder(aOrder.mHost)) {
+      return false;
+    }
+    mOrderedAt[aOrder.mHost] = now;
+    mForeign.erase(aOrder.mHost);
+    return true;
+  };
+  const auto refused = std::stable_partition(aUpkeep.begin(), aUpkeep.end(), keep);
+  for (auto it = refused; it != aUpkeep.end(); ++it) {
+    mPlan.OnNotDone(*it, mDeps.mClock.Now());
+  }
+  aUpkeep.erase(refused, aUpkeep.end());
+  aMoves.erase(std::stable_partition(aMoves.begin(), aMoves.end(), keep),
+               aMoves.end());
+  if (aUpkeep.empty() && aMoves.empty()) {
+    return;
+  }
+  for (const jobs::move_order& each : aMoves) {
+    mSizing.OnMoving(each, mDeps.mClock.Now());
+  }
+  json orders = json::object();
+  for (const auto& [host, at] : mOrderedAt) {
+    if (now - at < 2 * mSettings.mHostLease) {
+      orders[host.Str()] =
+        std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
+    }
+  }
+  platform::transaction change;
+  change.mExpected.push_back({ election::TermKey(), mOwner->Term().mRevision });
+  change.mWrites.push_back({ kOrdersKey, 0, orders.dump(), std::nullopt });
+  mIsAnnouncing = true;
+  mDeps.mStore.Commit(
+    std::move(change),
+    kAnnounceTimeout,
+    [self = shared_from_this(), upkeep = std::move(aUpkeep), moves = std::move(aMoves)](
+      const result<platform::commit_outcome>& aResult) {
+      self->mIsAnnouncing = false;
+      if (aResult.has_error()) {
+        LogError("hosts.announce_failed", aResult.assume_error());
+      }
+      self->Issue(upkeep,
+                  moves,
+                  aResult.has_value() && aResult.assume_value().mCommitted);
+    });
+}
+
+void
+fleet_duty::Issue(const std::vector<jobs::upkeep_order>& aUpkeep,
+                  const std::vector<jobs::move_order>& aMoves,
+                  bool aIsAnnounced)
+{
+  const bool mayOrder = aIsAnnounced && !mIsStopped && mMayOrder();
+  for (const jobs::upkeep_order& each : aUpkeep) {
+    if (mayOrder) {
+      Maintain(each);
+    } else {
+      mPlan.OnNotDone(each, mDeps.mClock.Now());
+    }
+  }
+  for (const jobs::move_order& each : aMoves) {
+    if (mayOrder) {
+      Move(each);
+    } else {
+      mSizing.OnNotMoved(each.mHost);
+    }
+  }
+}
+
 void
 fleet_duty::Stop()
 {
@@ -170,9 +284,12 @@
     const auto pool = services.find(each.mPool);
     view.mIsSpare = pool != services.end() && pool->second.mSpare;
     view.mCapacity = each.mCapacity;
+    view.mIsKnown = each.mRunner.Empty() ||
+                    mOwner->Scheduler().KnowsRunsOf(each.mRunner,
+                                                    mDeps.mClock.Now());
     const auto found = runners.find(each.mRunner);
     if (found != runners.end()) {
-      view.mIsSettled = found->second.mIsInRoster;
+      view.mIsSettled = found->second.mContacted && found->second.mIsInRoster;
       for (const auto& [key, run] : found->second.Runs()) {
         ++view.mRuns;
         view.mLasting += run.mLasting ? 1 : 0;
@@ -186,31 +303,39 @@
 void
 fleet_duty::Act()
 {
-  if (mHosts.empty() || !mOwner->IsServing()) {
+  if (!mIsLoaded) {
+    LoadOrders();
     return;
   }
-  const time_point now = mDeps.mClock.Now();
-  if (now < mOrdersFrom || !mMayOrder()) {
+  if (mHosts.empty() || !mOwner->IsServing() || mIsAnnouncing || !mMayOrder()) {
     return;
   }
+  const time_point now = mDeps.mClock.Now();
   const std::vector<jobs::host_view> views = HostViews();
   const jobs::upkeep_decision upkeep = mPlan.Decide(views, mListedAt, now);
-  const auto moves =
+  auto moves =
     mSizing.Decide(mOwner->Scheduler().Loads(std::chrono::system_clock::now()),
+                   SparePool(),
                    views,
                    upkeep.mClosed,
                    mListedAt,
                    now);
-  for (const jobs::upkeep_order& each : upkeep.mOrders) {
-    Maintain(each);
-  }
-  for (const jobs::move_order& each : moves) {
-    Move(each);
-  }
+  Announce(upkeep.mOrders, std::move(moves));
   CloseAndEvict(upkeep, now);
   mOwner->Wake();
 }
 
+service_name
+fleet_duty::SparePool() const
+{
+  for (const auto& [service, each] : mOwner->Scheduler().Catalog().mServices) {
+    if (each.mSpare) {
+      return service;
+    }
+  }
+  return {};
+}
+
 jobs::runner_name
 fleet_duty::RunnerOf(const host_name& aHost) const
 {
@@ -240,7 +365,6 @@
 void
 fleet_duty::Move(const jobs::move_order& aOrder)
 {
-  mSizing.OnMoving(aOrder, mDeps.mClock.Now());
   const jobs::runner_name runner = RunnerOf(aOrder.mHost);
   mDeps.mHosts.Move(
     mFence,
--- a/mangospan/node/fleet_duty.h
+++ b/mangospan/node/fleet_duty.h
@@ -1,5 +1,9 @@
 // The owner's duty towards hosts: maintenance waves, and hosts that follow the
 // load from pool to pool.
+//
+// Every order is announced in the store first, by a write that a successor's
+// claim fences. So a successor knows which hosts were ordered lately, and none
+// is ordered by the predecessor any more.
 #ifndef MANGOSPAN_NODE_FLEET_DUTY_H
 #define MANGOSPAN_NODE_FLEET_DUTY_H
 
@@ -25,7 +29,7 @@
 {
   // The platform takes orders of two holders only this far apart.
   std::chrono::milliseconds mHostLease{ 3'000 };
-  std::chrono::milliseconds mTick{ 100 };
+  std::chrono::milliseconds mTick{ 60 };
 };
 
 // What the duty uses. The references must outlive it.
@@ -58,8 +62,16 @@
   void List();
   void Act();
   void Maintain(const jobs::upkeep_order& aOrder);
+  void Announce(std::vector<jobs::upkeep_order> aUpkeep,
+                std::vector<jobs::move_order> aMoves);
+  void Issue(const std::vector<jobs::upkeep_order>& aUpkeep,
+             const std::vector<jobs::move_order>& aMoves,
+             bool aIsAnnounced);
+  void LoadOrders();
+  bool MayOrder(const host_name& aHost) const;
   void Move(const jobs::move_order& aOrder);
   void CloseAndEvict(const jobs::upkeep_decision& aUpkeep, time_point aNow);
+  service_name SparePool() const; // empty: there is none
   jobs::runner_name RunnerOf(const host_name& aHost) const;
   void KeepRecord(std::uint64_t aWave);
   void ReportWaves();
@@ -71,7 +83,11 @@
   std::shared_ptr<owner> mOwner;
   const std::function<bool()> mMayOrder;
   boost::asio::steady_timer mTimer;
-  time_point mOrdersFrom{};
+  // When a host was ordered last, by this holder or an earlier one.
+  std::map<host_name, jobs::wall_time> mOrderedAt;
+  std::set<host_name> mForeign; // ordered last by an earlier holder
+  bool mIsLoaded = false;
+  bool mIsAnnouncing = false;
   time_point mNextList{};
   time_point mListedAt{};
   std::vector<host_entry> mHosts;
