--- a/mangospan/jobs/ranking.cc
+++ b/mangospan/jobs/ranking.cc
@@ -5,6 +5,13 @@
 
 namespace mangospan::jobs {
 
+namespace {
+
+// A job later than this many times its objective is of no use.
+constexpr int kUsefulObjectives = 3;
+
+} // namespace
+
 std::chrono::milliseconds
 RemainingChain(const job& aJob, std::size_t aOccurrence)
 {
@@ -23,13 +30,31 @@
   return longest;
 }
 
+prospect
+ProspectOf(const job& aJob, time_point aNow)
+{
+  const time_point end = aNow + RemainingChain(aJob, 0);
+  if (end <= aJob.mDueBy) {
+    return prospect::kOnTime;
+  }
+  const auto objective = aJob.mDueBy - aJob.mAccepted;
+  return end <= aJob.mAccepted + kUsefulObjectives * objective
+           ? prospect::kLate
+           : prospect::kTooLate;
+}
+
 rank
 RankOf(const job& aJob, std::size_t aStep, int aPriority, time_point aNow)
 {
   const step_spec& spec = aJob.mSpec.mSteps[aStep];
-  const bool isLate =
-    !spec.mLasting && aNow + RemainingChain(aJob, 0) > aJob.mDueBy;
-  return { !(spec.mLasting && !spec.mFiller), isLate, aPriority, aJob.mDueBy };
+  const prospect reach =
+    spec.mLasting ? prospect::kOnTime : ProspectOf(aJob, aNow);
+  const bool isWaiting = aJob.mState == job_state::kQueued;
+  return { !(spec.mLasting && !spec.mFiller),
+           reach,
+           aPriority,
+           reach != prospect::kOnTime && isWaiting,
+           aJob.mDueBy };
 }
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/ranking.h
+++ b/mangospan/jobs/ranking.h
@@ -1,6 +1,7 @@
 // The order in which jobs get room. Answers a queue that asks for several times
-// what its pool does: work that can still meet its objective goes first, work
-// that can not goes last, since it is worth the same however late it ends.
+// what its pool does: work that can still meet its objective goes first, then
+// work that is late but still of use, then the rest. Among late jobs those that
+// have begun go first, so that wide ones are not overtaken without end.
 #ifndef MANGOSPAN_JOBS_RANKING_H
 #define MANGOSPAN_JOBS_RANKING_H
 
@@ -11,8 +12,19 @@
 
 namespace mangospan::jobs {
 
+// What a job can still reach.
+enum class prospect
+{
+  kOnTime,
+  kLate,    // within a few times its objective
+  kTooLate, // of use to nobody, but accepted
+};
+
+prospect
+ProspectOf(const job& aJob, time_point aNow);
+
 // Compared in order; the lowest goes first.
-using rank = std::tuple<bool, bool, int, time_point>;
+using rank = std::tuple<bool, prospect, int, bool, time_point>;
 
 // The rank of one step of the job.
 rank
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -43,7 +43,8 @@
 void
 scheduler::Load(std::vector<job> aJobs,
                 const std::vector<runner_info>& aRoster,
-                time_point aNow)
+                time_point aNow,
+                wall_time aWall)
 {
   for (const runner_info& each : aRoster) {
     const auto added = mRunners.emplace(each.mName, runner(each));
@@ -56,11 +57,17 @@
   }
   for (job& each : aJobs) {
     each.mInherited = true;
-    each.mAccepted = aNow;
+    // Restored against the wall clock; nothing but the order rests on it.
+    each.mAccepted = aNow - std::max(aWall - each.mAcceptedAt,
+                                     wall_time::duration(0));
     each.mStoredVersion = each.mVersion;
-    each.mDueBy = aNow;
+    each.mDueBy = each.mAccepted;
     if (!IsFinal(each.mState)) {
       mActive.insert(each.mName);
+      const queue_policy* const queue = mCatalog.FindQueue(each.mSpec.mQueue);
+      if (queue != nullptr) {
+        each.mDueBy += queue->Objective(each.mSpec);
+      }
     }
     const job_name jobName = each.mName;
     mJobs.insert_or_assign(jobName, std::move(each));
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -90,7 +90,8 @@
   // anything else.
   void Load(std::vector<job> aJobs,
             const std::vector<runner_info>& aRoster,
-            time_point aNow);
+            time_point aNow,
+            wall_time aWall);
 
   void SetCatalog(catalog aCatalog);
   // False: no starts and no longer leases, since a successor may count on the
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -153,7 +153,7 @@
            "owner.loaded",
            { { "term", mTerm.mTerm },
              { "jobs", static_cast<std::uint64_t>(loaded.size()) } });
-  mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now());
+  mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now(), WallNow());
   mIsLoaded = true;
   Tick();
 }
