After a takeover only the runners of a job's own service are waited for

With a dark rack and three takeovers in a rolling restart, no inherited task of any service started for 14 s: one runner not reached held up all, the roster kept dead ones, and a successor waited for the longest lease an owner could have given.

What is new: the wait is per service; the roster tells from when a silent runner's runs are over; an owner that stops hands over with that for each.

Ruled out: shorter leases; work in a cut zone would die with them.

--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -272,22 +272,31 @@
 } // namespace
 
 std::string
-EncodeRoster(const std::vector<runner_info>& aRunners)
+EncodeRoster(const std::vector<roster_entry>& aRunners)
 {
   json out = json::array();
-  for (const runner_info& each : aRunners) {
-    out.push_back(RunnerToJson(each));
+  for (const roster_entry& each : aRunners) {
+    json entry = RunnerToJson(each.mInfo);
+    if (each.mDeadBy) {
+      entry["dead_by_ms"] = ToMilliseconds(*each.mDeadBy);
+    }
+    out.push_back(std::move(entry));
   }
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-result<std::vector<runner_info>>
+result<std::vector<roster_entry>>
 DecodeRoster(std::string_view aText)
 {
   try {
-    std::vector<runner_info> out;
+    std::vector<roster_entry> out;
     for (const json& each : json::parse(aText)) {
-      out.push_back(RunnerFromJson(each));
+      roster_entry entry{ RunnerFromJson(each), std::nullopt };
+      if (each.contains("dead_by_ms")) {
+        entry.mDeadBy =
+          FromMilliseconds(each.at("dead_by_ms").get<std::int64_t>());
+      }
+      out.push_back(std::move(entry));
     }
     return out;
   } catch (const std::exception& failure) {
--- a/mangospan/jobs/codec.h
+++ b/mangospan/jobs/codec.h
@@ -29,10 +29,10 @@
 
 // The runners that an owner uses, for its successor.
 std::string
-EncodeRoster(const std::vector<runner_info>& aRunners);
+EncodeRoster(const std::vector<roster_entry>& aRunners);
 
 // Errors: kInvalidArgument.
-result<std::vector<runner_info>>
+result<std::vector<roster_entry>>
 DecodeRoster(std::string_view aText);
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/orders.h
+++ b/mangospan/jobs/orders.h
@@ -36,6 +36,15 @@
   std::int64_t mBoot = 0; // differs between two boots of one runner; 0: unknown
 };
 
+// A runner that an owner uses, for its successor.
+struct roster_entry
+{
+  runner_info mInfo;
+  // By then every run on it has ended, since its lease is not extended any
+  // more; unset while it is.
+  std::optional<wall_time> mDeadBy;
+};
+
 // One run that a runner lists as live.
 struct live_run
 {
--- a/mangospan/jobs/ranking.cc
+++ b/mangospan/jobs/ranking.cc
@@ -53,7 +53,7 @@
   return { !(spec.mLasting && !spec.mFiller),
            reach,
            aPriority,
-           reach != prospect::kOnTime && isWaiting,
+           reach == prospect::kTooLate && isWaiting,
            aJob.mDueBy };
 }
 
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -90,6 +90,7 @@
   bool mListed = true;      // service discovery lists it
   bool mContacted = false;  // it has answered this owner, so it is fenced
   bool mIsInRoster = false; // the stored roster names it
+  bool mMayHoldInherited = false; // an earlier owner has used it
   bool mLookInFlight = false;
   time_point mNextLook{};
   int mFailedLooks = 0;     // in a row
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -15,6 +15,8 @@
 // Run numbers of one term; no task is started this often within one.
 constexpr std::uint32_t kRunsPerTerm = 1'000;
 constexpr milliseconds kMaxRetryAfter{ 8'000 };
+// Two hosts' times of day differ by less than this.
+constexpr milliseconds kWallSlack{ 500 };
 
 // The steps in one word each, for the log: "4x500" is four tasks of half a
 // core, "5x1300L" five lasting ones.
@@ -42,18 +44,21 @@
 
 void
 scheduler::Load(std::vector<job> aJobs,
-                const std::vector<runner_info>& aRoster,
+                const std::vector<roster_entry>& aRoster,
                 time_point aNow,
                 wall_time aWall)
 {
-  for (const runner_info& each : aRoster) {
-    const auto added = mRunners.emplace(each.mName, runner(each));
+  for (const roster_entry& each : aRoster) {
+    const auto added = mRunners.emplace(each.mInfo.mName, runner(each.mInfo));
     runner& known = added.first->second;
     known.mIsInRoster = true;
-    if (added.second) {
-      known.mListed = false;
-      known.SetDeadAt(LeasesOver());
+    known.mMayHoldInherited = true;
+    known.mListed = !added.second;
+    time_point deadAt = LeasesOver();
+    if (each.mDeadBy) {
+      deadAt = std::min(deadAt, aNow + (*each.mDeadBy - aWall) + kWallSlack);
     }
+    known.SetDeadAt(deadAt);
   }
   for (job& each : aJobs) {
     each.mInherited = true;
@@ -129,10 +134,7 @@
     { { "runner", aRunner.Str() },
       { "runs", static_cast<std::uint64_t>(found->second.Runs().size()) } });
   found->second.mListed = false;
-  // One that this owner has not reached may run what an earlier owner started.
-  const time_point earliest =
-    found->second.mContacted ? aNow : std::max(aNow, LeasesOver());
-  found->second.SetDeadAt(std::max(found->second.DeadAt(), earliest));
+  found->second.SetDeadAt(std::max(found->second.DeadAt(), aNow));
 }
 
 void
@@ -144,6 +146,7 @@
   }
   ReleaseAll(found->second, aNow);
   mRunners.erase(found);
+  ++mRosterVersion;
 }
 
 submit_answer
@@ -261,27 +264,49 @@
   }
 }
 
-std::vector<runner_info>
-scheduler::Roster() const
+void
+scheduler::SetMayStart(bool aMayStart)
+{
+  if (aMayStart && !mMayStart) {
+    // A roster written meanwhile told when each runner would be dead.
+    ++mRosterVersion;
+    for (auto& [runnerName, each] : mRunners) {
+      each.mIsInRoster = false;
+    }
+  }
+  mMayStart = aMayStart;
+}
+
+std::vector<roster_entry>
+scheduler::Roster(time_point aNow, wall_time aWall) const
 {
-  std::vector<runner_info> roster;
+  std::vector<roster_entry> roster;
   for (const auto& [runnerName, each] : mRunners) {
-    if (each.mContacted || each.mIsInRoster) {
-      roster.push_back(each.mInfo);
+    if (!each.mContacted && !each.mMayHoldInherited) {
+      continue;
+    }
+    roster_entry entry{ each.mInfo, std::nullopt };
+    const bool isExtended =
+      mMayStart && each.mContacted && each.mListed && each.mFailedLooks == 0;
+    if (!isExtended) {
+      entry.mDeadBy =
+        aWall + std::chrono::duration_cast<wall_time::duration>(
+                  std::max(each.DeadAt(), aNow) - aNow);
     }
+    roster.push_back(std::move(entry));
   }
   return roster;
 }
 
 void
 scheduler::OnRosterStored(std::uint64_t aVersion,
-                          const std::vector<runner_info>& aRoster)
+                          const std::vector<roster_entry>& aRoster)
 {
   mStoredRosterVersion = aVersion;
-  for (const runner_info& each : aRoster) {
-    const auto found = mRunners.find(each.mName);
-    if (found != mRunners.end() &&
-        found->second.mInfo.mAddress == each.mAddress) {
+  for (const roster_entry& each : aRoster) {
+    const auto found = mRunners.find(each.mInfo.mName);
+    if (found != mRunners.end() && !each.mDeadBy &&
+        found->second.mInfo.mAddress == each.mInfo.mAddress) {
       found->second.mIsInRoster = true;
     }
   }
@@ -366,8 +391,9 @@
 scheduler::KnowsRunsOf(const runner_name& aRunner, time_point aNow) const
 {
   const auto found = mRunners.find(aRunner);
-  return (found != mRunners.end() && found->second.mContacted) ||
-         aNow >= LeasesOver();
+  return found == mRunners.end()
+           ? aNow >= LeasesOver()
+           : found->second.mContacted || aNow >= found->second.DeadAt();
 }
 
 std::map<service_name, pool_load>
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -89,14 +89,14 @@
   // Jobs and runners that earlier owners have stored. Call it once, before
   // anything else.
   void Load(std::vector<job> aJobs,
-            const std::vector<runner_info>& aRoster,
+            const std::vector<roster_entry>& aRoster,
             time_point aNow,
             wall_time aWall);
 
   void SetCatalog(catalog aCatalog);
   // False: no starts and no longer leases, since a successor may count on the
   // leases given so far. Stops and looks go on.
-  void SetMayStart(bool aMayStart) { mMayStart = aMayStart; }
+  void SetMayStart(bool aMayStart);
   const catalog& Catalog() const { return mCatalog; }
 
   // Service discovery: a runner is listed, or is no longer.
@@ -141,11 +141,11 @@
   // The runners in use. A runner gets its first run only once the roster that
   // names it is stored, so that a successor knows of it even if service
   // discovery has forgotten it.
-  std::vector<runner_info> Roster() const;
+  std::vector<roster_entry> Roster(time_point aNow, wall_time aWall) const;
   std::uint64_t RosterVersion() const { return mRosterVersion; }
   std::uint64_t StoredRosterVersion() const { return mStoredRosterVersion; }
   void OnRosterStored(std::uint64_t aVersion,
-                      const std::vector<runner_info>& aRoster);
+                      const std::vector<roster_entry>& aRoster);
   // Ended jobs that need not be kept any longer; they are forgotten.
   std::vector<job_name> TakeExpired(wall_time aWall, std::size_t aMost);
 
@@ -171,7 +171,7 @@
   struct candidate;
 
   time_point LeasesOver() const;
-  bool MayStartInherited(time_point aNow) const;
+  bool MayStartInherited(const service_name& aService, time_point aNow) const;
   void ReleaseDead(time_point aNow);
   void Release(runner& aRunner, const run_key& aKey, time_point aNow);
   void ReleaseAll(runner& aRunner, time_point aNow);
--- a/mangospan/jobs/scheduler_answers.cc
+++ b/mangospan/jobs/scheduler_answers.cc
@@ -172,6 +172,7 @@
   }
   if (aReport == nullptr) {
     if (where.mFailedLooks++ == 0) {
+      mRosterVersion += where.mIsInRoster ? 1 : 0; // tells when it is dead
       LogEvent(log_level::kInfo,
                "runner.silent",
                { { "runner", aOrder.mRunner.Str() },
@@ -181,6 +182,8 @@
     return;
   }
   if (where.mFailedLooks > 0) {
+    ++mRosterVersion; // its lease is extended again
+    where.mIsInRoster = false;
     LogEvent(log_level::kInfo,
              "runner.answers_again",
              { { "runner", aOrder.mRunner.Str() } });
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -69,23 +69,19 @@
          mSettings.mLease * kSlowClockPercent / 100 + mSettings.mStartValidity;
 }
 
-// A task of a taken-over job may still run on a runner that this owner has not
-// reached, so it starts only once every runner is fenced or its lease is over.
+// A task of a taken-over job may still run on a runner of its service that this
+// owner has not reached, so it starts only once each is fenced or its lease is
+// over.
 bool
-scheduler::MayStartInherited(time_point aNow) const
+scheduler::MayStartInherited(const service_name& aService,
+                             time_point aNow) const
 {
-  if (aNow >= LeasesOver()) {
-    return true;
-  }
-  return !mRunners.empty() &&
-         std::all_of(
-           mRunners.begin(), mRunners.end(), [this](const auto& aEntry) {
-             const auto service =
-               mCatalog.mServices.find(aEntry.second.mInfo.mService);
-             const bool isSpare = service != mCatalog.mServices.end() &&
-                                  service->second.mSpare;
-             return isSpare || aEntry.second.mContacted;
-           });
+  return std::all_of(
+    mRunners.begin(), mRunners.end(), [&](const auto& aEntry) {
+      const runner& each = aEntry.second;
+      return each.mInfo.mService != aService || !each.mMayHoldInherited ||
+             each.mContacted || aNow >= each.DeadAt();
+    });
 }
 
 void
@@ -97,6 +93,7 @@
     if (isSilent && aNow >= each.DeadAt()) {
       ReleaseAll(each, aNow);
       if (!each.mListed) {
+        mRosterVersion += each.mIsInRoster ? 1 : 0;
         it = mRunners.erase(it);
         continue;
       }
@@ -182,7 +179,7 @@
 {
   const queue_policy* const queue = mCatalog.FindQueue(aJob.mSpec.mQueue);
   if (queue == nullptr || aJob.mStoredVersion == 0 ||
-      (aJob.mInherited && !MayStartInherited(aNow))) {
+      (aJob.mInherited && !MayStartInherited(queue->mService, aNow))) {
     return;
   }
   for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
@@ -358,8 +355,8 @@
     const auto service = mCatalog.mServices.find(each.mInfo.mService);
     const bool isSpare =
       service == mCatalog.mServices.end() || service->second.mSpare;
-    const bool isFirst =
-      (each.mListed || each.mIsInRoster) && !each.mContacted && !isSpare;
+    const bool isFirst = (each.mListed || each.mMayHoldInherited) &&
+                         !each.mContacted && !isSpare;
     const bool hasRuns = std::any_of(
       each.Runs().begin(), each.Runs().end(), [](const auto& aEntry) {
         return aEntry.second.mPhase != run_phase::kOrdered;
@@ -380,7 +377,8 @@
   look.mRunner = aRunner.mInfo.mName;
   look.mAcknowledged = aRunner.mAckedEnds;
   aRunner.mAckDueAt = aNow + kIdleAckDelay;
-  const bool isReachable = aRunner.mContacted && aRunner.mFailedLooks == 0;
+  const bool isReachable = aRunner.mContacted && aRunner.mIsInRoster &&
+                           aRunner.mFailedLooks == 0;
   if (isReachable && !aRunner.Runs().empty()) {
     // A runner that does not answer gets no longer lease, so that its tasks can
     // start elsewhere in time.
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -347,10 +347,18 @@
 node_process::Stop(std::function<void()> aDone)
 {
   mIsStopping = true;
-  mElection->Retire([this, done = std::move(aDone)] {
-    mStopTimer.expires_after(kDrainTime);
-    mStopTimer.async_wait([done](const boost::system::error_code&) { done(); });
-  });
+  const auto retire = [this, done = std::move(aDone)] {
+    mElection->Retire([this, done] {
+      mStopTimer.expires_after(kDrainTime);
+      mStopTimer.async_wait(
+        [done](const boost::system::error_code&) { done(); });
+    });
+  };
+  if (mOwner && mOwner->IsServing()) {
+    mOwner->HandOver(retire);
+  } else {
+    retire();
+  }
 }
 
 } // namespace mangospan::node
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -90,6 +90,28 @@
   }
 }
 
+void
+owner::HandOver(std::function<void()> aDone)
+{
+  mIsHandingOver = true;
+  mScheduler.SetMayStart(false);
+  written_roster roster;
+  roster.mText = jobs::EncodeRoster(
+    mScheduler.Roster(mDeps.mClock.Now(), WallNow()));
+  platform::transaction change;
+  change.mExpected.push_back({ election::TermKey(), mTerm.mRevision });
+  change.mWrites.push_back({ kRosterKey, 0, roster.mText, std::nullopt });
+  mDeps.mStore.Commit(
+    std::move(change),
+    mSettings.mWriteTimeout,
+    [done = std::move(aDone)](const result<platform::commit_outcome>& aResult) {
+      if (aResult.has_error()) { // the successor waits for the longest lease
+        LogError("owner.handover_failed", aResult.assume_error());
+      }
+      done();
+    });
+}
+
 void
 owner::SetCatalog(const jobs::catalog& aCatalog)
 {
@@ -127,7 +149,7 @@
 owner::OnLoaded(const std::vector<platform::record>& aRecords)
 {
   std::vector<jobs::job> loaded;
-  std::vector<jobs::runner_info> roster;
+  std::vector<jobs::roster_entry> roster;
   for (const platform::record& each : aRecords) {
     if (each.mKey == kRosterKey) {
       mRosterRevision = each.mRevision;
@@ -232,7 +254,7 @@
   if (mIsStopped || !IsServing()) {
     return;
   }
-  mScheduler.SetMayStart(mMayStart());
+  mScheduler.SetMayStart(!mIsHandingOver && mMayStart());
   for (const jobs::order& each :
        mScheduler.Plan(mDeps.mClock.Now(), WallNow())) {
     Send(each);
@@ -381,7 +403,7 @@
   }
   written_roster& roster = aWritten.mRoster;
   roster.mVersion = mScheduler.RosterVersion();
-  roster.mRunners = mScheduler.Roster();
+  roster.mRunners = mScheduler.Roster(mDeps.mClock.Now(), WallNow());
   roster.mText = jobs::EncodeRoster(roster.mRunners);
   aChange.mExpected.push_back({ kRosterKey, mRosterRevision });
   aChange.mWrites.push_back({ kRosterKey, 0, roster.mText, std::nullopt });
@@ -535,7 +557,7 @@
               reply_handler aHandler)
 {
   const time_point now = mDeps.mClock.Now();
-  if (!IsServing() ||
+  if (!IsServing() || mIsHandingOver ||
       (mFailedWrites > 0 && mScheduler.Find(aJob) == nullptr)) {
     job_reply busy = Reply(reply_kind::kUnavailable);
     busy.mRetryAfter = kUnavailableRetry;
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -63,6 +63,9 @@
         std::function<void()> aOnSuperseded);
 
   void Start(const jobs::catalog& aCatalog);
+  // Orders nothing more, tells the successor until when runs may live, and calls
+  // `aDone` once that is stored or can not be.
+  void HandOver(std::function<void()> aDone);
   // Answers everybody who waits and stops at once.
   void Stop();
   void SetCatalog(const jobs::catalog& aCatalog);
@@ -105,7 +108,7 @@
   struct written_roster
   {
     std::uint64_t mVersion = 0;
-    std::vector<jobs::runner_info> mRunners;
+    std::vector<jobs::roster_entry> mRunners;
     std::string mText; // empty: not part of the write
   };
   // What one transaction writes.
@@ -152,6 +155,7 @@
   time_point mNextProgress{};
   platform::revision mRosterRevision = 0;
   bool mIsLoaded = false;
+  bool mIsHandingOver = false;
   bool mIsStopped = false;
   bool mIsPlanPosted = false;
   bool mIsWriteScheduled = false;
