Schedules of owners, runners and a store in virtual time

What is new: testing/fake_world plays seeded schedules (owner killed or cut off from the store, runners cut off, crashed, forgotten by discovery, answers lost, orders carried out late) and checks that no task runs twice at once, order, attempts, capacity, nothing after a cancel, and that accepted jobs end.

Ruled out: that the checks are blind.

Conclusion: a silent runner is asked until it answers, and its host is no room.

--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -363,8 +363,9 @@
       });
     const bool owesAck = each.mListed && each.mSeenEnds > each.mSentAck &&
                          each.mAckedEnds > each.mSentAck;
+    const bool isLost = each.mListed && each.mFailedLooks > 0;
     const bool ackIsDue = owesAck && aNow >= each.mAckDueAt;
-    if (isFirst || hasRuns || ackIsDue) {
+    if (isFirst || hasRuns || isLost || ackIsDue) {
       aOut.emplace_back(MakeLook(each, aNow));
     }
   }
--- /dev/null
+++ b/mangospan/jobs/scheduler_test.cc
@@ -0,0 +1,268 @@
+#include "mangospan/jobs/scheduler.h"
+
+#include <gtest/gtest.h>
+
+#include "mangospan/jobs/testing/fake_world.h"
+
+namespace mangospan::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::fake_world;
+using testing::fault_rates;
+
+constexpr resources kRunner{ 4'000, 16'384, 0 };
+
+step_spec
+Tasks(std::size_t aCount, std::int64_t aCpu, milliseconds aEstimate)
+{
+  step_spec out;
+  out.mTasks = aCount;
+  out.mNeed = { aCpu, 512, 0 };
+  out.mEstimate = aEstimate;
+  return out;
+}
+
+job_spec
+Job(std::vector<step_spec> aSteps)
+{
+  job_spec out;
+  out.mQueue = queue_name{ "q" };
+  out.mPayload = "payload";
+  out.mSteps = std::move(aSteps);
+  return out;
+}
+
+void
+AddRunners(fake_world& aWorld, int aCount)
+{
+  for (int i = 0; i < aCount; ++i) {
+    aWorld.AddRunner("r" + std::to_string(i), "s", kRunner);
+  }
+}
+
+TEST(scheduler_test, RunsStepsInOrderAndCompletes)
+{
+  fake_world world(1, fault_rates{});
+  AddRunners(world, 3);
+  step_spec second = Tasks(4, 500, milliseconds(300));
+  second.mAfter = { 0 };
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ Tasks(6, 1'000, milliseconds(500)), second }));
+  world.RunFor(seconds(6));
+  EXPECT_EQ(world.StateOf("a1"), job_state::kCompleted);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
+TEST(scheduler_test, NothingStartsBeforeTheJobIsStored)
+{
+  fake_world world(1, fault_rates{});
+  AddRunners(world, 3);
+  world.RunFor(milliseconds(200));
+  world.CutOwnerFromStore(seconds(2));
+  world.Submit("a1", Job({ Tasks(1, 500, milliseconds(200)) }));
+  world.RunFor(milliseconds(1'900));
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 0U);
+  world.RunFor(seconds(4));
+  EXPECT_EQ(world.StateOf("a1"), job_state::kCompleted);
+}
+
+TEST(scheduler_test, AFailureIsCountedOnceThoughASuccessorSeesItAgain)
+{
+  fault_rates always;
+  always.mTaskFails = 1;
+  fake_world world(3, always);
+  AddRunners(world, 3);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ Tasks(1, 500, milliseconds(300)) }));
+  for (int i = 0; i < 3; ++i) {
+    world.RunFor(milliseconds(450));
+    world.KillOwner(milliseconds(100));
+  }
+  world.RunFor(seconds(20));
+  EXPECT_EQ(world.StateOf("a1"), job_state::kFailed);
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 4U);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
+// A runner that was cut off and forgotten by discovery may still run what the
+// last owner started there.
+TEST(scheduler_test, ASuccessorWaitsForARunnerThatDiscoveryHasForgotten)
+{
+  fake_world world(5, fault_rates{});
+  AddRunners(world, 1);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ Tasks(1, 500, seconds(20)) }));
+  world.RunFor(seconds(1));
+  AddRunners(world, 3);
+  world.SetReachable("r0", false);
+  world.Unlist("r0");
+  world.KillOwner(milliseconds(1'900));
+  world.RunFor(seconds(40));
+  EXPECT_TRUE(world.Violations().empty())
+    << world.Violations().front();
+  EXPECT_GT(world.StartsOf("a1.0.0.0"), 1U);
+}
+
+// Its lease runs out while it is cut off; once it is back it must be used
+// again, although nothing runs there.
+TEST(scheduler_test, ARunnerThatWasSilentIsUsedAgain)
+{
+  fake_world world(6, fault_rates{});
+  AddRunners(world, 1);
+  step_spec lasting = Tasks(1, 500, milliseconds(0));
+  lasting.mLasting = true;
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ lasting }));
+  world.RunFor(seconds(1));
+  world.SetReachable("r0", false);
+  world.RunFor(seconds(12));
+  world.SetReachable("r0", true);
+  world.RunFor(seconds(3));
+  EXPECT_EQ(world.Runner("r0").Runs().size(), 1U);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
+TEST(scheduler_test, AnInheritedTaskOfAnotherServiceWaitsForNobody)
+{
+  fake_world world(7, fault_rates{});
+  AddRunners(world, 2);
+  world.AddRunner("other", "t", kRunner);
+  world.RunFor(milliseconds(200));
+  step_spec second = Tasks(1, 500, milliseconds(300));
+  second.mAfter = { 0 };
+  world.Submit("a1", Job({ Tasks(1, 500, milliseconds(300)), second }));
+  world.RunFor(milliseconds(100));
+  world.SetReachable("other", false);
+  world.KillOwner(milliseconds(200));
+  world.RunFor(seconds(3));
+  EXPECT_EQ(world.StateOf("a1"), job_state::kCompleted);
+}
+
+TEST(scheduler_test, ACancelledJobStopsAndStartsNoMore)
+{
+  fake_world world(8, fault_rates{});
+  AddRunners(world, 2);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ Tasks(12, 1'000, seconds(4)) }));
+  world.RunFor(seconds(1));
+  world.Cancel("a1");
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.StateOf("a1"), job_state::kCancelled);
+  EXPECT_TRUE(world.Runner("r0").Runs().empty());
+  EXPECT_TRUE(world.Runner("r1").Runs().empty());
+}
+
+TEST(scheduler_test, EvictionLeavesAsManyAtWorkAsTheStepAllows)
+{
+  fake_world world(9, fault_rates{});
+  AddRunners(world, 3);
+  step_spec lasting = Tasks(3, 500, milliseconds(0));
+  lasting.mLasting = true;
+  lasting.mMaxPerRunner = 1;
+  lasting.mMaxAway = 1;
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ lasting }));
+  world.RunFor(seconds(1));
+  world.SetReachable("r0", false); // one is away, for all that is known
+  world.RunFor(seconds(3));
+  world.Owner()->Evict(runner_name{ "r1" }, world.Now());
+  world.RunFor(seconds(1));
+  for (int i = 0; i < 3; ++i) {
+    EXPECT_EQ(world.StartsOf("a1.0.0." + std::to_string(i)), 1U);
+  }
+}
+
+// Every promise under drawn faults: owners killed or cut off, runners cut off,
+// crashed and forgotten, answers lost, orders carried out seconds late.
+class scheduler_schedules_test : public ::testing::TestWithParam<int>
+{};
+
+void
+Disturb(fake_world& aWorld, int aNumber)
+{
+  auto& random = aWorld.Random();
+  const auto names = aWorld.RunnerNames();
+  const std::string name =
+    names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(
+      random)];
+  const auto draw = [&random](int aFrom, int aTo) {
+    return std::uniform_int_distribution<int>(aFrom, aTo)(random);
+  };
+  switch (draw(0, 7)) {
+    case 0:
+      aWorld.KillOwner(milliseconds(draw(100, 3'000)));
+      break;
+    case 1:
+      aWorld.CutOwnerFromStore(milliseconds(draw(200, 3'000)));
+      break;
+    case 2:
+      aWorld.SetReachable(name, false);
+      break;
+    case 3:
+      aWorld.SetReachable(name, true);
+      break;
+    case 4:
+      aWorld.Crash(name);
+      break;
+    case 5:
+      aWorld.Cancel("a" + std::to_string(draw(0, aNumber)));
+      break;
+    default:
+      break;
+  }
+}
+
+job_spec
+DrawJob(std::mt19937_64& aRandom)
+{
+  const auto draw = [&aRandom](int aFrom, int aTo) {
+    return std::uniform_int_distribution<int>(aFrom, aTo)(aRandom);
+  };
+  std::vector<step_spec> steps;
+  for (int i = draw(1, 3); i > 0; --i) {
+    step_spec each = Tasks(static_cast<std::size_t>(draw(1, 5)),
+                           draw(1, 6) * 250,
+                           milliseconds(draw(100, 3'500)));
+    if (!steps.empty()) {
+      each.mAfter = { steps.size() - 1 };
+    }
+    each.mMaxPerRunner = static_cast<std::size_t>(draw(0, 2));
+    steps.push_back(each);
+  }
+  return Job(std::move(steps));
+}
+
+TEST_P(scheduler_schedules_test, KeepsEveryPromise)
+{
+  constexpr int kSeedsPerCase = 500;
+  for (int i = 0; i < kSeedsPerCase; ++i) {
+    const auto seed =
+      static_cast<std::uint64_t>(GetParam()) * kSeedsPerCase + i;
+    fake_world world(seed, { 0.03, 0.02, 0.05 });
+    AddRunners(world, 4);
+    world.RunFor(milliseconds(200));
+    for (int n = 0; n < 12; ++n) {
+      world.Submit("a" + std::to_string(n), DrawJob(world.Random()));
+      Disturb(world, n);
+      world.RunFor(milliseconds(600));
+    }
+    for (const std::string& each : world.RunnerNames()) {
+      world.SetReachable(each, true);
+    }
+    world.RunFor(seconds(60));
+    ASSERT_TRUE(world.Violations().empty())
+      << "seed " << seed << ": " << world.Violations().front();
+    ASSERT_TRUE(world.Unfinished().empty())
+      << "seed " << seed << ": " << world.Unfinished().front()
+      << " is accepted and does not end";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         scheduler_schedules_test,
+                         ::testing::Range(0, 20));
+
+} // namespace
+} // namespace mangospan::jobs
--- a/mangospan/jobs/sizing.cc
+++ b/mangospan/jobs/sizing.cc
@@ -90,7 +90,7 @@
     if (at != pools.end() && each.mCapacity.mCpu > 0) {
       at->second.mPerHost = each.mCapacity;
     }
-    if (!each.mIsUp || aTaken.count(each.mHost) > 0) {
+    if (!each.mIsUp || each.mIsUnfit || aTaken.count(each.mHost) > 0) {
       continue;
     }
     if (each.mIsSpare) {
--- /dev/null
+++ b/mangospan/jobs/testing/fake_runner.cc
@@ -0,0 +1,173 @@
+#include "mangospan/jobs/testing/fake_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mangospan::jobs::testing {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+fake_runner::fake_runner(runner_info aInfo, double aClockRate, time_point aNow)
+  : mInfo(std::move(aInfo))
+  , mClockRate(aClockRate)
+  , mBootAt(aNow)
+{
+}
+
+void
+fake_runner::SetHooks(work_source aWork,
+                      begin_hook aOnBegin,
+                      end_hook aOnEnd,
+                      end_hook aOnNoted)
+{
+  mOnNoted = std::move(aOnNoted);
+  mWork = std::move(aWork);
+  mOnBegin = std::move(aOnBegin);
+  mOnEnd = std::move(aOnEnd);
+}
+
+runner_time
+fake_runner::Clock(time_point aNow) const
+{
+  const auto real = duration_cast<milliseconds>(aNow - mBootAt).count();
+  return milliseconds(
+    static_cast<std::int64_t>(static_cast<double>(real) * mClockRate));
+}
+
+bool
+fake_runner::IsFenced(std::uint64_t aTerm)
+{
+  if (aTerm < mTerm) {
+    return true;
+  }
+  mTerm = aTerm;
+  return false;
+}
+
+void
+fake_runner::End(const std::string& aTask, run_end aEnd)
+{
+  const fake_run ended = mRuns.at(aTask);
+  mRuns.erase(aTask);
+  mHighest[aTask] = std::max(mHighest[aTask], ended.mNumber);
+  mEnded.push_back({ ++mEnds, aTask, ended.mNumber, aEnd, "" });
+  mOnEnd(aTask, ended.mNumber, aEnd);
+}
+
+void
+fake_runner::Advance(time_point aNow)
+{
+  const bool isLapsed = Clock(aNow) >= mLeaseUntil;
+  std::vector<std::pair<std::string, run_end>> ends;
+  for (const auto& [task, each] : mRuns) {
+    if (each.mEndsAt <= aNow) {
+      ends.emplace_back(task,
+                        each.mWillFail ? run_end::kFailed : run_end::kDone);
+    } else if (isLapsed) {
+      ends.emplace_back(task, run_end::kLapsed);
+    }
+  }
+  for (const auto& [task, end] : ends) {
+    End(task, end);
+  }
+}
+
+order_outcome
+fake_runner::Start(const start_order& aOrder,
+                   std::uint64_t aTerm,
+                   time_point aNow)
+{
+  Advance(aNow);
+  const std::string task = aOrder.mTask.Text();
+  if (IsFenced(aTerm)) {
+    return order_outcome::kFenced;
+  }
+  if (Clock(aNow) > aOrder.mExpiry) {
+    return order_outcome::kExpired;
+  }
+  mLeaseUntil = std::max(mLeaseUntil, aOrder.mExpiry);
+  const auto live = mRuns.find(task);
+  if (live != mRuns.end()) {
+    return live->second.mNumber == aOrder.mRun ? order_outcome::kDone
+                                               : order_outcome::kStale;
+  }
+  const auto highest = mHighest.find(task);
+  if (highest != mHighest.end() && aOrder.mRun <= highest->second) {
+    return order_outcome::kStale;
+  }
+  const fake_work work = mWork(task);
+  mRuns[task] = { aOrder.mRun,
+                  aNow + work.mDuration,
+                  work.mWillFail,
+                  work.mNeed };
+  mOnBegin(task, aOrder.mRun);
+  return order_outcome::kDone;
+}
+
+order_outcome
+fake_runner::Stop(const stop_order& aOrder,
+                  std::uint64_t aTerm,
+                  time_point aNow)
+{
+  Advance(aNow);
+  if (IsFenced(aTerm)) {
+    return order_outcome::kFenced;
+  }
+  const std::string task = aOrder.mTask.Text();
+  mHighest[task] = std::max(mHighest[task], aOrder.mRun);
+  const auto live = mRuns.find(task);
+  if (live != mRuns.end() && live->second.mNumber == aOrder.mRun) {
+    End(task, run_end::kStopped);
+  }
+  return order_outcome::kDone;
+}
+
+std::optional<look_report>
+fake_runner::Look(const look_order& aOrder,
+                  std::uint64_t aTerm,
+                  time_point aNow)
+{
+  Advance(aNow);
+  if (IsFenced(aTerm)) {
+    return std::nullopt;
+  }
+  if (aOrder.mLeaseUntil) {
+    mLeaseUntil = std::max(mLeaseUntil, *aOrder.mLeaseUntil);
+  }
+  const auto kept = std::partition_point(
+    mEnded.begin(), mEnded.end(), [&aOrder](const ended_run& aEnd) {
+      return aEnd.mNumber <= aOrder.mAcknowledged;
+    });
+  for (auto it = mEnded.begin(); it != kept; ++it) {
+    mOnNoted(it->mTask, it->mRun, it->mEnd);
+  }
+  mEnded.erase(mEnded.begin(), kept);
+  look_report report;
+  report.mClock = Clock(aNow);
+  report.mBoot = mInfo.mBoot;
+  for (const auto& [task, each] : mRuns) {
+    report.mLive.push_back({ task, each.mNumber, "", 100, 0 });
+  }
+  report.mEnded = mEnded;
+  return report;
+}
+
+void
+fake_runner::Crash(time_point aNow)
+{
+  while (!mRuns.empty()) {
+    const auto [task, run] = *mRuns.begin();
+    mRuns.erase(task);
+    mOnEnd(task, run.mNumber, run_end::kLapsed);
+  }
+  ++mInfo.mBoot;
+  mBootAt = aNow;
+  mTerm = 0;
+  mLeaseUntil = milliseconds(0);
+  mHighest.clear();
+  mEnded.clear();
+  mEnds = 0;
+}
+
+} // namespace mangospan::jobs::testing
--- /dev/null
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -0,0 +1,515 @@
+#include "mangospan/jobs/testing/fake_world.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mangospan/jobs/codec.h"
+
+namespace mangospan::jobs::testing {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kTick{ 20 };
+constexpr milliseconds kOrderTimeout{ 400 };
+constexpr milliseconds kLastingTask{ 3'600'000 };
+// A cancelled job's tasks may start for this long after the cancellation.
+constexpr milliseconds kCancelBound{ 3'000 };
+// How long an owner that can not confirm its ownership acts, and how much later
+// than the last confirmation a successor can be elected.
+constexpr milliseconds kActsUnconfirmed{ 3'900 };
+constexpr std::size_t kMaxAttempts = 4;
+
+} // namespace
+
+catalog
+TestCatalog()
+{
+  catalog out;
+  out.mVersion = 1;
+  queue_policy queue;
+  queue.mName = queue_name{ "q" };
+  queue.mService = service_name{ "s" };
+  queue.mMaxAttempts = kMaxAttempts;
+  queue.mStretch = 1.6;
+  queue.mTargetLatency = milliseconds(600);
+  out.mQueues.emplace(queue.mName, queue);
+  out.mServices[service_name{ "s" }] = { service_name{ "s" }, false };
+  return out;
+}
+
+fake_world::fake_world(std::uint64_t aSeed, fault_rates aRates)
+  : mRandom(aSeed)
+  , mRates(aRates)
+  , mCatalog(TestCatalog())
+{
+  At(milliseconds(0), [this] { Elect(); });
+  At(kTick, [this] { Tick(); });
+}
+
+fake_world::~fake_world() = default;
+
+void
+fake_world::At(milliseconds aDelay, std::function<void()> aRun)
+{
+  mEvents.push({ mNow + aDelay, ++mSequence, std::move(aRun) });
+}
+
+bool
+fake_world::Chance(double aShare)
+{
+  return std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare;
+}
+
+milliseconds
+fake_world::Delay()
+{
+  return milliseconds(std::uniform_int_distribution<int>(1, 6)(mRandom));
+}
+
+wall_time
+fake_world::Wall() const
+{
+  return wall_time(std::chrono::duration_cast<wall_time::duration>(
+    mNow.time_since_epoch()));
+}
+
+void
+fake_world::AddRunner(const std::string& aName,
+                      const std::string& aService,
+                      resources aCapacity)
+{
+  runner_info info;
+  info.mName = runner_name{ aName };
+  info.mService = service_name{ aService };
+  info.mAddress = aName + ":1";
+  info.mCapacity = aCapacity;
+  info.mBoot = 1;
+  const double rate =
+    std::uniform_real_distribution<double>(0.98, 1.0)(mRandom);
+  auto made = std::make_unique<fake_runner>(info, rate, mNow);
+  made->SetHooks(
+    [this](const std::string& aTask) {
+      const task_id id = *ParseTaskId(aTask);
+      const step_spec& spec = mSpecs.at(id.mJob.Str()).mSteps.at(id.mStep);
+      const auto usual = spec.mEstimate.count();
+      std::uniform_int_distribution<std::int64_t> took(usual / 2, usual * 2);
+      return fake_work{ spec.mLasting ? kLastingTask
+                                      : milliseconds(took(mRandom)),
+                        Chance(mRates.mTaskFails),
+                        spec.Claim() };
+    },
+    [this, aName](const std::string& aTask, std::uint32_t aRun) {
+      OnBegin(aName, aTask, aRun);
+    },
+    [this, aName](const std::string& aTask,
+                  std::uint32_t /*aRun*/,
+                  run_end aEnd) { OnEnd(aName, aTask, aEnd); },
+    [this](const std::string& aTask, std::uint32_t /*aRun*/, run_end aEnd) {
+      OnNoted(aTask, aEnd);
+    });
+  mRunners.emplace(aName, std::move(made));
+}
+
+void
+fake_world::Elect()
+{
+  scheduler_settings settings;
+  mOwner = std::make_unique<scheduler>(settings, ownership{ ++mTerm, mNow });
+  mOwner->SetCatalog(mCatalog);
+  mConfirmedAt = mNow;
+  std::vector<job> stored;
+  for (const auto& [name, text] : mStoredJobs) {
+    stored.push_back(DecodeRecord(job_name{ name }, text).value());
+    stored.back().mRevision = 1;
+  }
+  std::vector<roster_entry> roster;
+  if (!mStoredRoster.empty()) {
+    roster = DecodeRoster(mStoredRoster).value();
+  }
+  mOwner->Load(std::move(stored), roster, mNow, Wall());
+  mIsWriting = false;
+}
+
+void
+fake_world::Tick()
+{
+  for (auto& [name, each] : mRunners) {
+    each->Advance(mNow);
+  }
+  if (mOwner) {
+    for (const auto& [name, each] : mRunners) {
+      if (mUnlisted.count(name) == 0) {
+        mOwner->OnRunner(each->Info(), mNow);
+      } else {
+        mOwner->OnRunnerUnlisted(runner_name{ name }, mNow);
+      }
+    }
+    const bool isCut = mNow < mCutUntil;
+    mConfirmedAt = isCut ? mConfirmedAt : mNow;
+    mOwner->SetMayStart(mNow - mConfirmedAt < kActsUnconfirmed);
+    for (const order& each : mOwner->Plan(mNow, Wall())) {
+      Send(each);
+    }
+    Write();
+  }
+  At(kTick, [this] { Tick(); });
+}
+
+void
+fake_world::Send(const order& aOrder)
+{
+  std::visit([this](const auto& aEach) { Deliver(aEach); }, aOrder);
+}
+
+// Tells the owner that sent the order, if it is still in office.
+void
+fake_world::Answer(std::uint64_t aTerm, std::function<void(scheduler&)> aTell)
+{
+  if (mOwner && mTerm == aTerm) {
+    aTell(*mOwner);
+  }
+}
+
+void
+fake_world::Deliver(const start_order& aOrder)
+{
+  const std::uint64_t term = mTerm;
+  const std::string name = aOrder.mRunner.Str();
+  const std::int64_t boot = mRunners.at(name)->Info().mBoot;
+  const auto unanswered = [this, aOrder, term] {
+    Answer(term, [&](scheduler& aOwner) {
+      aOwner.OnStart(aOrder, order_outcome::kUnknown, mNow);
+    });
+  };
+  if (!mRunners.at(name)->mIsReachable) {
+    At(kOrderTimeout, unanswered);
+    return;
+  }
+  const bool isLate = Chance(mRates.mAppliedLate);
+  const bool isLost = isLate || Chance(mRates.mAnswerLost);
+  std::uniform_int_distribution<int> late(300, 12'000);
+  At(isLate ? milliseconds(late(mRandom)) : Delay(),
+     [this, aOrder, term, name, boot, isLost] {
+       fake_runner& at = *mRunners.at(name);
+       const order_outcome outcome = at.Info().mBoot == boot
+                                       ? at.Start(aOrder, term, mNow)
+                                       : order_outcome::kOtherBoot;
+       if (!isLost) {
+         At(Delay(), [this, aOrder, term, outcome] {
+           Answer(term, [&](scheduler& aOwner) {
+             aOwner.OnStart(aOrder, outcome, mNow);
+           });
+         });
+       }
+     });
+  if (isLost) {
+    At(kOrderTimeout, unanswered);
+  }
+}
+
+void
+fake_world::Deliver(const stop_order& aOrder)
+{
+  const std::uint64_t term = mTerm;
+  fake_runner& at = *mRunners.at(aOrder.mRunner.Str());
+  const bool isLost = !at.mIsReachable || Chance(mRates.mAnswerLost);
+  if (at.mIsReachable) {
+    At(Delay(),
+       [this, aOrder, term, &at] { at.Stop(aOrder, term, mNow); });
+  }
+  At(isLost ? kOrderTimeout : milliseconds(12), [this, aOrder, term, isLost] {
+    Answer(term, [&](scheduler& aOwner) {
+      aOwner.OnStop(aOrder,
+                    isLost ? order_outcome::kUnknown : order_outcome::kDone,
+                    mNow);
+    });
+  });
+}
+
+void
+fake_world::Deliver(const pace_order& aOrder)
+{
+  Answer(mTerm, [&](scheduler& aOwner) {
+    aOwner.OnPace(aOrder, order_outcome::kDone);
+  });
+}
+
+void
+fake_world::Deliver(const look_order& aOrder)
+{
+  const std::uint64_t term = mTerm;
+  const time_point sentAt = mNow;
+  fake_runner& at = *mRunners.at(aOrder.mRunner.Str());
+  if (!at.mIsReachable || Chance(mRates.mAnswerLost)) {
+    if (at.mIsReachable) {
+      At(Delay(), [this, aOrder, term, &at] { at.Look(aOrder, term, mNow); });
+    }
+    At(aOrder.mWait + kOrderTimeout, [this, aOrder, term, sentAt] {
+      Answer(term, [&](scheduler& aOwner) {
+        aOwner.OnLook(
+          aOrder, order_outcome::kUnknown, nullptr, sentAt, mNow, Wall());
+      });
+    });
+    return;
+  }
+  // The wait is cut to one tick: ends then come one tick late at the most.
+  At(Delay(), [this, aOrder, term, sentAt, &at] {
+    const auto report = at.Look(aOrder, term, mNow);
+    At(std::min<milliseconds>(aOrder.mWait, kTick) + Delay(),
+       [this, aOrder, term, sentAt, report] {
+         Answer(term, [&](scheduler& aOwner) {
+           aOwner.OnLook(aOrder,
+                         report ? order_outcome::kDone : order_outcome::kFenced,
+                         report ? &*report : nullptr,
+                         sentAt,
+                         mNow,
+                         Wall());
+         });
+       });
+  });
+}
+
+void
+fake_world::Write()
+{
+  if (mIsWriting || mNow < mCutUntil) {
+    return;
+  }
+  const std::uint64_t term = mTerm;
+  std::map<std::string, std::pair<std::uint64_t, std::string>> texts;
+  for (const job_name& each : mOwner->Unstored(14, false)) {
+    const job& one = *mOwner->Find(each);
+    texts[each.Str()] = { one.mVersion, EncodeRecord(one) };
+  }
+  const std::uint64_t rosterVersion = mOwner->RosterVersion();
+  const auto roster = mOwner->Roster(mNow, Wall());
+  if (texts.empty() && rosterVersion == mOwner->StoredRosterVersion()) {
+    return;
+  }
+  mIsWriting = true;
+  At(Delay(), [this, term, texts, rosterVersion, roster] {
+    if (term != mTerm) {
+      return; // fenced by the successor's claim
+    }
+    mStoredRoster = EncodeRoster(roster);
+    for (const auto& [name, text] : texts) {
+      mStoredJobs[name] = text.second;
+      mAccepted.insert(name);
+      if (StateOf(name) == job_state::kCancelled) {
+        mCancelledAt.emplace(name, mNow);
+      }
+    }
+    At(Delay(), [this, term, texts, rosterVersion, roster] {
+      mIsWriting = mIsWriting && term != mTerm;
+      Answer(term, [&](scheduler& aOwner) {
+        std::vector<stored_job> stored;
+        for (const auto& [name, text] : texts) {
+          stored.push_back({ job_name{ name }, text.first, 1 });
+        }
+        aOwner.OnRosterStored(rosterVersion, roster);
+        aOwner.OnStored(stored);
+      });
+    });
+  });
+}
+
+void
+fake_world::Submit(const std::string& aName, const job_spec& aSpec)
+{
+  if (mOwner) {
+    mSpecs[aName] = aSpec;
+    mOwner->Submit(job_name{ aName }, aSpec, mNow, Wall());
+  }
+}
+
+void
+fake_world::Cancel(const std::string& aName)
+{
+  if (mOwner) {
+    mOwner->Cancel(job_name{ aName }, mNow, Wall());
+  }
+}
+
+void
+fake_world::KillOwner(milliseconds aGap)
+{
+  if (mOwner) {
+    mOwner.reset();
+    ++mTerm;
+    At(aGap, [this] {
+      if (!mOwner) {
+        Elect();
+      }
+    });
+  }
+}
+
+void
+fake_world::CutOwnerFromStore(milliseconds aFor)
+{
+  mCutUntil = mNow + aFor;
+}
+
+void
+fake_world::SetReachable(const std::string& aRunner, bool aIsReachable)
+{
+  mRunners.at(aRunner)->mIsReachable = aIsReachable;
+}
+
+void
+fake_world::Crash(const std::string& aRunner)
+{
+  mRunners.at(aRunner)->Crash(mNow);
+}
+
+void
+fake_world::Unlist(const std::string& aRunner)
+{
+  mUnlisted.insert(aRunner);
+}
+
+void
+fake_world::RunFor(milliseconds aTime)
+{
+  const time_point end = mNow + aTime;
+  while (!mEvents.empty() && mEvents.top().mAt <= end) {
+    const event next = mEvents.top();
+    mEvents.pop();
+    mNow = next.mAt;
+    next.mRun();
+  }
+  mNow = end;
+}
+
+fake_runner&
+fake_world::Runner(const std::string& aName)
+{
+  return *mRunners.at(aName);
+}
+
+std::vector<std::string>
+fake_world::RunnerNames() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, each] : mRunners) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+job_state
+fake_world::StateOf(const std::string& aJob) const
+{
+  return DecodeRecord(job_name{ aJob }, mStoredJobs.at(aJob)).value().mState;
+}
+
+bool
+fake_world::IsAccepted(const std::string& aJob) const
+{
+  return mAccepted.count(aJob) > 0;
+}
+
+std::size_t
+fake_world::StartsOf(const std::string& aTask) const
+{
+  const auto found = mTasks.find(aTask);
+  return found == mTasks.end() ? 0 : found->second.mStarts;
+}
+
+std::vector<std::string>
+fake_world::Unfinished() const
+{
+  std::vector<std::string> names;
+  for (const std::string& each : mAccepted) {
+    if (!IsFinal(StateOf(each)) && !mSpecs.at(each).HasLastingStep()) {
+      names.push_back(each);
+    }
+  }
+  return names;
+}
+
+void
+fake_world::Complain(const std::string& aWhat)
+{
+  mViolations.push_back(
+    "at " +
+    std::to_string(std::chrono::duration_cast<milliseconds>(
+                     mNow.time_since_epoch() - std::chrono::hours(1))
+                     .count()) +
+    " ms: " + aWhat);
+}
+
+void
+fake_world::CheckOrder(const task_id& aTask)
+{
+  const job_spec& spec = mSpecs.at(aTask.mJob.Str());
+  for (const std::size_t before : spec.mSteps[aTask.mStep].mAfter) {
+    for (std::size_t i = 0; i < spec.mSteps[before].mTasks; ++i) {
+      const task_id needed{ aTask.mJob, aTask.mOccurrence, before, i };
+      if (!mTasks[needed.Text()].mIsDone) {
+        Complain(aTask.Text() + " started before " + needed.Text());
+      }
+    }
+  }
+}
+
+void
+fake_world::OnBegin(const std::string& aRunner,
+                    const std::string& aTask,
+                    std::uint32_t aRun)
+{
+  const task_id id = *ParseTaskId(aTask);
+  task_history& history = mTasks[aTask];
+  ++history.mStarts;
+  if (!history.mRunningOn.empty()) {
+    Complain(aTask + " run " + std::to_string(aRun) + " on " + aRunner +
+             " beside " + *history.mRunningOn.begin());
+  }
+  if (history.mIsNotedDone) {
+    Complain(aTask + " started again after it was done");
+  }
+  if (history.mNotedFailures >= kMaxAttempts) {
+    Complain(aTask + " started after its last attempt");
+  }
+  const auto cancelled = mCancelledAt.find(id.mJob.Str());
+  if (cancelled != mCancelledAt.end() &&
+      mNow - cancelled->second > kCancelBound) {
+    Complain(aTask + " started long after its job was cancelled");
+  }
+  if (!IsAccepted(id.mJob.Str())) {
+    Complain(aTask + " started though its job was not accepted");
+  }
+  CheckOrder(id);
+  history.mRunningOn.insert(aRunner);
+  resources used;
+  for (const auto& [task, each] : mRunners.at(aRunner)->Runs()) {
+    used += each.mNeed;
+  }
+  if (!used.FitsIn(mRunners.at(aRunner)->Info().mCapacity)) {
+    Complain(aRunner + " is over its capacity");
+  }
+}
+
+void
+fake_world::OnEnd(const std::string& aRunner,
+                  const std::string& aTask,
+                  run_end aEnd)
+{
+  task_history& history = mTasks[aTask];
+  history.mRunningOn.erase(aRunner);
+  history.mIsDone = history.mIsDone || aEnd == run_end::kDone;
+}
+
+// An end that was never acknowledged may be lost with its runner, and the task
+// then starts again.
+void
+fake_world::OnNoted(const std::string& aTask, run_end aEnd)
+{
+  task_history& history = mTasks[aTask];
+  history.mIsNotedDone = history.mIsNotedDone || aEnd == run_end::kDone;
+  history.mNotedFailures += aEnd == run_end::kFailed ? 1 : 0;
+}
+
+} // namespace mangospan::jobs::testing
--- a/mangospan/jobs/upkeep.h
+++ b/mangospan/jobs/upkeep.h
@@ -24,6 +24,7 @@
   bool mIsUp = false;        // neither down nor on its way
   bool mIsSpare = false;     // in the pool of hosts that are off
   bool mIsKnown = false;     // what runs there is known
+  bool mIsUnfit = false;     // its runner is silent, leaving or shunned
   bool mIsSettled = false;   // its runner is in use, or would be
   resources mCapacity;
   std::size_t mRuns = 0;     // that exist or may exist on its runner
--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -289,6 +289,9 @@
                                                     mDeps.mClock.Now());
     const auto found = runners.find(each.mRunner);
     if (found != runners.end()) {
+      view.mIsUnfit = found->second.mFailedLooks > 0 ||
+                      found->second.mInfo.mDraining ||
+                      mDeps.mClock.Now() < found->second.mShunUntil;
       view.mIsSettled = found->second.mContacted && found->second.mIsInRoster;
       for (const auto& [key, run] : found->second.Runs()) {
         ++view.mRuns;
