--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -67,8 +67,7 @@
   out.mNeed.mCpu = aValue.at("cpu").get<std::int64_t>();
   out.mNeed.mMemoryMb = aValue.at("memory_mb").get<std::int64_t>();
   out.mNeed.mGpus = aValue.value("gpus", std::int64_t{ 0 });
-  out.mEstimate =
-    milliseconds(aValue.value("estimate_ms", std::int64_t{ 0 }));
+  out.mEstimate = milliseconds(aValue.value("estimate_ms", std::int64_t{ 0 }));
   out.mAfter = aValue.value("after", std::vector<std::size_t>{});
   out.mCheckpoints = aValue.value("checkpoints", false);
   out.mGang = aValue.value("gang", false);
@@ -116,8 +115,7 @@
   out.mRepetitions = aValue.value("repetitions", std::size_t{ 0 });
   out.mFirstDue =
     FromMilliseconds(aValue.value("first_due_ms", std::int64_t{ 0 }));
-  out.mInterval =
-    milliseconds(aValue.value("interval_ms", std::int64_t{ 0 }));
+  out.mInterval = milliseconds(aValue.value("interval_ms", std::int64_t{ 0 }));
   return out;
 }
 
@@ -174,8 +172,7 @@
   json failures = json::object();
   json checkpoints = json::object();
   ForEachTask(
-    aJob,
-    [&](const task_id& aId, const step& /*aStep*/, const task& aTask) {
+    aJob, [&](const task_id& aId, const step& /*aStep*/, const task& aTask) {
       if (!aTask.mFailedRuns.empty() && !aTask.mDone) {
         failures[aId.Text()] = aTask.mFailedRuns;
       }
@@ -307,8 +304,7 @@
 std::string
 EncodeSpec(const job_spec& aSpec)
 {
-  return SpecToJson(aSpec).dump(
-    -1, ' ', false, json::error_handler_t::replace);
+  return SpecToJson(aSpec).dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 result<job_spec>
@@ -348,10 +344,9 @@
   try {
     return RecordFromJson(aName, json::parse(aText));
   } catch (const std::exception& failure) {
-    return error{ error_code::kInvalidArgument,
-                  "job.record",
-                  aName.Str(),
-                  failure.what() };
+    return error{
+      error_code::kInvalidArgument, "job.record", aName.Str(), failure.what()
+    };
   }
 }
 
--- a/mangospan/jobs/job.cc
+++ b/mangospan/jobs/job.cc
@@ -111,10 +111,9 @@
 {
   const auto& steps = mOccurrences[aOccurrence].mSteps;
   const auto& after = mSpec.mSteps[aStep].mAfter;
-  return std::all_of(
-    after.begin(), after.end(), [&steps](std::size_t aBefore) {
-      return IsDone(steps[aBefore]);
-    });
+  return std::all_of(after.begin(), after.end(), [&steps](std::size_t aBefore) {
+    return IsDone(steps[aBefore]);
+  });
 }
 
 bool
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -82,7 +82,7 @@
   time_point mAccepted{}; // by the owner's clock; of a taken-over job, the
                           // time of the takeover
   wall_time mAcceptedAt;
-  wall_time mEndedAt; // of a final state
+  wall_time mEndedAt;  // of a final state
   time_point mDueBy{}; // objective
   std::vector<occurrence> mOccurrences;
   bool mInherited = false; // accepted by an earlier owner
--- a/mangospan/jobs/orders.h
+++ b/mangospan/jobs/orders.h
@@ -89,13 +89,13 @@
 enum class order_outcome
 {
   kDone,
-  kFenced,       // the runner has seen a higher term
-  kStale,        // the run's number is not above one that ended there
-  kExpired,      // it came after its expiry
-  kNoRoom,       // over the runner's capacity
-  kOtherBoot,    // another boot answers at this address
-  kNotDone,      // certainly not carried out
-  kUnknown,      // no answer: it may be carried out, also later
+  kFenced,    // the runner has seen a higher term
+  kStale,     // the run's number is not above one that ended there
+  kExpired,   // it came after its expiry
+  kNoRoom,    // over the runner's capacity
+  kOtherBoot, // another boot answers at this address
+  kNotDone,   // certainly not carried out
+  kUnknown,   // no answer: it may be carried out, also later
 };
 
 const char*
--- a/mangospan/jobs/placement.cc
+++ b/mangospan/jobs/placement.cc
@@ -21,10 +21,9 @@
 bool
 HasLasting(const runner& aRunner)
 {
-  return std::any_of(
-    aRunner.Runs().begin(), aRunner.Runs().end(), [](const auto& aEntry) {
-      return aEntry.second.mLasting;
-    });
+  return std::any_of(aRunner.Runs().begin(),
+                     aRunner.Runs().end(),
+                     [](const auto& aEntry) { return aEntry.second.mLasting; });
 }
 
 bool
@@ -55,8 +54,8 @@
   // themselves, so that whole hosts stay free to follow the load.
   const task_id& id = aRequest.mTask;
   const bool isCrowded =
-    spec.mLasting && aRunner.CountOf(id.mJob, id.mOccurrence, id.mStep) >=
-                       kLastingTogether;
+    spec.mLasting &&
+    aRunner.CountOf(id.mJob, id.mOccurrence, id.mStep) >= kLastingTogether;
   return { aRunner.mInfo.mName == aRequest.mAvoid,
            isFarFromData,
            isFarFromSiblings,
@@ -71,9 +70,8 @@
 TakesRuns(const runner& aRunner, time_point aNow)
 {
   return aRunner.mListed && aRunner.mContacted && aRunner.mIsInRoster &&
-         !aRunner.mInfo.mDraining &&
-         !aRunner.mClosed && aRunner.mFailedLooks == 0 &&
-         aNow >= aRunner.mShunUntil &&
+         !aRunner.mInfo.mDraining && !aRunner.mClosed &&
+         aRunner.mFailedLooks == 0 && aNow >= aRunner.mShunUntil &&
          aRunner.mStartsInFlight < kMaxStartsInFlight;
 }
 
--- a/mangospan/jobs/placement.h
+++ b/mangospan/jobs/placement.h
@@ -18,7 +18,7 @@
 {
   const step_spec& mStep;
   task_id mTask;
-  runner_name mAvoid; // it failed there; taken only if nothing else fits
+  runner_name mAvoid;  // it failed there; taken only if nothing else fits
   rack_name mNearRack; // where its siblings run; empty: no wish
 };
 
--- a/mangospan/jobs/ranking.h
+++ b/mangospan/jobs/ranking.h
@@ -28,10 +28,7 @@
 
 // The rank of one step of the job.
 rank
-RankOf(const job& aJob,
-       std::size_t aStep,
-       int aPriority,
-       time_point aNow);
+RankOf(const job& aJob, std::size_t aStep, int aPriority, time_point aNow);
 
 // The longest chain of estimates through the steps that are not done yet.
 std::chrono::milliseconds
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -87,18 +87,18 @@
   std::map<run_key, run>& Runs() { return mRuns; }
 
   runner_info mInfo;
-  bool mListed = true;      // service discovery lists it
-  bool mContacted = false;  // it has answered this owner, so it is fenced
-  bool mIsInRoster = false; // the stored roster names it
+  bool mListed = true;            // service discovery lists it
+  bool mContacted = false;        // it has answered this owner, so it is fenced
+  bool mIsInRoster = false;       // the stored roster names it
   bool mMayHoldInherited = false; // an earlier owner has used it
   bool mLookInFlight = false;
   time_point mNextLook{};
-  int mFailedLooks = 0;     // in a row
-  time_point mShunUntil{};  // no new runs before
-  bool mClosed = false;     // no new runs: its host is wanted elsewhere
+  int mFailedLooks = 0;    // in a row
+  time_point mShunUntil{}; // no new runs before
+  bool mClosed = false;    // no new runs: its host is wanted elsewhere
   int mStartsInFlight = 0;
-  int mFillerShare = 100;     // percent, see pacing.h
-  time_point mShareChanged{}; // when it was reconsidered last
+  int mFillerShare = 100;       // percent, see pacing.h
+  time_point mShareChanged{};   // when it was reconsidered last
   std::uint64_t mSeenEnds = 0;  // the highest number seen
   std::uint64_t mAckedEnds = 0; // stored, and may be forgotten by the runner
   std::uint64_t mSentAck = 0;   // the highest acknowledgement it was sent
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -63,8 +63,8 @@
   for (job& each : aJobs) {
     each.mInherited = true;
     // Restored against the wall clock; nothing but the order rests on it.
-    each.mAccepted = aNow - std::max(aWall - each.mAcceptedAt,
-                                     wall_time::duration(0));
+    each.mAccepted =
+      aNow - std::max(aWall - each.mAcceptedAt, wall_time::duration(0));
     each.mStoredVersion = each.mVersion;
     each.mDueBy = each.mAccepted;
     if (!IsFinal(each.mState)) {
@@ -103,19 +103,18 @@
   }
   runner& known = found->second;
   if (known.mInfo.mBoot != 0 && aInfo.mBoot > known.mInfo.mBoot) {
-    LogEvent(log_level::kInfo,
-             "runner.rebooted",
-             { { "runner", aInfo.mName.Str() } });
+    LogEvent(
+      log_level::kInfo, "runner.rebooted", { { "runner", aInfo.mName.Str() } });
     ReleaseAll(known, aNow);
     known = runner(aInfo);
     known.mClosed = mClosed.count(aInfo.mName) > 0;
     return;
   }
   if (known.mInfo.mDraining != aInfo.mDraining) {
-    LogEvent(log_level::kInfo,
-             "runner.draining",
-             { { "runner", aInfo.mName.Str() },
-               { "draining", aInfo.mDraining } });
+    LogEvent(
+      log_level::kInfo,
+      "runner.draining",
+      { { "runner", aInfo.mName.Str() }, { "draining", aInfo.mDraining } });
   }
   known.mInfo = aInfo;
   known.mListed = true;
@@ -289,9 +288,8 @@
     const bool isExtended =
       mMayStart && each.mContacted && each.mListed && each.mFailedLooks == 0;
     if (!isExtended) {
-      entry.mDeadBy =
-        aWall + std::chrono::duration_cast<wall_time::duration>(
-                  std::max(each.DeadAt(), aNow) - aNow);
+      entry.mDeadBy = aWall + std::chrono::duration_cast<wall_time::duration>(
+                                std::max(each.DeadAt(), aNow) - aNow);
     }
     roster.push_back(std::move(entry));
   }
--- a/mangospan/jobs/scheduler_answers.cc
+++ b/mangospan/jobs/scheduler_answers.cc
@@ -239,10 +239,9 @@
     }
     ApplyEnd(*owner, *id, aEnd, aNow, aWall);
   }
-  aRunner.mUnstored.push_back(
-    { aEnd.mNumber,
-      id ? id->mJob : job_name(),
-      owner == nullptr ? 0 : owner->mVersion });
+  aRunner.mUnstored.push_back({ aEnd.mNumber,
+                                id ? id->mJob : job_name(),
+                                owner == nullptr ? 0 : owner->mVersion });
   Acknowledge(aRunner);
 }
 
@@ -328,11 +327,11 @@
   }
   failures.clear();
   aRunner.mShunUntil = aNow + mSettings.mShunTime;
-  LogEvent(log_level::kInfo,
-           "runner.shunned",
-           { { "runner", aRunner.mInfo.mName.Str() },
-             { "for_ms",
-               static_cast<std::int64_t>(mSettings.mShunTime.count()) } });
+  LogEvent(
+    log_level::kInfo,
+    "runner.shunned",
+    { { "runner", aRunner.mInfo.mName.Str() },
+      { "for_ms", static_cast<std::int64_t>(mSettings.mShunTime.count()) } });
 }
 
 void
@@ -386,9 +385,8 @@
   made.mSince = aNow;
   made.mProgressAt = aNow;
   job* const owner = Mutable(aTask.mJob);
-  task* const one = owner == nullptr || IsFinal(owner->mState)
-                      ? nullptr
-                      : owner->Find(aTask);
+  task* const one =
+    owner == nullptr || IsFinal(owner->mState) ? nullptr : owner->Find(aTask);
   if (one == nullptr) {
     made.mStopWanted = true;
     // Nothing is known of its size: the runner counts as full until it ends.
@@ -433,8 +431,8 @@
     if (listed.count(key) > 0) {
       continue;
     }
-    const bool neverBegan = each.mPhase == run_phase::kUnknown &&
-                            aReport.mClock > each.mExpiry;
+    const bool neverBegan =
+      each.mPhase == run_phase::kUnknown && aReport.mClock > each.mExpiry;
     const bool hasVanished = (each.mPhase == run_phase::kStarted ||
                               each.mPhase == run_phase::kListed) &&
                              each.mSince < aSentAt;
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -76,12 +76,11 @@
 scheduler::MayStartInherited(const service_name& aService,
                              time_point aNow) const
 {
-  return std::all_of(
-    mRunners.begin(), mRunners.end(), [&](const auto& aEntry) {
-      const runner& each = aEntry.second;
-      return each.mInfo.mService != aService || !each.mMayHoldInherited ||
-             each.mContacted || aNow >= each.DeadAt();
-    });
+  return std::all_of(mRunners.begin(), mRunners.end(), [&](const auto& aEntry) {
+    const runner& each = aEntry.second;
+    return each.mInfo.mService != aService || !each.mMayHoldInherited ||
+           each.mContacted || aNow >= each.DeadAt();
+  });
 }
 
 void
@@ -232,19 +231,18 @@
     ++placed;
   }
   if (placed > 0) {
-    LogEvent(log_level::kInfo,
-             "step.placed",
-             { { "job", aCandidate.mJob->mName.Str() },
-               { "occurrence",
-                 static_cast<std::uint64_t>(aCandidate.mOccurrence) },
-               { "step", static_cast<std::uint64_t>(aCandidate.mStep) },
-               { "tasks", placed },
-               { "waiting", left },
-               { "age_ms",
-                 static_cast<std::int64_t>(
-                   std::chrono::duration_cast<milliseconds>(
-                     aNow - aCandidate.mJob->mAccepted)
-                     .count()) } });
+    LogEvent(
+      log_level::kInfo,
+      "step.placed",
+      { { "job", aCandidate.mJob->mName.Str() },
+        { "occurrence", static_cast<std::uint64_t>(aCandidate.mOccurrence) },
+        { "step", static_cast<std::uint64_t>(aCandidate.mStep) },
+        { "tasks", placed },
+        { "waiting", left },
+        { "age_ms",
+          static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(
+                                      aNow - aCandidate.mJob->mAccepted)
+                                      .count()) } });
   }
 }
 
@@ -322,8 +320,10 @@
   ++aRunner.mStartsInFlight;
   mRunnersOfJob[aCandidate.mJob->mName].insert(aRunner.mInfo.mName);
   const run& added = aRunner.Add(std::move(made));
-  return { aRunner.mInfo.mName,           added.mTask,     aRun,
-           aCandidate.mJob->mSpec.mPayload, one.mCheckpoint, added.mExpiry };
+  return {
+    aRunner.mInfo.mName, added.mTask,  aRun, aCandidate.mJob->mSpec.mPayload,
+    one.mCheckpoint,     added.mExpiry
+  };
 }
 
 void
@@ -331,11 +331,10 @@
 {
   for (auto& [runnerName, each] : mRunners) {
     for (auto& [key, live] : each.Runs()) {
-      const bool isDue =
-        live.mStopWanted && !live.mStopInFlight &&
-        live.mPhase != run_phase::kOrdered &&
-        (live.mStopSentAt == time_point{} ||
-         aNow - live.mStopSentAt >= mSettings.mStopRepeat);
+      const bool isDue = live.mStopWanted && !live.mStopInFlight &&
+                         live.mPhase != run_phase::kOrdered &&
+                         (live.mStopSentAt == time_point{} ||
+                          aNow - live.mStopSentAt >= mSettings.mStopRepeat);
       if (isDue) {
         live.mStopInFlight = true;
         live.mStopSentAt = aNow;
@@ -355,8 +354,8 @@
     const auto service = mCatalog.mServices.find(each.mInfo.mService);
     const bool isSpare =
       service == mCatalog.mServices.end() || service->second.mSpare;
-    const bool isFirst = (each.mListed || each.mMayHoldInherited) &&
-                         !each.mContacted && !isSpare;
+    const bool isFirst =
+      (each.mListed || each.mMayHoldInherited) && !each.mContacted && !isSpare;
     const bool hasRuns = std::any_of(
       each.Runs().begin(), each.Runs().end(), [](const auto& aEntry) {
         return aEntry.second.mPhase != run_phase::kOrdered;
@@ -378,8 +377,8 @@
   look.mRunner = aRunner.mInfo.mName;
   look.mAcknowledged = aRunner.mAckedEnds;
   aRunner.mAckDueAt = aNow + kIdleAckDelay;
-  const bool isReachable = aRunner.mContacted && aRunner.mIsInRoster &&
-                           aRunner.mFailedLooks == 0;
+  const bool isReachable =
+    aRunner.mContacted && aRunner.mIsInRoster && aRunner.mFailedLooks == 0;
   if (isReachable && !aRunner.Runs().empty()) {
     // A runner that does not answer gets no longer lease, so that its tasks can
     // start elsewhere in time.
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -100,8 +100,7 @@
   world.Unlist("r0");
   world.KillOwner(milliseconds(1'900));
   world.RunFor(seconds(40));
-  EXPECT_TRUE(world.Violations().empty())
-    << world.Violations().front();
+  EXPECT_TRUE(world.Violations().empty()) << world.Violations().front();
   EXPECT_GT(world.StartsOf("a1.0.0.0"), 1U);
 }
 
@@ -184,9 +183,8 @@
 {
   auto& random = aWorld.Random();
   const auto names = aWorld.RunnerNames();
-  const std::string name =
-    names[std::uniform_int_distribution<std::size_t>(0, names.size() - 1)(
-      random)];
+  const std::string name = names[std::uniform_int_distribution<std::size_t>(
+    0, names.size() - 1)(random)];
   const auto draw = [&random](int aFrom, int aTo) {
     return std::uniform_int_distribution<int>(aFrom, aTo)(random);
   };
--- a/mangospan/jobs/sizing.cc
+++ b/mangospan/jobs/sizing.cc
@@ -27,14 +27,12 @@
 std::size_t
 pool_sizing::Need(const pool_load& aLoad, const resources& aPerHost) const
 {
-  return std::max({ mSettings.mMinHosts,
-                    aLoad.mMinHosts,
-                    HostsFor(aLoad.mWanted.mCpu,
-                             aPerHost.mCpu,
-                             mSettings.mHeadroom),
-                    HostsFor(aLoad.mWanted.mMemoryMb,
-                             aPerHost.mMemoryMb,
-                             mSettings.mHeadroom) });
+  return std::max(
+    { mSettings.mMinHosts,
+      aLoad.mMinHosts,
+      HostsFor(aLoad.mWanted.mCpu, aPerHost.mCpu, mSettings.mHeadroom),
+      HostsFor(
+        aLoad.mWanted.mMemoryMb, aPerHost.mMemoryMb, mSettings.mHeadroom) });
 }
 
 void
--- a/mangospan/jobs/sizing.h
+++ b/mangospan/jobs/sizing.h
@@ -21,8 +21,8 @@
 // What a pool's service would use now if it had room for all.
 struct pool_load
 {
-  resources mWanted;          // live runs and tasks that may start
-  std::size_t mMinHosts = 0;  // that its lasting steps need by themselves
+  resources mWanted;         // live runs and tasks that may start
+  std::size_t mMinHosts = 0; // that its lasting steps need by themselves
 };
 
 struct sizing_settings
@@ -39,9 +39,9 @@
 public:
   explicit pool_sizing(sizing_settings aSettings);
 
-  // The moves to order now. Hosts that nobody needs go to `aSparePool`, if there
-  // is one. `aTaken` are hosts that maintenance has claimed; `aListedAt` is when
-  // the listing behind `aHosts` was asked for.
+  // The moves to order now. Hosts that nobody needs go to `aSparePool`, if
+  // there is one. `aTaken` are hosts that maintenance has claimed; `aListedAt`
+  // is when the listing behind `aHosts` was asked for.
   std::vector<move_order> Decide(
     const std::map<service_name, pool_load>& aLoads,
     const service_name& aSparePool,
--- a/mangospan/jobs/spec.h
+++ b/mangospan/jobs/spec.h
@@ -50,7 +50,7 @@
   bool mLasting = false;           // runs until the job is cancelled
   std::string mImage;
   std::chrono::milliseconds mTargetLatency{ 0 }; // of a serving task's callers
-  bool mFiller = false; // uses only the processor time that others leave
+  bool mFiller = false;     // uses only the processor time that others leave
   std::size_t mMaxAway = 0; // tasks of ours that may be away; 0: not stated
 
   // What one task takes of a runner; a filler takes no processor time.
--- a/mangospan/jobs/testing/fake_runner.cc
+++ b/mangospan/jobs/testing/fake_runner.cc
@@ -97,10 +97,9 @@
     return order_outcome::kStale;
   }
   const fake_work work = mWork(task);
-  mRuns[task] = { aOrder.mRun,
-                  aNow + work.mDuration,
-                  work.mWillFail,
-                  work.mNeed };
+  mRuns[task] = {
+    aOrder.mRun, aNow + work.mDuration, work.mWillFail, work.mNeed
+  };
   mOnBegin(task, aOrder.mRun);
   return order_outcome::kDone;
 }
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -71,8 +71,8 @@
 wall_time
 fake_world::Wall() const
 {
-  return wall_time(std::chrono::duration_cast<wall_time::duration>(
-    mNow.time_since_epoch()));
+  return wall_time(
+    std::chrono::duration_cast<wall_time::duration>(mNow.time_since_epoch()));
 }
 
 void
@@ -216,14 +216,12 @@
   fake_runner& at = *mRunners.at(aOrder.mRunner.Str());
   const bool isLost = !at.mIsReachable || Chance(mRates.mAnswerLost);
   if (at.mIsReachable) {
-    At(Delay(),
-       [this, aOrder, term, &at] { at.Stop(aOrder, term, mNow); });
+    At(Delay(), [this, aOrder, term, &at] { at.Stop(aOrder, term, mNow); });
   }
   At(isLost ? kOrderTimeout : milliseconds(12), [this, aOrder, term, isLost] {
     Answer(term, [&](scheduler& aOwner) {
-      aOwner.OnStop(aOrder,
-                    isLost ? order_outcome::kUnknown : order_outcome::kDone,
-                    mNow);
+      aOwner.OnStop(
+        aOrder, isLost ? order_outcome::kUnknown : order_outcome::kDone, mNow);
     });
   });
 }
--- a/mangospan/jobs/upkeep.cc
+++ b/mangospan/jobs/upkeep.cc
@@ -100,7 +100,14 @@
       ++down;
       aInto.mClosed.insert(host);
     }
-    if (seen == aHosts.end() || !seen->second.mIsUp) {
+    if (seen == aHosts.end()) {
+      continue;
+    }
+    if (!seen->second.mIsUp) {
+      const bool isCounted =
+        each.mPhase == phase::kDown || each.mPhase == phase::kOrdered;
+      // An earlier owner has sent it down.
+      down += seen->second.mIsInUpkeep && !isCounted ? 1 : 0;
       continue;
     }
     const host_view& view = seen->second;
--- a/mangospan/jobs/upkeep.h
+++ b/mangospan/jobs/upkeep.h
@@ -21,14 +21,15 @@
 {
   host_name mHost;
   service_name mPool;
-  bool mIsUp = false;        // neither down nor on its way
-  bool mIsSpare = false;     // in the pool of hosts that are off
-  bool mIsKnown = false;     // what runs there is known
-  bool mIsUnfit = false;     // its runner is silent, leaving or shunned
-  bool mIsSettled = false;   // its runner is in use, or would be
+  bool mIsUp = false;       // neither down nor on its way
+  bool mIsSpare = false;    // in the pool of hosts that are off
+  bool mIsKnown = false;    // what runs there is known
+  bool mIsInUpkeep = false; // down for maintenance
+  bool mIsUnfit = false;    // its runner is silent, leaving or shunned
+  bool mIsSettled = false;  // its runner is in use, or would be
   resources mCapacity;
-  std::size_t mRuns = 0;     // that exist or may exist on its runner
-  std::size_t mLasting = 0;  // of these, lasting ones
+  std::size_t mRuns = 0;    // that exist or may exist on its runner
+  std::size_t mLasting = 0; // of these, lasting ones
 };
 
 struct upkeep_order
--- /dev/null
+++ b/mangospan/jobs/upkeep_test.cc
@@ -0,0 +1,117 @@
+#include "mangospan/jobs/upkeep.h"
+
+#include <gtest/gtest.h>
+
+namespace mangospan::jobs {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point kStart{ std::chrono::hours(1) };
+
+std::vector<host_name>
+Hosts(std::size_t aCount)
+{
+  std::vector<host_name> out;
+  for (std::size_t i = 0; i < aCount; ++i) {
+    out.push_back(host_name{ "h" + std::to_string(i) });
+  }
+  return out;
+}
+
+std::vector<host_view>
+Views(const std::vector<host_name>& aHosts)
+{
+  std::vector<host_view> out;
+  for (const host_name& each : aHosts) {
+    host_view view;
+    view.mHost = each;
+    view.mIsUp = true;
+    view.mIsKnown = true;
+    out.push_back(view);
+  }
+  return out;
+}
+
+TEST(upkeep_test, EmptyHostsGoDownUpToTheLimit)
+{
+  upkeep_plan plan{ upkeep_settings{} };
+  const auto hosts = Hosts(6);
+  plan.AddWave(1, hosts, kStart + seconds(20), 2);
+  plan.Decide(Views(hosts), kStart, kStart);
+  const auto decision =
+    plan.Decide(Views(hosts), kStart, kStart + milliseconds(50));
+  EXPECT_EQ(decision.mOrders.size(), 2U);
+}
+
+TEST(upkeep_test, HostsThatAPredecessorSentDownCountAgainstTheLimit)
+{
+  upkeep_plan plan{ upkeep_settings{} };
+  const auto hosts = Hosts(6);
+  plan.AddWave(1, hosts, kStart + seconds(20), 2);
+  auto views = Views(hosts);
+  for (int i : { 0, 1 }) {
+    views[i].mIsUp = false;
+    views[i].mIsInUpkeep = true;
+  }
+  plan.Decide(views, kStart, kStart);
+  EXPECT_TRUE(
+    plan.Decide(views, kStart, kStart + milliseconds(50)).mOrders.empty());
+}
+
+TEST(upkeep_test, AHostWhoseRunsAreNotKnownIsNotTakenForEmpty)
+{
+  upkeep_plan plan{ upkeep_settings{} };
+  const auto hosts = Hosts(1);
+  plan.AddWave(1, hosts, kStart + seconds(20), 1);
+  auto views = Views(hosts);
+  views[0].mIsKnown = false;
+  plan.Decide(views, kStart, kStart);
+  EXPECT_TRUE(plan.Decide(views, kStart, kStart + seconds(10)).mOrders.empty());
+}
+
+TEST(upkeep_test, LastingRunsAreEvictedBeforeTheHostGoesDown)
+{
+  upkeep_plan plan{ upkeep_settings{} };
+  const auto hosts = Hosts(1);
+  plan.AddWave(1, hosts, kStart + seconds(20), 1);
+  auto views = Views(hosts);
+  views[0].mRuns = 1;
+  views[0].mLasting = 1;
+  plan.Decide(views, kStart, kStart);
+  const auto decision = plan.Decide(views, kStart, kStart + seconds(10));
+  EXPECT_TRUE(decision.mOrders.empty());
+  EXPECT_EQ(decision.mEvict.size(), 1U);
+  EXPECT_EQ(decision.mClosed.size(), 1U);
+}
+
+TEST(upkeep_test, AnUnknownResultIsSettledByTheSameOrder)
+{
+  upkeep_plan plan{ upkeep_settings{} };
+  const auto hosts = Hosts(2);
+  plan.AddWave(1, hosts, kStart + seconds(20), 1);
+  plan.Decide(Views(hosts), kStart, kStart);
+  const auto first =
+    plan.Decide(Views(hosts), kStart, kStart + milliseconds(50)).mOrders;
+  ASSERT_EQ(first.size(), 1U);
+  plan.OnUnknown(first[0], kStart + seconds(1));
+  const auto again =
+    plan.Decide(Views(hosts), kStart + seconds(1), kStart + seconds(2)).mOrders;
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].mHost, first[0].mHost);
+}
+
+TEST(upkeep_test, TheWaveIsCompletedOnceEveryHostIsBack)
+{
+  upkeep_plan plan{ upkeep_settings{} };
+  const auto hosts = Hosts(1);
+  plan.AddWave(1, hosts, kStart + seconds(20), 1);
+  plan.OnBegun({ hosts[0], 1 }, kStart);
+  EXPECT_FALSE(plan.IsCompleted(1));
+  plan.Decide(Views(hosts), kStart + seconds(3), kStart + seconds(3));
+  EXPECT_TRUE(plan.IsCompleted(1));
+}
+
+} // namespace
+} // namespace mangospan::jobs
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -21,10 +21,11 @@
 std::string
 Encode(const owner_record& aRecord)
 {
-  return json{ { "term", aRecord.mTerm },
-               { "node", aRecord.mNode },
-               { "address", aRecord.mAddress } }
-    .dump();
+  return json{
+    { "term", aRecord.mTerm },
+    { "node", aRecord.mNode },
+    { "address", aRecord.mAddress }
+  }.dump();
 }
 
 std::optional<owner_record>
@@ -101,8 +102,8 @@
 bool
 election::IsValidFor(milliseconds aSince) const
 {
-  return mIsOwner &&
-         mClock.Now() < mRenewedAt + mSettings.mTtl - mSettings.mMargin + aSince;
+  return mIsOwner && mClock.Now() <
+                       mRenewedAt + mSettings.mTtl - mSettings.mMargin + aSince;
 }
 
 std::optional<owner_record>
@@ -178,8 +179,8 @@
   std::uniform_int_distribution<std::int64_t> jitter(patience, 2 * patience);
   const bool isRecent = mClock.Now() - mStartedAt < mSettings.mRecentStart;
   const bool isAtOnce = wasOwner || mTerm.mTerm == 0;
-  mTryTimer.expires_after(milliseconds(
-    isAtOnce ? 0 : jitter(mRandom) + (isRecent ? 0 : patience)));
+  mTryTimer.expires_after(
+    milliseconds(isAtOnce ? 0 : jitter(mRandom) + (isRecent ? 0 : patience)));
   mTryTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aAbort) {
       if (!aAbort) {
@@ -333,14 +334,14 @@
 election::EndLease()
 {
   if (mLease) {
-    mStore.RevokeLease(
-      *mLease,
-      mSettings.mCallTimeout,
-      [](const result<platform::lease_id>& aResult) {
-        if (aResult.has_error()) { // it lapses by itself
-          LogError("election.revoke_failed", aResult.assume_error());
-        }
-      });
+    mStore.RevokeLease(*mLease,
+                       mSettings.mCallTimeout,
+                       [](const result<platform::lease_id>& aResult) {
+                         if (aResult.has_error()) { // it lapses by itself
+                           LogError("election.revoke_failed",
+                                    aResult.assume_error());
+                         }
+                       });
     mLease.reset();
   }
 }
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -106,8 +106,8 @@
   const election_handlers mHandlers;
   std::shared_ptr<mirror> mMirror;
   std::minstd_rand mRandom;
-  owner_record mTerm;         // newest seen
-  std::string mLeaseHolder;   // empty: nobody holds the lease
+  owner_record mTerm;       // newest seen
+  std::string mLeaseHolder; // empty: nobody holds the lease
   std::optional<platform::lease_id> mLease;
   time_point mRenewedAt{};
   time_point mStartedAt{};
--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr milliseconds kBusyListPeriod{ 400 };
+// An order takes effect within this time, as a rule.
+constexpr milliseconds kOrderTransit{ 150 };
 // Hosts' clocks differ by less than this.
 constexpr milliseconds kClockSlack{ 300 };
 constexpr const char* kOrdersKey = "mangospan/orders";
@@ -69,6 +71,7 @@
 void
 fleet_duty::Start()
 {
+  mStartedAt = mDeps.mClock.Now();
   LoadOrders();
   Tick();
 }
@@ -128,7 +131,8 @@
     mForeign.erase(aOrder.mHost);
     return true;
   };
-  const auto refused = std::stable_partition(aUpkeep.begin(), aUpkeep.end(), keep);
+  const auto refused =
+    std::stable_partition(aUpkeep.begin(), aUpkeep.end(), keep);
   for (auto it = refused; it != aUpkeep.end(); ++it) {
     mPlan.OnNotDone(*it, mDeps.mClock.Now());
   }
@@ -155,8 +159,10 @@
   mDeps.mStore.Commit(
     std::move(change),
     kAnnounceTimeout,
-    [self = shared_from_this(), upkeep = std::move(aUpkeep), moves = std::move(aMoves)](
-      const result<platform::commit_outcome>& aResult) {
+    [self = shared_from_this(),
+     upkeep = std::move(aUpkeep),
+     moves =
+       std::move(aMoves)](const result<platform::commit_outcome>& aResult) {
       self->mIsAnnouncing = false;
       if (aResult.has_error()) {
         LogError("hosts.announce_failed", aResult.assume_error());
@@ -255,8 +261,8 @@
   mIsListing = true;
   const time_point sentAt = mDeps.mClock.Now();
   mNextList = sentAt + kBusyListPeriod;
-  mDeps.mHosts.List([self = shared_from_this(), sentAt](
-                      result<std::vector<host_entry>> aResult) {
+  mDeps.mHosts.List([self = shared_from_this(),
+                     sentAt](result<std::vector<host_entry>> aResult) {
     self->mIsListing = false;
     if (self->mIsStopped) {
       return;
@@ -281,12 +287,12 @@
     view.mHost = each.mHost;
     view.mPool = each.mPool;
     view.mIsUp = each.mState == host_state::kUp;
+    view.mIsInUpkeep = each.mState == host_state::kUpkeep;
     const auto pool = services.find(each.mPool);
     view.mIsSpare = pool != services.end() && pool->second.mSpare;
     view.mCapacity = each.mCapacity;
-    view.mIsKnown = each.mRunner.Empty() ||
-                    mOwner->Scheduler().KnowsRunsOf(each.mRunner,
-                                                    mDeps.mClock.Now());
+    view.mIsKnown = each.mRunner.Empty() || mOwner->Scheduler().KnowsRunsOf(
+                                              each.mRunner, mDeps.mClock.Now());
     const auto found = runners.find(each.mRunner);
     if (found != runners.end()) {
       view.mIsUnfit = found->second.mFailedLooks > 0 ||
@@ -313,6 +319,9 @@
   if (mHosts.empty() || !mOwner->IsServing() || mIsAnnouncing || !mMayOrder()) {
     return;
   }
+  if (mFence.mTerm > 1 && mListedAt < mStartedAt + kOrderTransit) {
+    return; // an order of the predecessor may not show in the listing yet
+  }
   const time_point now = mDeps.mClock.Now();
   const std::vector<jobs::host_view> views = HostViews();
   const jobs::upkeep_decision upkeep = mPlan.Decide(views, mListedAt, now);
@@ -443,8 +452,7 @@
     hosts.push_back(each.Str());
   }
   platform::transaction change;
-  change.mExpected.push_back(
-    { election::TermKey(), mOwner->Term().mRevision });
+  change.mExpected.push_back({ election::TermKey(), mOwner->Term().mRevision });
   change.mWrites.push_back(
     { WaveRecordKey(aWave), 0, hosts.dump(), std::nullopt });
   mDeps.mStore.Commit(std::move(change),
@@ -472,10 +480,11 @@
     platform::transaction change;
     change.mExpected.push_back(
       { election::TermKey(), mOwner->Term().mRevision });
-    change.mWrites.push_back({ mDeps.mFormat.WaveStatusKey(each),
-                               0,
-                               mDeps.mFormat.EncodeWaveStatus(each, isCompleted),
-                               std::nullopt });
+    change.mWrites.push_back(
+      { mDeps.mFormat.WaveStatusKey(each),
+        0,
+        mDeps.mFormat.EncodeWaveStatus(each, isCompleted),
+        std::nullopt });
     mIsReporting = true;
     mDeps.mStore.Commit(
       std::move(change),
--- a/mangospan/node/fleet_duty.h
+++ b/mangospan/node/fleet_duty.h
@@ -88,6 +88,7 @@
   std::set<host_name> mForeign; // ordered last by an earlier holder
   bool mIsLoaded = false;
   bool mIsAnnouncing = false;
+  time_point mStartedAt{};
   time_point mNextList{};
   time_point mListedAt{};
   std::vector<host_entry> mHosts;
--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -125,23 +125,23 @@
                   reply_handler aHandler)
 {
   aRequest.Set(kPatienceHeader, std::to_string(aPatience.count()));
-  mClient.Send(
-    mAddress,
-    std::move(aRequest),
-    aPatience + kTransit,
-    [peer = mAddress,
-     handler = std::move(aHandler)](const result<http::response>& aResult) {
-      if (aResult.has_value()) {
-        handler(Decode(aResult.assume_value()));
-        return;
-      }
-      LogError("forward.failed", aResult.assume_error());
-      job_reply reply;
-      reply.mKind = aResult.assume_error().mCode == error_code::kUnavailable
-                      ? reply_kind::kUnavailable
-                      : reply_kind::kUnknown;
-      handler(reply);
-    });
+  mClient.Send(mAddress,
+               std::move(aRequest),
+               aPatience + kTransit,
+               [peer = mAddress, handler = std::move(aHandler)](
+                 const result<http::response>& aResult) {
+                 if (aResult.has_value()) {
+                   handler(Decode(aResult.assume_value()));
+                   return;
+                 }
+                 LogError("forward.failed", aResult.assume_error());
+                 job_reply reply;
+                 reply.mKind =
+                   aResult.assume_error().mCode == error_code::kUnavailable
+                     ? reply_kind::kUnavailable
+                     : reply_kind::kUnknown;
+                 handler(reply);
+               });
 }
 
 void
@@ -192,8 +192,7 @@
   };
   const std::string_view path = http::Path(aRequest);
   const milliseconds patience = PatienceOf(aRequest);
-  if (path.substr(0, kQueues.size()) == kQueues &&
-      aRequest.mMethod == "GET") {
+  if (path.substr(0, kQueues.size()) == kQueues && aRequest.mMethod == "GET") {
     aService.CountWaiting(
       jobs::queue_name{ std::string(path.substr(kQueues.size())) },
       patience,
--- a/mangospan/node/mirror.cc
+++ b/mangospan/node/mirror.cc
@@ -149,8 +149,8 @@
                { "message", aError.mMessage } });
   }
   mTimer.expires_after(mSettings.mRetry);
-  mTimer.async_wait([self = shared_from_this(), aList](
-                      const boost::system::error_code& aAbort) {
+  mTimer.async_wait([self = shared_from_this(),
+                     aList](const boost::system::error_code& aAbort) {
     if (aAbort || self->mIsStopped) {
       return;
     }
--- a/mangospan/node/mirror.h
+++ b/mangospan/node/mirror.h
@@ -24,9 +24,9 @@
 
 struct mirror_settings
 {
-  std::chrono::milliseconds mWait{ 1'200 };   // of one watch
+  std::chrono::milliseconds mWait{ 1'200 };    // of one watch
   std::chrono::milliseconds mTimeout{ 1'000 }; // of a listing
-  std::chrono::milliseconds mRetry{ 150 };    // after a failure
+  std::chrono::milliseconds mRetry{ 150 };     // after a failure
 };
 
 struct mirror_handlers
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -113,11 +113,10 @@
     mPorts.mStore,
     mPorts.mFormat.OperatorPrefix(),
     mirror_settings{},
-    mirror_handlers{ [this](const platform::record& aRecord) {
-                      OnOperatorRecord(aRecord);
-                    },
-                     [this](const std::string& aKey) { mWaves.erase(aKey); },
-                     nullptr });
+    mirror_handlers{
+      [this](const platform::record& aRecord) { OnOperatorRecord(aRecord); },
+      [this](const std::string& aKey) { mWaves.erase(aKey); },
+      nullptr });
   mOperatorMirror->Start();
   mElection = std::make_shared<election>(
     mIo,
@@ -126,9 +125,8 @@
     mSettings.mNode,
     mSettings.mNodeAddress,
     election_settings{},
-    election_handlers{
-      [this](const owner_record& aTerm) { OnElected(aTerm); },
-      [this] { OnLost(); } });
+    election_handlers{ [this](const owner_record& aTerm) { OnElected(aTerm); },
+                       [this] { OnLost(); } });
   mElection->Start();
   CheckOwner();
   return boost::outcome_v2::success();
@@ -138,12 +136,8 @@
 node_process::OnElected(const owner_record& aTerm)
 {
   mOwner = std::make_shared<owner>(
-    owner_dependencies{ mIo,
-                        mClock,
-                        mPorts.mStore,
-                        mPorts.mRunners,
-                        mPorts.mFormat,
-                        mMetrics },
+    owner_dependencies{
+      mIo, mClock, mPorts.mStore, mPorts.mRunners, mPorts.mFormat, mMetrics },
     owner_settings{},
     jobs::scheduler_settings{},
     aTerm,
@@ -151,12 +145,8 @@
     [this] { mElection->StepDown(); });
   mOwner->Start(mCatalog ? *mCatalog : jobs::catalog{});
   mDuty = std::make_shared<fleet_duty>(
-    fleet_dependencies{ mIo,
-                        mClock,
-                        mPorts.mStore,
-                        mPorts.mHosts,
-                        mPorts.mFormat,
-                        mMetrics },
+    fleet_dependencies{
+      mIo, mClock, mPorts.mStore, mPorts.mHosts, mPorts.mFormat, mMetrics },
     fleet_settings{ mSettings.mHostLease },
     order_fence{ mSettings.mNode, aTerm.mTerm },
     mOwner,
@@ -259,16 +249,15 @@
   } else if (const auto known = mElection->Owner()) {
     http::request call;
     call.mTarget = kHealthPath;
-    mClient.Send(known->mAddress,
-                 std::move(call),
-                 kCheckTimeout,
-                 [this, sentAt = mClock.Now()](
-                   const result<http::response>& aResult) {
-                   if (aResult.has_value() &&
-                       aResult.assume_value().mStatus == 200) {
-                     mOwnerHeardAt = sentAt;
-                   }
-                 });
+    mClient.Send(
+      known->mAddress,
+      std::move(call),
+      kCheckTimeout,
+      [this, sentAt = mClock.Now()](const result<http::response>& aResult) {
+        if (aResult.has_value() && aResult.assume_value().mStatus == 200) {
+          mOwnerHeardAt = sentAt;
+        }
+      });
   }
   mCheckTimer.expires_after(kCheckPeriod);
   mCheckTimer.async_wait([this](const boost::system::error_code& aAbort) {
@@ -292,8 +281,7 @@
 }
 
 void
-node_process::ServeNode(const http::request& aRequest,
-                        http::responder aRespond)
+node_process::ServeNode(const http::request& aRequest, http::responder aRespond)
 {
   const std::string_view path = http::Path(aRequest);
   if (path == kHealthPath) {
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -96,8 +96,8 @@
   mIsHandingOver = true;
   mScheduler.SetMayStart(false);
   written_roster roster;
-  roster.mText = jobs::EncodeRoster(
-    mScheduler.Roster(mDeps.mClock.Now(), WallNow()));
+  roster.mText =
+    jobs::EncodeRoster(mScheduler.Roster(mDeps.mClock.Now(), WallNow()));
   platform::transaction change;
   change.mExpected.push_back({ election::TermKey(), mTerm.mRevision });
   change.mWrites.push_back({ kRosterKey, 0, roster.mText, std::nullopt });
@@ -122,27 +122,27 @@
 void
 owner::Load()
 {
-  mDeps.mStore.List(
-    kOwnedPrefix,
-    mSettings.mLoadTimeout,
-    [self = shared_from_this()](
-      const result<std::vector<platform::record>>& aResult) {
-      if (self->mIsStopped) {
-        return;
-      }
-      if (aResult.has_value()) {
-        self->OnLoaded(aResult.assume_value());
-        return;
-      }
-      LogError("owner.load_failed", aResult.assume_error());
-      self->mLoadTimer.expires_after(self->mSettings.mWriteRetry);
-      self->mLoadTimer.async_wait(
-        [self](const boost::system::error_code& aAbort) {
-          if (!aAbort && !self->mIsStopped) {
-            self->Load();
-          }
-        });
-    });
+  mDeps.mStore.List(kOwnedPrefix,
+                    mSettings.mLoadTimeout,
+                    [self = shared_from_this()](
+                      const result<std::vector<platform::record>>& aResult) {
+                      if (self->mIsStopped) {
+                        return;
+                      }
+                      if (aResult.has_value()) {
+                        self->OnLoaded(aResult.assume_value());
+                        return;
+                      }
+                      LogError("owner.load_failed", aResult.assume_error());
+                      self->mLoadTimer.expires_after(
+                        self->mSettings.mWriteRetry);
+                      self->mLoadTimer.async_wait(
+                        [self](const boost::system::error_code& aAbort) {
+                          if (!aAbort && !self->mIsStopped) {
+                            self->Load();
+                          }
+                        });
+                    });
 }
 
 void
@@ -206,13 +206,13 @@
       self->Wake();
     }
   };
-  mRunnerMirror = std::make_shared<mirror>(
-    mDeps.mIo,
-    mDeps.mClock,
-    mDeps.mStore,
-    mDeps.mFormat.RunnerPrefix(),
-    mirror_settings{},
-    mirror_handlers{ onRecord, onDeleted, nullptr });
+  mRunnerMirror =
+    std::make_shared<mirror>(mDeps.mIo,
+                             mDeps.mClock,
+                             mDeps.mStore,
+                             mDeps.mFormat.RunnerPrefix(),
+                             mirror_settings{},
+                             mirror_handlers{ onRecord, onDeleted, nullptr });
   mRunnerMirror->Start();
 }
 
@@ -416,8 +416,7 @@
   written_records written;
   change.mExpected.push_back({ election::TermKey(), mTerm.mRevision });
   AddRoster(change, written);
-  for (const jobs::job_name& each :
-       mScheduler.Unstored(kJobsPerWrite, false)) {
+  for (const jobs::job_name& each : mScheduler.Unstored(kJobsPerWrite, false)) {
     const jobs::job& one = *mScheduler.Find(each);
     written_job record{ { each, one.mVersion, 0 }, jobs::EncodeRecord(one) };
     change.mExpected.push_back({ JobKey(each), one.mRevision });
@@ -453,9 +452,8 @@
     return;
   }
   if (mFailedWrites > 0) {
-    LogEvent(log_level::kInfo,
-             "owner.writes_again",
-             { { "failed", mFailedWrites } });
+    LogEvent(
+      log_level::kInfo, "owner.writes_again", { { "failed", mFailedWrites } });
   }
   mFailedWrites = 0;
   if (!aResult.assume_value().mCommitted) {
@@ -491,10 +489,10 @@
   }
   const auto term = present.find(election::TermKey());
   if (term != present.end() && term->second->mRevision != mTerm.mRevision) {
-    LogEvent(log_level::kInfo,
-             "owner.superseded",
-             { { "term", mTerm.mTerm },
-               { "revision", term->second->mRevision } });
+    LogEvent(
+      log_level::kInfo,
+      "owner.superseded",
+      { { "term", mTerm.mTerm }, { "revision", term->second->mRevision } });
     if (mOnSuperseded) {
       const auto tell = std::move(mOnSuperseded);
       mOnSuperseded = nullptr;
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -63,8 +63,8 @@
         std::function<void()> aOnSuperseded);
 
   void Start(const jobs::catalog& aCatalog);
-  // Orders nothing more, tells the successor until when runs may live, and calls
-  // `aDone` once that is stored or can not be.
+  // Orders nothing more, tells the successor until when runs may live, and
+  // calls `aDone` once that is stored or can not be.
   void HandOver(std::function<void()> aDone);
   // Answers everybody who waits and stops at once.
   void Stop();
--- a/mangospan/node/ports.h
+++ b/mangospan/node/ports.h
@@ -57,8 +57,8 @@
 enum class host_state
 {
   kUp,
-  kMoving,   // between two pools
-  kUpkeep,   // down for maintenance
+  kMoving, // between two pools
+  kUpkeep, // down for maintenance
   kDown,
 };
 
@@ -83,10 +83,10 @@
 enum class host_order_outcome
 {
   kDone,
-  kFenced,   // a holder with a higher term has ordered
-  kBusy,     // not up, or leaving
-  kRefused,  // it makes no sense: another wave, no such host or pool
-  kNotDone,  // certainly not carried out; try later
+  kFenced,  // a holder with a higher term has ordered
+  kBusy,    // not up, or leaving
+  kRefused, // it makes no sense: another wave, no such host or pool
+  kNotDone, // certainly not carried out; try later
   kUnknown,
 };
 
