--- a/mangospan/base/log.cc
+++ b/mangospan/base/log.cc
@@ -4,8 +4,10 @@
 #include <cstdio>
 #include <initializer_list>
 #include <map>
+#include <mutex>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <easylogging++.h>
@@ -18,6 +20,8 @@
 
 namespace {
 
+constexpr std::size_t kMaxLinesPerSecond = 1'000;
+
 log_level gLowest = log_level::kInfo;
 std::string gProcess = "mangospan";
 
@@ -90,6 +94,16 @@
   if (aLevel < gLowest) {
     return;
   }
+  static std::mutex lock;
+  static log_limiter limiter(kMaxLinesPerSecond);
+  const std::lock_guard<std::mutex> guard(lock);
+  if (!limiter.Admit(boot_clock::now())) {
+    return;
+  }
+  if (const std::size_t dropped = limiter.TakeDropped()) {
+    LOG(INFO) << "level=warning process=" << gProcess
+              << " event=log.dropped lines=" << dropped;
+  }
   std::string line = "level=" + std::string(LevelName(aLevel)) +
                      " process=" + gProcess + " event=" + std::string(aEvent);
   if (aFields.size() > 0) {
@@ -100,6 +114,34 @@
 
 } // namespace
 
+log_limiter::log_limiter(std::size_t aLinesPerSecond)
+  : mLinesPerSecond(aLinesPerSecond)
+{
+}
+
+bool
+log_limiter::Admit(time_point aNow)
+{
+  if (aNow - mSecond >= std::chrono::seconds(1)) {
+    mSecond = aNow;
+    mDropped += mRefused;
+    mPassed = 0;
+    mRefused = 0;
+  }
+  if (mPassed == mLinesPerSecond) {
+    ++mRefused;
+    return false;
+  }
+  ++mPassed;
+  return true;
+}
+
+std::size_t
+log_limiter::TakeDropped()
+{
+  return std::exchange(mDropped, 0);
+}
+
 result<log_level>
 ParseLogLevel(std::string_view aName)
 {
--- a/mangospan/base/log.h
+++ b/mangospan/base/log.h
@@ -1,4 +1,5 @@
-// Logs: one line of key=value pairs for each event, on standard error.
+// Logs: one line of key=value pairs for each event, on standard output. Their
+// number a second is bounded; what is left out is counted in a line of its own.
 //
 //   ConfigureLog("entry", log_level::kInfo);
 //   LogEvent(log_level::kInfo, "view.adopted",
@@ -7,6 +8,7 @@
 #ifndef MANGOSPAN_BASE_LOG_H
 #define MANGOSPAN_BASE_LOG_H
 
+#include <cstddef>
 #include <cstdint>
 #include <initializer_list>
 #include <string>
@@ -14,6 +16,7 @@
 #include <vector>
 
 #include "mangospan/base/error.h"
+#include "mangospan/base/time.h"
 
 namespace mangospan {
 
@@ -29,6 +32,25 @@
 result<log_level>
 ParseLogLevel(std::string_view aName);
 
+// Lets a number of lines a second pass and counts the others.
+class log_limiter
+{
+public:
+  explicit log_limiter(std::size_t aLinesPerSecond);
+
+  // Whether a line may be printed at `aNow`.
+  bool Admit(time_point aNow);
+  // Lines refused in the seconds before the present one; zero once taken.
+  std::size_t TakeDropped();
+
+private:
+  const std::size_t mLinesPerSecond;
+  time_point mSecond{};
+  std::size_t mPassed = 0;
+  std::size_t mRefused = 0;
+  std::size_t mDropped = 0;
+};
+
 // One pair of an event line. Text values are quoted where they need it.
 struct log_field
 {
--- a/mangospan/daemon/metric_names_test.cc
+++ b/mangospan/daemon/metric_names_test.cc
@@ -34,17 +34,18 @@
 std::set<std::string>
 ExportedNames()
 {
-  const std::regex quoted("\"(mangospan_(?:entry|fleet)_[a-z_]+)\"");
+  const std::regex quoted("\"(mangospan_(?:entry|fleet|node)_[a-z_]+)\"");
   std::set<std::string> names;
-  for (const auto& entry :
-       fs::recursive_directory_iterator(kRoot / "mangospan")) {
-    if (!IsProductSource(entry.path())) {
-      continue;
-    }
-    const std::string text = Text(entry.path());
-    const std::sregex_iterator begin(text.begin(), text.end(), quoted);
-    for (auto found = begin; found != std::sregex_iterator(); ++found) {
-      names.insert((*found)[1]);
+  for (const char* folder : { "mangospan", "platform" }) {
+    for (const auto& entry : fs::recursive_directory_iterator(kRoot / folder)) {
+      if (!IsProductSource(entry.path())) {
+        continue;
+      }
+      const std::string text = Text(entry.path());
+      const std::sregex_iterator begin(text.begin(), text.end(), quoted);
+      for (auto found = begin; found != std::sregex_iterator(); ++found) {
+        names.insert((*found)[1]);
+      }
     }
   }
   return names;
--- a/mangospan/jobs/runner.cc
+++ b/mangospan/jobs/runner.cc
@@ -38,7 +38,7 @@
 runner::ExtendLease(runner_time aUntil, time_point aNow)
 {
   const auto left =
-    duration_cast<milliseconds>(aUntil - mClock).count() / kSlowestClock;
+    static_cast<double>((aUntil - mClock).count()) / kSlowestClock;
   const time_point dead =
     mClockAt + milliseconds(static_cast<std::int64_t>(left)) + kLeaseSlack;
   mDeadAt = std::max({ mDeadAt, dead, aNow });
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -198,6 +198,14 @@
   void PlanLooks(time_point aNow, std::vector<order>& aOut);
   void PlanPaces(std::vector<order>& aOut);
   look_order MakeLook(runner& aRunner, time_point aNow);
+  void OnOtherBoot(runner& aRunner, std::int64_t aBoot, time_point aNow);
+  void OnSilence(runner& aRunner, order_outcome aOutcome);
+  void OnAnswer(runner& aRunner, const look_order& aOrder);
+  void OnReport(runner& aRunner,
+                const look_report& aReport,
+                time_point aSentAt,
+                time_point aNow,
+                wall_time aWall);
   void OnEnd(runner& aRunner,
              const ended_run& aEnd,
              time_point aNow,
--- a/mangospan/jobs/scheduler_answers.cc
+++ b/mangospan/jobs/scheduler_answers.cc
@@ -157,59 +157,84 @@
     (aReport != nullptr && where.mInfo.mBoot != 0 && aReport->mBoot != 0 &&
      aReport->mBoot != where.mInfo.mBoot);
   if (isOtherBoot) {
-    ReleaseAll(where, aNow);
-    runner_info info = where.mInfo;
-    if (aReport != nullptr) {
-      info.mBoot = aReport->mBoot;
-    }
-    const bool isListed = where.mListed;
-    const bool isClosed = where.mClosed;
-    where = runner(std::move(info));
-    where.mListed = isListed;
-    where.mClosed = isClosed;
-    where.mNextLook = aNow + kRefusalPause;
-    return;
+    OnOtherBoot(where, aReport == nullptr ? 0 : aReport->mBoot, aNow);
+  } else if (aReport == nullptr) {
+    OnSilence(where, aOutcome);
+  } else {
+    OnAnswer(where, aOrder);
+    where.OnClock(aReport->mClock, aNow);
+    OnReport(where, *aReport, aSentAt, aNow, aWall);
   }
-  if (aReport == nullptr) {
-    if (where.mFailedLooks++ == 0) {
-      mRosterVersion += where.mIsInRoster ? 1 : 0; // tells when it is dead
-      LogEvent(log_level::kInfo,
-               "runner.silent",
-               { { "runner", aOrder.mRunner.Str() },
-                 { "outcome", Name(aOutcome) },
-                 { "runs", static_cast<std::uint64_t>(where.Runs().size()) } });
-    }
+}
+
+// All that the last boot ran has ended with it; the present one is unknown.
+void
+scheduler::OnOtherBoot(runner& aRunner, std::int64_t aBoot, time_point aNow)
+{
+  ReleaseAll(aRunner, aNow);
+  runner_info info = aRunner.mInfo;
+  info.mBoot = aBoot == 0 ? info.mBoot : aBoot;
+  runner fresh(std::move(info));
+  fresh.mListed = aRunner.mListed;
+  fresh.mClosed = aRunner.mClosed;
+  fresh.mNextLook = aNow + kRefusalPause;
+  aRunner = std::move(fresh);
+}
+
+void
+scheduler::OnSilence(runner& aRunner, order_outcome aOutcome)
+{
+  if (aRunner.mFailedLooks++ > 0) {
     return;
   }
-  if (where.mFailedLooks > 0) {
+  mRosterVersion += aRunner.mIsInRoster ? 1 : 0; // tells when it is dead
+  LogEvent(log_level::kInfo,
+           "runner.silent",
+           { { "runner", aRunner.mInfo.mName.Str() },
+             { "outcome", Name(aOutcome) },
+             { "runs", static_cast<std::uint64_t>(aRunner.Runs().size()) } });
+}
+
+void
+scheduler::OnAnswer(runner& aRunner, const look_order& aOrder)
+{
+  if (aRunner.mFailedLooks > 0) {
     ++mRosterVersion; // its lease is extended again
-    where.mIsInRoster = false;
+    aRunner.mIsInRoster = false;
     LogEvent(log_level::kInfo,
              "runner.answers_again",
-             { { "runner", aOrder.mRunner.Str() } });
+             { { "runner", aRunner.mInfo.mName.Str() } });
   }
-  where.mFailedLooks = 0;
-  if (!where.mContacted) {
-    where.mContacted = true;
-    mRosterVersion += where.mIsInRoster ? 0 : 1;
+  aRunner.mFailedLooks = 0;
+  if (!aRunner.mContacted) {
+    aRunner.mContacted = true;
+    mRosterVersion += aRunner.mIsInRoster ? 0 : 1;
   }
-  if (where.mInfo.mBoot == 0) {
-    where.mInfo.mBoot = aReport->mBoot;
+  aRunner.mSentAck = std::max(aRunner.mSentAck, aOrder.mAcknowledged);
+}
+
+void
+scheduler::OnReport(runner& aRunner,
+                    const look_report& aReport,
+                    time_point aSentAt,
+                    time_point aNow,
+                    wall_time aWall)
+{
+  if (aRunner.mInfo.mBoot == 0) {
+    aRunner.mInfo.mBoot = aReport.mBoot;
   }
-  where.OnClock(aReport->mClock, aNow);
-  where.mSentAck = std::max(where.mSentAck, aOrder.mAcknowledged);
-  for (const ended_run& each : aReport->mEnded) {
-    if (each.mNumber > where.mSeenEnds) {
-      OnEnd(where, each, aNow, aWall);
+  for (const ended_run& each : aReport.mEnded) {
+    if (each.mNumber > aRunner.mSeenEnds) {
+      OnEnd(aRunner, each, aNow, aWall);
     }
   }
-  for (const live_run& each : aReport->mLive) {
-    OnLive(where, each, aNow);
+  for (const live_run& each : aReport.mLive) {
+    OnLive(aRunner, each, aNow);
   }
-  SettleUnlisted(where, *aReport, aSentAt, aNow);
-  if (IsShared(where) && aNow - where.mShareChanged >= kShareInterval) {
-    where.mShareChanged = aNow;
-    where.mFillerShare = NextFillerShare(where);
+  SettleUnlisted(aRunner, aReport, aSentAt, aNow);
+  if (IsShared(aRunner) && aNow - aRunner.mShareChanged >= kShareInterval) {
+    aRunner.mShareChanged = aNow;
+    aRunner.mFillerShare = NextFillerShare(aRunner);
   }
 }
 
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -221,7 +221,7 @@
   std::vector<step_spec> steps;
   for (int i = draw(1, 3); i > 0; --i) {
     step_spec each = Tasks(static_cast<std::size_t>(draw(1, 5)),
-                           draw(1, 6) * 250,
+                           std::int64_t{ 250 } * draw(1, 6),
                            milliseconds(draw(100, 3'500)));
     if (!steps.empty()) {
       each.mAfter = { steps.size() - 1 };
--- a/mangospan/jobs/sizing.cc
+++ b/mangospan/jobs/sizing.cc
@@ -70,41 +70,62 @@
 {
   NoteArrivals(aHosts, aListedAt);
   NoteIdle(aHosts, aNow);
-  std::map<service_name, pool> pools;
-  std::vector<host_name> spare;
+  situation now = Assess(aLoads, aHosts, aTaken);
+  SetNeeds(aLoads, now);
+  FillDeficits(now);
+  if (!aSparePool.Empty()) {
+    GiveUpIdle(aSparePool, aNow, now);
+  }
+  return now.mMoves;
+}
+
+pool_sizing::situation
+pool_sizing::Assess(const std::map<service_name, pool_load>& aLoads,
+                    const std::vector<host_view>& aHosts,
+                    const std::set<host_name>& aTaken) const
+{
+  situation now;
   for (const auto& [service, load] : aLoads) {
-    pools[service];
+    now.mPools[service];
   }
   for (const host_view& each : aHosts) {
     const auto journey = mJourneys.find(each.mHost);
+    const auto at = now.mPools.find(
+      journey == mJourneys.end() ? each.mPool : journey->second.mTo);
+    const bool isPooled = at != now.mPools.end();
     if (journey != mJourneys.end()) {
-      const auto to = pools.find(journey->second.mTo);
-      if (to != pools.end()) {
-        ++to->second.mHave;
+      if (isPooled) {
+        ++at->second.mHave;
       }
       continue;
     }
-    const auto at = pools.find(each.mPool);
-    if (at != pools.end() && each.mCapacity.mCpu > 0) {
+    if (isPooled && each.mCapacity.mCpu > 0) {
       at->second.mPerHost = each.mCapacity;
     }
     if (!each.mIsUp || each.mIsUnfit || aTaken.count(each.mHost) > 0) {
       continue;
     }
     if (each.mIsSpare) {
-      spare.push_back(each.mHost);
-    } else if (at != pools.end()) {
+      now.mSpare.push_back(each.mHost);
+    } else if (isPooled) {
       ++at->second.mHave;
       if (mIdleSince.count(each.mHost) > 0) {
         at->second.mIdle.push_back(each.mHost);
       }
     }
   }
-  resources anyHost;
-  for (const auto& [service, each] : pools) {
+  return now;
+}
+
+void
+pool_sizing::SetNeeds(const std::map<service_name, pool_load>& aLoads,
+                      situation& aInto) const
+{
+  resources anyHost; // for a pool that has none at present
+  for (const auto& [service, each] : aInto.mPools) {
     anyHost = each.mPerHost.mCpu > 0 ? each.mPerHost : anyHost;
   }
-  for (auto& [service, each] : pools) {
+  for (auto& [service, each] : aInto.mPools) {
     const resources perHost = each.mPerHost.mCpu > 0 ? each.mPerHost : anyHost;
     each.mNeed = Need(aLoads.at(service), perHost);
     std::sort(each.mIdle.begin(),
@@ -113,11 +134,22 @@
                 return mIdleSince.at(aLeft) < mIdleSince.at(aRight);
               });
   }
+}
 
-  std::vector<move_order> moves;
-  const auto surplusHost = [&pools](const service_name& aExcept) {
+bool
+pool_sizing::IsFull(const situation& aSituation) const
+{
+  return mJourneys.size() + aSituation.mMoves.size() >=
+         mSettings.mMaxMovesAtOnce;
+}
+
+// Spare hosts first, then idle ones of the pool that has the most too many.
+void
+pool_sizing::FillDeficits(situation& aInto) const
+{
+  const auto giver = [&aInto](const service_name& aExcept) {
     pool* best = nullptr;
-    for (auto& [service, each] : pools) {
+    for (auto& [service, each] : aInto.mPools) {
       const bool canGive =
         service != aExcept && each.mHave > each.mNeed && !each.mIdle.empty();
       if (canGive && (best == nullptr ||
@@ -127,40 +159,41 @@
     }
     return best;
   };
-  for (auto& [service, each] : pools) {
-    while (each.mHave < each.mNeed &&
-           mJourneys.size() + moves.size() < mSettings.mMaxMovesAtOnce) {
+  for (auto& [service, each] : aInto.mPools) {
+    while (each.mHave < each.mNeed && !IsFull(aInto)) {
       host_name chosen;
-      if (!spare.empty()) {
-        chosen = spare.back();
-        spare.pop_back();
-      } else if (pool* const giver = surplusHost(service)) {
-        chosen = giver->mIdle.front();
-        giver->mIdle.erase(giver->mIdle.begin());
-        --giver->mHave;
+      if (!aInto.mSpare.empty()) {
+        chosen = aInto.mSpare.back();
+        aInto.mSpare.pop_back();
+      } else if (pool* const from = giver(service)) {
+        chosen = from->mIdle.front();
+        from->mIdle.erase(from->mIdle.begin());
+        --from->mHave;
       } else {
         break;
       }
       ++each.mHave;
-      moves.push_back({ chosen, service });
+      aInto.mMoves.push_back({ chosen, service });
     }
   }
-  if (aSparePool.Empty()) {
-    return moves;
-  }
-  for (auto& [service, each] : pools) {
+}
+
+void
+pool_sizing::GiveUpIdle(const service_name& aSparePool,
+                        time_point aNow,
+                        situation& aInto) const
+{
+  for (auto& [service, each] : aInto.mPools) {
     for (const host_name& host : each.mIdle) {
-      if (each.mHave <= each.mNeed ||
-          mJourneys.size() + moves.size() >= mSettings.mMaxMovesAtOnce) {
+      if (each.mHave <= each.mNeed || IsFull(aInto)) {
         break;
       }
       if (aNow - mIdleSince.at(host) >= mSettings.mIdleTime) {
         --each.mHave;
-        moves.push_back({ host, aSparePool });
+        aInto.mMoves.push_back({ host, aSparePool });
       }
     }
   }
-  return moves;
 }
 
 void
--- a/mangospan/jobs/sizing.h
+++ b/mangospan/jobs/sizing.h
@@ -73,6 +73,23 @@
 
   void NoteArrivals(const std::vector<host_view>& aHosts, time_point aListedAt);
   void NoteIdle(const std::vector<host_view>& aHosts, time_point aNow);
+  struct situation
+  {
+    std::map<service_name, pool> mPools;
+    std::vector<host_name> mSpare;
+    std::vector<move_order> mMoves;
+  };
+
+  situation Assess(const std::map<service_name, pool_load>& aLoads,
+                   const std::vector<host_view>& aHosts,
+                   const std::set<host_name>& aTaken) const;
+  void SetNeeds(const std::map<service_name, pool_load>& aLoads,
+                situation& aInto) const;
+  void FillDeficits(situation& aInto) const;
+  void GiveUpIdle(const service_name& aSparePool,
+                  time_point aNow,
+                  situation& aInto) const;
+  bool IsFull(const situation& aSituation) const;
   std::size_t Need(const pool_load& aLoad, const resources& aPerHost) const;
 
   const sizing_settings mSettings;
--- a/mangospan/jobs/spec.cc
+++ b/mangospan/jobs/spec.cc
@@ -99,7 +99,7 @@
     return "a job has from 1 to " + std::to_string(kMaxSteps) + " steps";
   }
   for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
-    const std::string flaw = FindFlawInStep(aSpec, i);
+    std::string flaw = FindFlawInStep(aSpec, i);
     if (!flaw.empty()) {
       return flaw;
     }
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -165,7 +165,8 @@
 
 // Tells the owner that sent the order, if it is still in office.
 void
-fake_world::Answer(std::uint64_t aTerm, std::function<void(scheduler&)> aTell)
+fake_world::Answer(std::uint64_t aTerm,
+                   const std::function<void(scheduler&)>& aTell)
 {
   if (mOwner && mTerm == aTerm) {
     aTell(*mOwner);
@@ -303,6 +304,7 @@
       mIsWriting = mIsWriting && term != mTerm;
       Answer(term, [&](scheduler& aOwner) {
         std::vector<stored_job> stored;
+        stored.reserve(texts.size());
         for (const auto& [name, text] : texts) {
           stored.push_back({ job_name{ name }, text.first, 1 });
         }
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -93,7 +93,8 @@
   void Deliver(const stop_order& aOrder);
   void Deliver(const pace_order& aOrder);
   void Deliver(const look_order& aOrder);
-  void Answer(std::uint64_t aTerm, std::function<void(scheduler&)> aTell);
+  void Answer(std::uint64_t aTerm,
+              const std::function<void(scheduler&)>& aTell);
   void Write();
   void OnBegin(const std::string& aRunner,
                const std::string& aTask,
--- a/mangospan/jobs/upkeep.cc
+++ b/mangospan/jobs/upkeep.cc
@@ -4,6 +4,14 @@
 
 namespace mangospan::jobs {
 
+namespace {
+
+// Hosts with few runs go first; moving a lasting run costs as much as waiting
+// for this many others.
+constexpr std::size_t kLastingCost = 4;
+
+} // namespace
+
 upkeep_plan::upkeep_plan(upkeep_settings aSettings)
   : mSettings(aSettings)
 {
@@ -78,81 +86,105 @@
   upkeep_decision decision;
   for (auto& [number, each] : mWaves) {
     NoteReturns(each, byName, aListedAt);
-    DecideWave(number, each, byName, aNow, decision);
+    census now = Count(number, each, byName, aNow, decision);
+    TakeDown(number, each, aNow, now, decision);
+    BeginEmptying(each, aNow, now, decision);
   }
   return decision;
 }
 
-void
-upkeep_plan::DecideWave(std::uint64_t aNumber,
-                        wave& aWave,
-                        const std::map<host_name, host_view>& aHosts,
-                        time_point aNow,
-                        upkeep_decision& aInto) const
-{
-  std::size_t down = 0;
-  std::size_t emptying = 0;
-  std::vector<std::pair<std::size_t, host_name>> pending;
-  std::vector<std::pair<std::size_t, host_name>> ready;
+upkeep_plan::census
+upkeep_plan::Count(std::uint64_t aNumber,
+                   wave& aWave,
+                   const std::map<host_name, host_view>& aHosts,
+                   time_point aNow,
+                   upkeep_decision& aInto) const
+{
+  census now;
   for (auto& [host, each] : aWave.mMembers) {
     const auto seen = aHosts.find(host);
-    if (each.mPhase == phase::kDown || each.mPhase == phase::kOrdered) {
-      ++down;
+    const bool isCounted =
+      each.mPhase == phase::kDown || each.mPhase == phase::kOrdered;
+    if (isCounted) {
+      ++now.mDown;
       aInto.mClosed.insert(host);
     }
     if (seen == aHosts.end()) {
       continue;
     }
-    if (!seen->second.mIsUp) {
-      const bool isCounted =
-        each.mPhase == phase::kDown || each.mPhase == phase::kOrdered;
-      // An earlier owner has sent it down.
-      down += seen->second.mIsInUpkeep && !isCounted ? 1 : 0;
-      continue;
+    if (seen->second.mIsUp) {
+      CountUp(seen->second, aNumber, aNow, each, now, aInto);
+    } else if (seen->second.mIsInUpkeep && !isCounted) {
+      ++now.mDown; // an earlier owner has sent it down
     }
-    const host_view& view = seen->second;
-    if (each.mPhase == phase::kOrdered && aNow >= each.mNotBefore) {
-      aInto.mOrders.push_back({ host, aNumber }); // settles an unknown result
-      each.mNotBefore = aNow + mSettings.mRetry;
-    } else if (each.mPhase == phase::kPending) {
-      pending.emplace_back(view.mRuns + 4 * view.mLasting, host);
-    } else if (each.mPhase == phase::kEmptying) {
-      ++emptying;
-      aInto.mClosed.insert(host);
-      if (view.mLasting > 0) {
-        aInto.mEvict.push_back(host);
-      }
-      const bool isOverdue = view.mIsKnown && view.mLasting == 0 &&
-                             aNow - each.mSince > mSettings.mPatience;
-      const bool isEmpty = view.mIsKnown && view.mRuns == 0;
-      if ((isEmpty || isOverdue) && aNow >= each.mNotBefore) {
-        ready.emplace_back(view.mRuns, host);
-      }
+  }
+  return now;
+}
+
+void
+upkeep_plan::CountUp(const host_view& aHost,
+                     std::uint64_t aNumber,
+                     time_point aNow,
+                     member& aMember,
+                     census& aCensus,
+                     upkeep_decision& aInto) const
+{
+  if (aMember.mPhase == phase::kOrdered && aNow >= aMember.mNotBefore) {
+    aInto.mOrders.push_back({ aHost.mHost, aNumber }); // settles its result
+    aMember.mNotBefore = aNow + mSettings.mRetry;
+  } else if (aMember.mPhase == phase::kPending) {
+    aCensus.mPending.emplace_back(aHost.mRuns + kLastingCost * aHost.mLasting,
+                                  aHost.mHost);
+  } else if (aMember.mPhase == phase::kEmptying) {
+    ++aCensus.mEmptying;
+    aInto.mClosed.insert(aHost.mHost);
+    if (aHost.mLasting > 0) {
+      aInto.mEvict.push_back(aHost.mHost);
+    }
+    const bool isOverdue =
+      aHost.mLasting == 0 && aNow - aMember.mSince > mSettings.mPatience;
+    const bool mayGo = aHost.mIsKnown && (aHost.mRuns == 0 || isOverdue);
+    if (mayGo && aNow >= aMember.mNotBefore) {
+      aCensus.mReady.emplace_back(aHost.mRuns, aHost.mHost);
     }
   }
-  std::sort(ready.begin(), ready.end());
-  for (const auto& [runs, host] : ready) {
-    if (down >= aWave.mMaxDown) {
-      break;
+}
+
+void
+upkeep_plan::TakeDown(std::uint64_t aNumber,
+                      wave& aWave,
+                      time_point aNow,
+                      census& aCensus,
+                      upkeep_decision& aInto) const
+{
+  std::sort(aCensus.mReady.begin(), aCensus.mReady.end());
+  for (const auto& [runs, host] : aCensus.mReady) {
+    if (aCensus.mDown >= aWave.mMaxDown) {
+      return;
     }
-    member& chosen = aWave.mMembers.at(host);
-    chosen.mPhase = phase::kOrdered;
-    chosen.mSince = aNow;
-    chosen.mNotBefore = aNow + mSettings.mRetry;
+    aWave.mMembers.at(
+      host) = { phase::kOrdered, aNow, aNow + mSettings.mRetry };
     aInto.mOrders.push_back({ host, aNumber });
-    ++down;
-    --emptying;
+    ++aCensus.mDown;
+    --aCensus.mEmptying;
   }
-  std::sort(pending.begin(), pending.end());
-  for (const auto& [cost, host] : pending) {
-    if (down + emptying >= aWave.mMaxDown + mSettings.mEmptyAhead) {
-      break;
+}
+
+void
+upkeep_plan::BeginEmptying(wave& aWave,
+                           time_point aNow,
+                           census& aCensus,
+                           upkeep_decision& aInto) const
+{
+  std::sort(aCensus.mPending.begin(), aCensus.mPending.end());
+  for (const auto& [cost, host] : aCensus.mPending) {
+    if (aCensus.mDown + aCensus.mEmptying >=
+        aWave.mMaxDown + mSettings.mEmptyAhead) {
+      return;
     }
-    member& chosen = aWave.mMembers.at(host);
-    chosen.mPhase = phase::kEmptying;
-    chosen.mSince = aNow;
+    aWave.mMembers.at(host) = { phase::kEmptying, aNow, time_point{} };
     aInto.mClosed.insert(host);
-    ++emptying;
+    ++aCensus.mEmptying;
   }
 }
 
--- a/mangospan/jobs/upkeep.h
+++ b/mangospan/jobs/upkeep.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "mangospan/base/identity.h"
@@ -119,11 +120,34 @@
   static void NoteReturns(wave& aWave,
                           const std::map<host_name, host_view>& aHosts,
                           time_point aListedAt);
-  void DecideWave(std::uint64_t aNumber,
-                  wave& aWave,
-                  const std::map<host_name, host_view>& aHosts,
-                  time_point aNow,
-                  upkeep_decision& aInto) const;
+  // What one wave's members are doing, while a decision is made.
+  struct census
+  {
+    std::size_t mDown = 0;
+    std::size_t mEmptying = 0;
+    std::vector<std::pair<std::size_t, host_name>> mPending; // by its runs
+    std::vector<std::pair<std::size_t, host_name>> mReady;
+  };
+  census Count(std::uint64_t aNumber,
+               wave& aWave,
+               const std::map<host_name, host_view>& aHosts,
+               time_point aNow,
+               upkeep_decision& aInto) const;
+  void CountUp(const host_view& aHost,
+               std::uint64_t aNumber,
+               time_point aNow,
+               member& aMember,
+               census& aCensus,
+               upkeep_decision& aInto) const;
+  void TakeDown(std::uint64_t aNumber,
+                wave& aWave,
+                time_point aNow,
+                census& aCensus,
+                upkeep_decision& aInto) const;
+  void BeginEmptying(wave& aWave,
+                     time_point aNow,
+                     census& aCensus,
+                     upkeep_decision& aInto) const;
 
   const upkeep_settings mSettings;
   std::map<std::uint64_t, wave> mWaves;
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -68,6 +68,36 @@
   }
 };
 
+// A job for the state dump, with what its tasks wait for.
+json
+DumpJob(const jobs::job& aJob, time_point aNow)
+{
+  std::size_t live = 0;
+  std::size_t waiting = 0;
+  std::size_t blocked = 0;
+  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
+    const auto& steps = aJob.mOccurrences[k].mSteps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      const bool isReady = aJob.IsStepReady(k, s);
+      for (const jobs::task& each : steps[s].mTasks) {
+        live += each.mLive ? 1 : 0;
+        waiting += !each.mLive && !each.mDone && isReady ? 1 : 0;
+        blocked += !each.mLive && !each.mDone && !isReady ? 1 : 0;
+      }
+    }
+  }
+  return {
+    { "queue", aJob.mSpec.mQueue.Str() },
+    { "state", jobs::Name(aJob.mState) },
+    { "stored", aJob.IsStored() },
+    { "age_ms",
+      std::chrono::duration_cast<milliseconds>(aNow - aJob.mAccepted).count() },
+    { "tasks_live", live },
+    { "tasks_waiting_for_room", waiting },
+    { "tasks_waiting_for_steps", blocked }
+  };
+}
+
 } // namespace
 
 node_process::node_process(boost::asio::io_context& aIo,
@@ -288,11 +318,6 @@
     const bool serves = mOwner && mOwner->IsServing() && mOwner->CanWrite() &&
                         mElection->IsValid();
     aRespond(http::JsonResponse(serves ? 200 : 503, "{}"));
-  } else if (path == "/metrics") {
-    http::response out{ {}, 200, mMetrics.Render() };
-    aRespond(std::move(out));
-  } else if (path == "/state") {
-    aRespond(http::JsonResponse(200, DumpState()));
   } else if (mOwner) {
     ServeJobs(aRequest, *mOwner, aRespond);
   } else {
@@ -321,9 +346,7 @@
     }
     json jobs = json::object();
     for (const auto& [jobName, each] : mOwner->Scheduler().Jobs()) {
-      jobs[jobName.Str()] = { { "queue", each.mSpec.mQueue.Str() },
-                              { "state", jobs::Name(each.mState) },
-                              { "stored", each.IsStored() } };
+      jobs[jobName.Str()] = DumpJob(each, mClock.Now());
     }
     out["runners"] = std::move(runners);
     out["jobs"] = std::move(jobs);
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -295,10 +295,10 @@
         return;
       }
       const time_point now = self->mDeps.mClock.Now();
-      self->mDeps.mMetrics.Add("mangospan_starts_total",
+      self->mDeps.mMetrics.Add("mangospan_node_starts_total",
                                { { "outcome", jobs::Name(aOutcome) } });
       self->mDeps.mMetrics.Observe(
-        "mangospan_start_call_seconds",
+        "mangospan_node_start_call_seconds",
         {},
         std::chrono::duration<double>(now - sentAt).count());
       self->mScheduler.OnStart(aOrder, aOutcome, now);
@@ -339,7 +339,7 @@
 owner::SendLook(const jobs::look_order& aOrder)
 {
   const time_point sentAt = mDeps.mClock.Now();
-  mDeps.mMetrics.Add("mangospan_looks_total", {});
+  mDeps.mMetrics.Add("mangospan_node_looks_total", {});
   mDeps.mRunners.Look(
     TargetOf(aOrder.mRunner),
     aOrder,
@@ -428,7 +428,7 @@
   }
   mIsWriting = true;
   mNextProgress = mDeps.mClock.Now() + mSettings.mProgressDelay;
-  mDeps.mMetrics.Add("mangospan_store_writes_total", {});
+  mDeps.mMetrics.Add("mangospan_node_store_writes_total", {});
   mDeps.mStore.Commit(std::move(change),
                       mSettings.mWriteTimeout,
                       [self = shared_from_this(), written](
