A submission whose result is unknown is settled by the next owner

Ruled out: 503. It would say that the job never runs, which is not known yet. The next owner's claim fences the write, so handing the job in again under its name settles it within the caller's time.

Conclusion: 504 stays for callers whose time is over.

--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -6,6 +6,7 @@
 
 #include "mangospan/base/log.h"
 #include "mangospan/node/job_http.h"
+#include "mangospan/node/submission.h"
 
 namespace mangospan::node {
 
@@ -254,6 +255,17 @@
   return *mAway;
 }
 
+void
+node_process::Submit(const jobs::job_name& aJob,
+                     const jobs::job_spec& aSpec,
+                     milliseconds aPatience,
+                     reply_handler aHandler)
+{
+  std::make_shared<submission>(
+    mIo, mClock, [this]() -> job_service& { return Jobs(); }, aJob, aSpec)
+    ->Start(aPatience, std::move(aHandler));
+}
+
 const jobs::catalog*
 node_process::Catalog() const
 {
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -53,8 +53,13 @@
   // way are answered; then calls `aDone`.
   void Stop(std::function<void()> aDone);
 
-  // Where a caller's request goes now; never null.
+  // Where a caller's request goes now.
   job_service& Jobs();
+  // Hands a job in, again if need be; see submission.h.
+  void Submit(const jobs::job_name& aJob,
+              const jobs::job_spec& aSpec,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler);
   // Null until the first configuration is known.
   const jobs::catalog* Catalog() const;
   // Whether the catalog was confirmed lately, so that what it lacks does not
--- /dev/null
+++ b/mangospan/node/settings_test.cc
@@ -0,0 +1,51 @@
+#include "mangospan/node/settings.h"
+
+#include <gtest/gtest.h>
+
+namespace mangospan::node {
+namespace {
+
+constexpr const char* kWhole = R"({
+  // comments are allowed
+  "node": "n-1", "zone": "caroni",
+  "caller_address": "10.1.0.9:8624", "readiness_address": "10.1.0.9:8622",
+  "node_address": "10.1.0.9:7060", "operator_address": "",
+  "store_address": "10.200.1.7:8621", "host_lease_ms": 2500
+})";
+
+TEST(node_settings_test, AWholeFileIsRead)
+{
+  const auto read = ParseSettings(kWhole, "node.json");
+  ASSERT_TRUE(read.has_value()) << Describe(read.error());
+  EXPECT_EQ(read.value().mZone.Str(), "caroni");
+  EXPECT_EQ(read.value().mHostLease, std::chrono::milliseconds(2'500));
+  EXPECT_TRUE(read.value().mOperatorAddress.empty());
+}
+
+TEST(node_settings_test, ErrorsNameFileAndKey)
+{
+  struct wrong
+  {
+    const char* mFind;
+    const char* mReplace;
+    const char* mExpect;
+  };
+  for (const wrong& each :
+       { wrong{ "\"node\"", "\"nodes\"", "nodes" },
+         wrong{ "10.1.0.9:8624", "10.1.0.9", "caller_address" },
+         wrong{ "2500", "\"soon\"", "host_lease_ms" },
+         wrong{
+           "\"store_address\": \"10.200.1.7:8621\",", "", "store_address" } }) {
+    std::string text = kWhole;
+    text.replace(
+      text.find(each.mFind), std::string(each.mFind).size(), each.mReplace);
+    const auto read = ParseSettings(text, "node.json");
+    ASSERT_TRUE(read.has_error()) << each.mExpect;
+    EXPECT_EQ(read.error().mPeer, "node.json");
+    EXPECT_NE(read.error().mMessage.find(each.mExpect), std::string::npos)
+      << read.error().mMessage;
+  }
+}
+
+} // namespace
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/submission_test.cc
@@ -0,0 +1,98 @@
+#include "mangospan/node/submission.h"
+
+#include <vector>
+
+#include <gtest/gtest.h>
+
+namespace mangospan::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Answers each try with the next of the given replies, then with the last.
+class scripted_jobs final : public job_service
+{
+public:
+  explicit scripted_jobs(std::vector<reply_kind> aReplies)
+    : mReplies(std::move(aReplies))
+  {
+  }
+
+  void Submit(const jobs::job_name& /*aJob*/,
+              const jobs::job_spec& /*aSpec*/,
+              milliseconds /*aPatience*/,
+              reply_handler aHandler) override
+  {
+    job_reply reply;
+    reply.mKind = mReplies[std::min(mTries++, mReplies.size() - 1)];
+    aHandler(reply);
+  }
+  void Cancel(const jobs::job_name& /*aJob*/,
+              milliseconds /*aPatience*/,
+              reply_handler /*aHandler*/) override
+  {
+  }
+  void Read(const jobs::job_name& /*aJob*/,
+            milliseconds /*aPatience*/,
+            reply_handler /*aHandler*/) override
+  {
+  }
+  void CountWaiting(const jobs::queue_name& /*aQueue*/,
+                    milliseconds /*aPatience*/,
+                    reply_handler /*aHandler*/) override
+  {
+  }
+
+  std::size_t mTries = 0;
+
+private:
+  std::vector<reply_kind> mReplies;
+};
+
+reply_kind
+Outcome(scripted_jobs& aJobs, milliseconds aPatience)
+{
+  boost::asio::io_context io;
+  const system_clock_source clock;
+  std::vector<reply_kind> replies;
+  std::make_shared<submission>(
+    io,
+    clock,
+    [&aJobs]() -> job_service& { return aJobs; },
+    jobs::job_name{ "a" },
+    jobs::job_spec{})
+    ->Start(aPatience, [&replies](const job_reply& aReply) {
+      replies.push_back(aReply.mKind);
+    });
+  io.run();
+  EXPECT_EQ(replies.size(), 1U);
+  return replies.at(0);
+}
+
+TEST(submission_test, ACertainAnswerIsPassedOn)
+{
+  for (const reply_kind each :
+       { reply_kind::kOk, reply_kind::kRefused, reply_kind::kUnavailable }) {
+    scripted_jobs jobs({ each });
+    EXPECT_EQ(Outcome(jobs, milliseconds(2'000)), each);
+    EXPECT_EQ(jobs.mTries, 1U);
+  }
+}
+
+TEST(submission_test, AnUnknownResultIsSettledByTheNextOwner)
+{
+  scripted_jobs jobs(
+    { reply_kind::kUnknown, reply_kind::kUnavailable, reply_kind::kOk });
+  EXPECT_EQ(Outcome(jobs, milliseconds(60'000)), reply_kind::kOk);
+  EXPECT_EQ(jobs.mTries, 3U);
+}
+
+// The first try may have been accepted, so a later refusal proves nothing.
+TEST(submission_test, ARefusalAfterAnUnknownResultIsNotPassedOn)
+{
+  scripted_jobs jobs({ reply_kind::kUnknown, reply_kind::kRefused });
+  EXPECT_EQ(Outcome(jobs, milliseconds(500)), reply_kind::kUnknown);
+}
+
+} // namespace
+} // namespace mangospan::node
