--- a/mangospan/jobs/sizing.h
+++ b/mangospan/jobs/sizing.h
@@ -31,7 +31,7 @@
   std::size_t mMinHosts = 2;
   // A host is given up only after it has been idle for this long.
   std::chrono::milliseconds mIdleTime{ 800 };
-  std::size_t mMaxMovesAtOnce = 24;
+  std::size_t mMaxMovesAtOnce = 240;
 };
 
 class pool_sizing
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -1,5 +1,6 @@
 #include "mangospan/node/election.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -173,14 +174,7 @@
     return;
   }
   mIsTrying = true;
-  const bool wasOwner =
-    mTerm.mTerm > 0 && mTerm.mNode == mNode && mTerm.mAddress == mAddress;
-  const auto patience = mSettings.mPatience.count();
-  std::uniform_int_distribution<std::int64_t> jitter(patience, 2 * patience);
-  const bool isRecent = mClock.Now() - mStartedAt < mSettings.mRecentStart;
-  const bool isAtOnce = wasOwner || mTerm.mTerm == 0;
-  mTryTimer.expires_after(
-    milliseconds(isAtOnce ? 0 : jitter(mRandom) + (isRecent ? 0 : patience)));
+  mTryTimer.expires_after(Patience());
   mTryTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aAbort) {
       if (!aAbort) {
@@ -189,6 +183,29 @@
     });
 }
 
+// Who may be best waits the least.
+milliseconds
+election::Patience()
+{
+  const bool wasOwner =
+    mTerm.mTerm > 0 && mTerm.mNode == mNode && mTerm.mAddress == mAddress;
+  if (wasOwner) {
+    return milliseconds(0);
+  }
+  const double lack =
+    std::max(0.0, 1.0 - mSettings.mProcessorShare / mSettings.mAmple);
+  const milliseconds handicap(static_cast<std::int64_t>(
+    lack * static_cast<double>(mSettings.mHandicap.count())));
+  if (mTerm.mTerm == 0) {
+    return handicap; // nobody is missed yet
+  }
+  const auto patience = mSettings.mPatience.count();
+  std::uniform_int_distribution<std::int64_t> jitter(patience, 2 * patience);
+  const bool isRecent = mClock.Now() - mStartedAt < mSettings.mRecentStart;
+  return milliseconds(jitter(mRandom)) +
+         (isRecent ? milliseconds(0) : mSettings.mPatience) + handicap;
+}
+
 void
 election::Try()
 {
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -35,6 +35,11 @@
   // A node that started longer ago waits once more as long: in a rolling
   // restart, the one that came back lately is the last to go again.
   std::chrono::milliseconds mRecentStart{ 45'000 };
+  // Waited besides by a host of no processor at all; one with `mAmple` of a
+  // core waits none of it. The owner does most of the work.
+  std::chrono::milliseconds mHandicap{ 300 };
+  double mAmple = 0.5;
+  double mProcessorShare = 1.0; // of a core that this host has
   // How much sooner than the store the owner counts its lease as over.
   std::chrono::milliseconds mMargin{ 200 };
 };
@@ -85,6 +90,7 @@
   void OnDeleted(const std::string& aKey);
   void OnSynced();
   void ScheduleTry();
+  std::chrono::milliseconds Patience();
   void Try();
   void Claim(platform::lease_id aLease);
   void OnClaimed(const owner_record& aClaim,
--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -118,15 +118,29 @@
          mSettings.mHostLease + kClockSlack;
 }
 
+std::size_t
+fleet_duty::Allowance(time_point aNow)
+{
+  while (!mRecentOrders.empty() &&
+         aNow - mRecentOrders.front() >= std::chrono::seconds(1)) {
+    mRecentOrders.pop_front();
+  }
+  return mSettings.mOrdersPerSecond -
+         std::min(mSettings.mOrdersPerSecond, mRecentOrders.size());
+}
+
 void
 fleet_duty::Announce(std::vector<jobs::upkeep_order> aUpkeep,
                      std::vector<jobs::move_order> aMoves)
 {
   const auto now = std::chrono::system_clock::now();
-  const auto keep = [this, now](const auto& aOrder) {
-    if (!MayOrder(aOrder.mHost)) {
+  std::size_t allowance = Allowance(mDeps.mClock.Now());
+  const auto keep = [this, now, &allowance](const auto& aOrder) {
+    if (allowance == 0 || !MayOrder(aOrder.mHost)) {
       return false;
     }
+    --allowance;
+    mRecentOrders.push_back(mDeps.mClock.Now());
     mOrderedAt[aOrder.mHost] = now;
     mForeign.erase(aOrder.mHost);
     return true;
--- a/mangospan/node/fleet_duty.h
+++ b/mangospan/node/fleet_duty.h
@@ -8,6 +8,7 @@
 #define MANGOSPAN_NODE_FLEET_DUTY_H
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -29,6 +30,8 @@
 {
   // The platform takes orders of two holders only this far apart.
   std::chrono::milliseconds mHostLease{ 3'000 };
+  // Of all nodes together; the platform refuses more.
+  std::size_t mOrdersPerSecond = 60;
   std::chrono::milliseconds mTick{ 60 };
 };
 
@@ -69,6 +72,8 @@
              bool aIsAnnounced);
   void LoadOrders();
   bool MayOrder(const host_name& aHost) const;
+  // Orders that may still be given within this second.
+  std::size_t Allowance(time_point aNow);
   void Move(const jobs::move_order& aOrder);
   void CloseAndEvict(const jobs::upkeep_decision& aUpkeep, time_point aNow);
   service_name SparePool() const; // empty: there is none
@@ -86,6 +91,7 @@
   // When a host was ordered last, by this holder or an earlier one.
   std::map<host_name, jobs::wall_time> mOrderedAt;
   std::set<host_name> mForeign; // ordered last by an earlier holder
+  std::deque<time_point> mRecentOrders;
   bool mIsLoaded = false;
   bool mIsAnnouncing = false;
   time_point mStartedAt{};
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -27,6 +27,8 @@
 constexpr milliseconds kDrainTime{ 2'500 };
 // Less than the scheduler's own bound by the longest time between two plans.
 constexpr milliseconds kUnconfirmedStarts{ 2'300 };
+// Of the orders that the host service takes; the rest is for a predecessor's.
+constexpr double kOrderShare = 0.9;
 constexpr const char* kHealthPath = "/mangospan/v1/health";
 
 // Stands in for the owner while nobody owns the jobs.
@@ -69,6 +71,16 @@
   }
 };
 
+fleet_settings
+FleetSettings(const node_settings& aSettings)
+{
+  fleet_settings out;
+  out.mHostLease = aSettings.mHostLease;
+  out.mOrdersPerSecond =
+    static_cast<std::size_t>(kOrderShare * aSettings.mHostOrdersPerSecond);
+  return out;
+}
+
 // A job for the state dump, with what its tasks wait for.
 json
 DumpJob(const jobs::job& aJob, time_point aNow)
@@ -149,13 +161,15 @@
       [this](const std::string& aKey) { mWaves.erase(aKey); },
       nullptr });
   mOperatorMirror->Start();
+  election_settings terms;
+  terms.mProcessorShare = mSettings.mProcessorShare;
   mElection = std::make_shared<election>(
     mIo,
     mClock,
     mPorts.mStore,
     mSettings.mNode,
     mSettings.mNodeAddress,
-    election_settings{},
+    terms,
     election_handlers{ [this](const owner_record& aTerm) { OnElected(aTerm); },
                        [this] { OnLost(); } });
   mElection->Start();
@@ -178,7 +192,7 @@
   mDuty = std::make_shared<fleet_duty>(
     fleet_dependencies{
       mIo, mClock, mPorts.mStore, mPorts.mHosts, mPorts.mFormat, mMetrics },
-    fleet_settings{ mSettings.mHostLease },
+    FleetSettings(mSettings),
     order_fence{ mSettings.mNode, aTerm.mTerm },
     mOwner,
     [this] { return mElection->IsValid(); });
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <boost/asio/post.hpp>
-
 #include "mangospan/base/log.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/jobs/codec.h"
@@ -59,6 +57,7 @@
   , mOnSuperseded(std::move(aOnSuperseded))
   , mScheduler(aScheduling, { mTerm.mTerm, mDeps.mClock.Now() })
   , mTickTimer(mDeps.mIo)
+  , mPlanTimer(mDeps.mIo)
   , mWriteTimer(mDeps.mIo)
   , mLoadTimer(mDeps.mIo)
 {
@@ -81,6 +80,7 @@
   mIsStopped = true;
   mRunnerMirror->Stop();
   mTickTimer.cancel();
+  mPlanTimer.cancel();
   mWriteTimer.cancel();
   mLoadTimer.cancel();
   const auto waiters = std::move(mWaiters);
@@ -242,10 +242,16 @@
     return;
   }
   mIsPlanPosted = true;
-  boost::asio::post(mDeps.mIo, [self = shared_from_this()] {
-    self->mIsPlanPosted = false;
-    self->Plan();
-  });
+  const time_point now = mDeps.mClock.Now();
+  mPlanTimer.expires_after(std::max(time_point::duration(0),
+                                    mPlannedAt + mSettings.mPlanSpacing - now));
+  mPlanTimer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aAbort) {
+      self->mIsPlanPosted = false;
+      if (!aAbort) {
+        self->Plan();
+      }
+    });
 }
 
 void
@@ -254,6 +260,7 @@
   if (mIsStopped || !IsServing()) {
     return;
   }
+  mPlannedAt = mDeps.mClock.Now();
   mScheduler.SetMayStart(!mIsHandingOver && mMayStart());
   for (const jobs::order& each :
        mScheduler.Plan(mDeps.mClock.Now(), WallNow())) {
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -34,6 +34,8 @@
   std::chrono::milliseconds mWriteTimeout{ 500 };
   std::chrono::milliseconds mWriteRetry{ 60 };
   std::chrono::milliseconds mTick{ 50 };
+  // Between two plans; answers that come meanwhile share one.
+  std::chrono::milliseconds mPlanSpacing{ 4 };
   std::chrono::milliseconds mLoadTimeout{ 2'000 };
 };
 
@@ -149,10 +151,12 @@
   jobs::scheduler mScheduler;
   std::shared_ptr<mirror> mRunnerMirror;
   boost::asio::steady_timer mTickTimer;
+  boost::asio::steady_timer mPlanTimer;
   boost::asio::steady_timer mWriteTimer;
   boost::asio::steady_timer mLoadTimer;
   std::multimap<jobs::job_name, waiter> mWaiters;
   time_point mNextProgress{};
+  time_point mPlannedAt{};
   platform::revision mRosterRevision = 0;
   bool mIsLoaded = false;
   bool mIsHandingOver = false;
--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -63,6 +63,8 @@
     With("operator_address", &s::mOperatorAddress, ReadOptionalAddress),
     Required(With("store_address", &s::mStoreAddress, ReadAddress)),
     With("host_service_address", &s::mHostServiceAddress, ReadOptionalAddress),
+    Optional("host_orders_per_s", &s::mHostOrdersPerSecond),
+    Optional("processor_share", &s::mProcessorShare),
     Optional("max_body_bytes", &s::mMaxBodyBytes),
     Optional("max_connections", &s::mMaxConnections),
     With("stop_timeout_ms", &s::mStopTimeout, ReadMilliseconds),
--- a/mangospan/node/settings.h
+++ b/mangospan/node/settings.h
@@ -23,11 +23,13 @@
   std::string mOperatorAddress;  // metrics and state; empty: none
   std::string mStoreAddress;
   std::string mHostServiceAddress; // lists and moves hosts; empty: none
+  double mProcessorShare = 1.0;    // of a core that this host has
   std::size_t mMaxBodyBytes = std::size_t{ 256 } * 1024;
   std::size_t mMaxConnections = 1'500;
   std::chrono::milliseconds mStopTimeout{ 6'000 };
   // Of the host service: two holders' orders must be this far apart.
   std::chrono::milliseconds mHostLease{ 3'000 };
+  double mHostOrdersPerSecond = 60; // that the host service takes in all
   log_level mLogLevel = log_level::kInfo;
 };
 
