No search for room in a pool that is full; planning takes a third at the most

Cause: on grown rdap the owner's processor was used up in the first peak (log lines a second fell from 969 to 472 while submissions waited 2.5 s and got 504): each plan looked through 80 runners for each of hundreds of steps that wait.

Ruled out: the link; the owner already was on one of the hosts with 200 Mbit/s. A host with an ample link is elected first all the same.

--- a/mangospan/jobs/placement.cc
+++ b/mangospan/jobs/placement.cc
@@ -75,6 +75,40 @@
          aRunner.mStartsInFlight < kMaxStartsInFlight;
 }
 
+pool_room::pool_room(const std::vector<runner*>& aPool, time_point aNow)
+{
+  for (const runner* const each : aPool) {
+    if (TakesRuns(*each, aNow)) {
+      const resources room = each->Room();
+      mMost.mCpu = std::max(mMost.mCpu, room.mCpu);
+      mMost.mMemoryMb = std::max(mMost.mMemoryMb, room.mMemoryMb);
+      mMost.mGpus = std::max(mMost.mGpus, room.mGpus);
+    }
+  }
+}
+
+bool
+pool_room::MayFit(const step_spec& aStep) const
+{
+  const resources claim = aStep.Claim();
+  return claim.FitsIn(mMost) &&
+         std::none_of(mTooMuch.begin(),
+                      mTooMuch.end(),
+                      [&claim](const resources& aRefused) {
+                        return aRefused.FitsIn(claim);
+                      });
+}
+
+void
+pool_room::OnNoRoom(const step_spec& aStep)
+{
+  // A step that is choosy says nothing about the others.
+  const bool isChoosy = !aStep.mLabel.empty() || aStep.mMaxPerRunner > 0;
+  if (!isChoosy) {
+    mTooMuch.push_back(aStep.Claim());
+  }
+}
+
 runner*
 ChooseRunner(const placement_request& aRequest,
              const std::vector<runner*>& aPool,
--- a/mangospan/jobs/placement.h
+++ b/mangospan/jobs/placement.h
@@ -26,6 +26,23 @@
 bool
 TakesRuns(const runner& aRunner, time_point aNow);
 
+// The room that is left in a pool, as far as it saves looking in vain. At a
+// peak hundreds of steps wait for a pool that is full.
+class pool_room
+{
+public:
+  pool_room(const std::vector<runner*>& aPool, time_point aNow);
+
+  // False if the step's tasks certainly fit nowhere.
+  bool MayFit(const step_spec& aStep) const;
+  // No runner had room for one of the step's tasks.
+  void OnNoRoom(const step_spec& aStep);
+
+private:
+  resources mMost; // of each kind, on any runner
+  std::vector<resources> mTooMuch;
+};
+
 // The best runner among `aPool`, or null if the task fits nowhere now.
 runner*
 ChooseRunner(const placement_request& aRequest,
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -44,7 +44,7 @@
   std::chrono::milliseconds mStartValidity{ 1'200 };
   std::chrono::milliseconds mLookWait{ 1'500 };
   // Between two looks at a runner; ends that come meanwhile share one look.
-  std::chrono::milliseconds mLookSpacing{ 40 };
+  std::chrono::milliseconds mLookSpacing{ 100 };
   std::chrono::milliseconds mStopRepeat{ 500 };
   std::chrono::milliseconds mShunTime{ 4'000 };
   std::chrono::milliseconds mKeepEnded{ 150'000 };
@@ -180,11 +180,12 @@
                          time_point aNow,
                          wall_time aWall,
                          std::map<service_name, std::vector<candidate>>& aInto);
-  void PlaceStep(const candidate& aCandidate,
+  // Both: false if there was no room for a task.
+  bool PlaceStep(const candidate& aCandidate,
                  const std::vector<runner*>& aPool,
                  time_point aNow,
                  std::vector<order>& aOut);
-  void PlaceGang(const candidate& aCandidate,
+  bool PlaceGang(const candidate& aCandidate,
                  const std::vector<runner*>& aPool,
                  time_point aNow,
                  std::vector<order>& aOut);
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -159,11 +159,16 @@
                      [](const candidate& aLeft, const candidate& aRight) {
                        return aLeft.mRank < aRight.mRank;
                      });
+    pool_room room(pool, aNow);
     for (const candidate& each : candidates) {
-      if (each.Spec().mGang) {
-        PlaceGang(each, pool, aNow, aOut);
-      } else {
-        PlaceStep(each, pool, aNow, aOut);
+      if (!room.MayFit(each.Spec())) {
+        continue;
+      }
+      const bool isPlaced = each.Spec().mGang
+                              ? PlaceGang(each, pool, aNow, aOut)
+                              : PlaceStep(each, pool, aNow, aOut);
+      if (!isPlaced) {
+        room.OnNoRoom(each.Spec());
       }
     }
   }
@@ -200,7 +205,7 @@
   }
 }
 
-void
+bool
 scheduler::PlaceStep(const candidate& aCandidate,
                      const std::vector<runner*>& aPool,
                      time_point aNow,
@@ -244,10 +249,11 @@
                                       aNow - aCandidate.mJob->mAccepted)
                                       .count()) } });
   }
+  return left == 0;
 }
 
 // All members start together or none does; they share one run number.
-void
+bool
 scheduler::PlaceGang(const candidate& aCandidate,
                      const std::vector<runner*>& aPool,
                      time_point aNow,
@@ -257,7 +263,7 @@
   std::uint32_t number = 0;
   for (const task& each : tasks) {
     if (each.mLive) {
-      return; // members of the last run have not all ended yet
+      return true; // members of the last run have not all ended yet
     }
     number = std::max(number, NextRun(each));
   }
@@ -275,7 +281,7 @@
         --at.mStartsInFlight;
         Release(at, { undone.mTask.Text(), undone.mRun }, aNow);
       }
-      return;
+      return false;
     }
     if (aCandidate.Spec().mColocate) {
       nearRack = chosen->mInfo.mRack;
@@ -283,6 +289,7 @@
     starts.emplace_back(MakeStart(aCandidate, i, *chosen, number, aNow));
   }
   aOut.insert(aOut.end(), starts.begin(), starts.end());
+  return true;
 }
 
 std::uint32_t
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -193,7 +193,8 @@
     return milliseconds(0);
   }
   const double lack =
-    std::max(0.0, 1.0 - mSettings.mProcessorShare / mSettings.mAmple);
+    std::max(0.0, 1.0 - mSettings.mProcessorShare / mSettings.mAmpleProcessor) +
+    std::max(0.0, 1.0 - mSettings.mLinkMbps / mSettings.mAmpleLinkMbps);
   const milliseconds handicap(static_cast<std::int64_t>(
     lack * static_cast<double>(mSettings.mHandicap.count())));
   if (mTerm.mTerm == 0) {
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -35,11 +35,13 @@
   // A node that started longer ago waits once more as long: in a rolling
   // restart, the one that came back lately is the last to go again.
   std::chrono::milliseconds mRecentStart{ 45'000 };
-  // Waited besides by a host of no processor at all; one with `mAmple` of a
-  // core waits none of it. The owner does most of the work.
+  // The owner does most of the work. A host waits this long for each of
+  // processor and network link, less the share of an ample one that it has.
   std::chrono::milliseconds mHandicap{ 300 };
-  double mAmple = 0.5;
-  double mProcessorShare = 1.0; // of a core that this host has
+  double mAmpleProcessor = 0.5; // of a core
+  double mAmpleLinkMbps = 200;
+  double mProcessorShare = 1.0; // of this host
+  double mLinkMbps = 1'000;     // of this host
   // How much sooner than the store the owner counts its lease as over.
   std::chrono::milliseconds mMargin{ 200 };
 };
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -163,6 +163,7 @@
   mOperatorMirror->Start();
   election_settings terms;
   terms.mProcessorShare = mSettings.mProcessorShare;
+  terms.mLinkMbps = mSettings.mLinkMbps;
   mElection = std::make_shared<election>(
     mIo,
     mClock,
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -243,8 +243,8 @@
   }
   mIsPlanPosted = true;
   const time_point now = mDeps.mClock.Now();
-  mPlanTimer.expires_after(std::max(time_point::duration(0),
-                                    mPlannedAt + mSettings.mPlanSpacing - now));
+  mPlanTimer.expires_after(
+    std::max(time_point::duration(0), mPlannedAt + PlanSpacing() - now));
   mPlanTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aAbort) {
       self->mIsPlanPosted = false;
@@ -254,6 +254,13 @@
     });
 }
 
+// Planning takes a third of the time at the most, however much waits.
+time_point::duration
+owner::PlanSpacing() const
+{
+  return std::max<time_point::duration>(mSettings.mPlanSpacing, 3 * mPlanTook);
+}
+
 void
 owner::Plan()
 {
@@ -262,8 +269,9 @@
   }
   mPlannedAt = mDeps.mClock.Now();
   mScheduler.SetMayStart(!mIsHandingOver && mMayStart());
-  for (const jobs::order& each :
-       mScheduler.Plan(mDeps.mClock.Now(), WallNow())) {
+  const auto orders = mScheduler.Plan(mPlannedAt, WallNow());
+  mPlanTook = mDeps.mClock.Now() - mPlannedAt;
+  for (const jobs::order& each : orders) {
     Send(each);
   }
 }
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -126,6 +126,7 @@
   void StartRunnerMirror();
   void Tick();
   void Plan();
+  time_point::duration PlanSpacing() const;
   void Send(const jobs::order& aOrder);
   runner_target TargetOf(const jobs::runner_name& aRunner) const;
   void SendStart(const jobs::start_order& aOrder);
@@ -157,6 +158,7 @@
   std::multimap<jobs::job_name, waiter> mWaiters;
   time_point mNextProgress{};
   time_point mPlannedAt{};
+  time_point::duration mPlanTook{};
   platform::revision mRosterRevision = 0;
   bool mIsLoaded = false;
   bool mIsHandingOver = false;
--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -63,6 +63,7 @@
     With("operator_address", &s::mOperatorAddress, ReadOptionalAddress),
     Required(With("store_address", &s::mStoreAddress, ReadAddress)),
     With("host_service_address", &s::mHostServiceAddress, ReadOptionalAddress),
+    Optional("link_mbps", &s::mLinkMbps),
     Optional("host_orders_per_s", &s::mHostOrdersPerSecond),
     Optional("processor_share", &s::mProcessorShare),
     Optional("max_body_bytes", &s::mMaxBodyBytes),
--- a/mangospan/node/settings.h
+++ b/mangospan/node/settings.h
@@ -29,6 +29,7 @@
   std::chrono::milliseconds mStopTimeout{ 6'000 };
   // Of the host service: two holders' orders must be this far apart.
   std::chrono::milliseconds mHostLease{ 3'000 };
+  double mLinkMbps = 1'000;         // of this host's network link
   double mHostOrdersPerSecond = 60; // that the host service takes in all
   log_level mLogLevel = log_level::kInfo;
 };
