--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -44,7 +44,9 @@
   std::chrono::milliseconds mStartValidity{ 1'200 };
   std::chrono::milliseconds mLookWait{ 1'500 };
   // Between two looks at a runner; ends that come meanwhile share one look.
-  std::chrono::milliseconds mLookSpacing{ 100 };
+  std::chrono::milliseconds mLookSpacing{ 40 };
+  // For each runner: the owner of a large fleet looks less often.
+  std::chrono::microseconds mLookSpacingPerRunner{ 600 };
   std::chrono::milliseconds mStopRepeat{ 500 };
   std::chrono::milliseconds mShunTime{ 4'000 };
   std::chrono::milliseconds mKeepEnded{ 150'000 };
@@ -198,6 +200,7 @@
   void PlanStops(time_point aNow, std::vector<order>& aOut);
   void PlanLooks(time_point aNow, std::vector<order>& aOut);
   void PlanPaces(std::vector<order>& aOut);
+  std::chrono::nanoseconds LookSpacing() const;
   look_order MakeLook(runner& aRunner, time_point aNow);
   void OnOtherBoot(runner& aRunner, std::int64_t aBoot, time_point aNow);
   void OnSilence(runner& aRunner, order_outcome aOutcome);
--- a/mangospan/jobs/scheduler_answers.cc
+++ b/mangospan/jobs/scheduler_answers.cc
@@ -1,6 +1,7 @@
 // What the answers of runners mean.
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <utility>
 
 #include "mangospan/base/log.h"
@@ -147,7 +148,7 @@
   }
   runner& where = at->second;
   where.mLookInFlight = false;
-  where.mNextLook = std::max(where.mNextLook, aNow + mSettings.mLookSpacing);
+  where.mNextLook = std::max(where.mNextLook, aNow + LookSpacing());
   if (aOutcome == order_outcome::kFenced) {
     mFenced = true;
     return;
@@ -447,21 +448,19 @@
                           time_point aSentAt,
                           time_point aNow)
 {
-  std::set<run_key> listed;
+  std::set<std::pair<std::string_view, std::uint32_t>> listed;
   for (const live_run& each : aReport.mLive) {
-    listed.insert({ each.mTask, each.mRun });
+    listed.emplace(each.mTask, each.mRun);
   }
   std::vector<run_key> settled;
   for (const auto& [key, each] : aRunner.Runs()) {
-    if (listed.count(key) > 0) {
-      continue;
-    }
     const bool neverBegan =
       each.mPhase == run_phase::kUnknown && aReport.mClock > each.mExpiry;
     const bool hasVanished = (each.mPhase == run_phase::kStarted ||
                               each.mPhase == run_phase::kListed) &&
                              each.mSince < aSentAt;
-    if (neverBegan || hasVanished) {
+    const bool isInDoubt = neverBegan || hasVanished;
+    if (isInDoubt && listed.count({ key.first, key.second }) == 0) {
       settled.push_back(key);
     }
   }
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -377,6 +377,14 @@
   }
 }
 
+std::chrono::nanoseconds
+scheduler::LookSpacing() const
+{
+  const auto runners = static_cast<std::int64_t>(mRunners.size());
+  return std::max<std::chrono::nanoseconds>(
+    mSettings.mLookSpacing, mSettings.mLookSpacingPerRunner * runners);
+}
+
 look_order
 scheduler::MakeLook(runner& aRunner, time_point aNow)
 {
@@ -396,8 +404,7 @@
     }
   }
   aRunner.mLookInFlight = true;
-  aRunner.mNextLook =
-    aNow + (isReachable ? mSettings.mLookSpacing : kLookRetry);
+  aRunner.mNextLook = aNow + (isReachable ? LookSpacing() : kLookRetry);
   return look;
 }
 
