--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -51,7 +51,9 @@
   for (const roster_entry& each : aRoster) {
     const auto added = mRunners.emplace(each.mInfo.mName, runner(each.mInfo));
     runner& known = added.first->second;
-    known.mIsInRoster = true;
+    // One that is told to be dead by some time gets no longer lease before the
+    // roster has been written without it.
+    known.mIsInRoster = !each.mDeadBy;
     known.mMayHoldInherited = true;
     known.mListed = !added.second;
     time_point deadAt = LeasesOver();
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -104,6 +104,28 @@
   EXPECT_GT(world.StartsOf("a1.0.0.0"), 1U);
 }
 
+// The second owner extends the lease beyond what the first has told, and must
+// say so before it does.
+TEST(scheduler_test, WhatAHandoverToldDoesNotOutliveTheNextOwner)
+{
+  fake_world world(10, fault_rates{});
+  AddRunners(world, 3);
+  world.RunFor(milliseconds(500));
+  world.Submit("a1", Job({ Tasks(1, 500, seconds(20)) }));
+  world.RunFor(seconds(1));
+  world.HandOver(milliseconds(300));
+  world.RunFor(seconds(4));
+  for (const std::string& each : world.RunnerNames()) {
+    if (!world.Runner(each).Runs().empty()) {
+      world.SetReachable(each, false);
+    }
+  }
+  world.KillOwner(milliseconds(1'900));
+  world.RunFor(seconds(40));
+  EXPECT_TRUE(world.Violations().empty()) << world.Violations().front();
+  EXPECT_GT(world.StartsOf("a1.0.0.0"), 1U);
+}
+
 // Its lease runs out while it is cut off; once it is back it must be used
 // again, although nothing runs there.
 TEST(scheduler_test, ARunnerThatWasSilentIsUsedAgain)
@@ -192,6 +214,9 @@
     case 0:
       aWorld.KillOwner(milliseconds(draw(100, 3'000)));
       break;
+    case 6:
+      aWorld.HandOver(milliseconds(draw(100, 1'000)));
+      break;
     case 1:
       aWorld.CutOwnerFromStore(milliseconds(draw(200, 3'000)));
       break;
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -284,15 +284,18 @@
   }
   const std::uint64_t rosterVersion = mOwner->RosterVersion();
   const auto roster = mOwner->Roster(mNow, Wall());
-  if (texts.empty() && rosterVersion == mOwner->StoredRosterVersion()) {
+  const bool hasRoster = rosterVersion != mOwner->StoredRosterVersion();
+  if (texts.empty() && !hasRoster) {
     return;
   }
   mIsWriting = true;
-  At(Delay(), [this, term, texts, rosterVersion, roster] {
+  At(Delay(), [this, term, texts, rosterVersion, roster, hasRoster] {
     if (term != mTerm) {
       return; // fenced by the successor's claim
     }
-    mStoredRoster = EncodeRoster(roster);
+    if (hasRoster) {
+      mStoredRoster = EncodeRoster(roster);
+    }
     for (const auto& [name, text] : texts) {
       mStoredJobs[name] = text.second;
       mAccepted.insert(name);
@@ -300,7 +303,7 @@
         mCancelledAt.emplace(name, mNow);
       }
     }
-    At(Delay(), [this, term, texts, rosterVersion, roster] {
+    At(Delay(), [this, term, texts, rosterVersion, roster, hasRoster] {
       mIsWriting = mIsWriting && term != mTerm;
       Answer(term, [&](scheduler& aOwner) {
         std::vector<stored_job> stored;
@@ -308,7 +311,9 @@
         for (const auto& [name, text] : texts) {
           stored.push_back({ job_name{ name }, text.first, 1 });
         }
-        aOwner.OnRosterStored(rosterVersion, roster);
+        if (hasRoster) {
+          aOwner.OnRosterStored(rosterVersion, roster);
+        }
         aOwner.OnStored(stored);
       });
     });
@@ -346,6 +351,16 @@
   }
 }
 
+void
+fake_world::HandOver(milliseconds aGap)
+{
+  if (mOwner) {
+    mOwner->SetMayStart(false);
+    mStoredRoster = EncodeRoster(mOwner->Roster(mNow, Wall()));
+    KillOwner(aGap);
+  }
+}
+
 void
 fake_world::CutOwnerFromStore(milliseconds aFor)
 {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -42,6 +42,8 @@
   void Cancel(const std::string& aName);
   // Ends the owner; the next one is elected after `aGap`.
   void KillOwner(std::chrono::milliseconds aGap);
+  // As `KillOwner`, but the owner tells its successor until when runs may live.
+  void HandOver(std::chrono::milliseconds aGap);
   // The owner's answers are lost and its writes fail, while it still acts.
   void CutOwnerFromStore(std::chrono::milliseconds aFor);
   void SetReachable(const std::string& aRunner, bool aIsReachable);
