--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -240,7 +240,7 @@
   mStore.Commit(std::move(change),
                 mSettings.mCallTimeout,
                 [self = shared_from_this(), claim, aLease, sentAt](
-                  result<platform::commit_outcome> aResult) {
+                  const result<platform::commit_outcome>& aResult) {
                   self->OnClaimed(claim, aLease, sentAt, aResult);
                 });
 }
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -145,8 +145,8 @@
   mNodeServer = std::make_unique<http::server>(
     mIo,
     http::server_options{},
-    [this](const http::request& aRequest, http::responder aRespond) {
-      ServeNode(aRequest, std::move(aRespond));
+    [this](const http::request& aRequest, const http::responder& aRespond) {
+      ServeNode(aRequest, aRespond);
     });
   BOOST_OUTCOME_TRY(mReadinessServer->Listen(mSettings.mReadinessAddress));
   BOOST_OUTCOME_TRY(mNodeServer->Listen(mSettings.mNodeAddress));
@@ -338,7 +338,8 @@
 }
 
 void
-node_process::ServeNode(const http::request& aRequest, http::responder aRespond)
+node_process::ServeNode(const http::request& aRequest,
+                        const http::responder& aRespond)
 {
   const std::string_view path = http::Path(aRequest);
   if (path == kHealthPath) {
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -75,7 +75,8 @@
   void OnOperatorRecord(const platform::record& aRecord);
   void CheckOwner();
   http::response AnswerReadiness() const;
-  void ServeNode(const http::request& aRequest, http::responder aRespond);
+  void ServeNode(const http::request& aRequest,
+                 const http::responder& aRespond);
 
   boost::asio::io_context& mIo;
   const clock_source& mClock;
