--- a/mangospan/daemon/signals_test.cc
+++ b/mangospan/daemon/signals_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 namespace mangospan::daemon {
 namespace {
@@ -30,6 +31,7 @@
 {
   EXPECT_EXIT(
     {
+      ::dup2(STDERR_FILENO, STDOUT_FILENO); // logs go to standard output
       boost::asio::io_context io;
       stop_signals signals(io, [] { std::raise(SIGTERM); });
       std::raise(SIGTERM);
