--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -21,24 +21,6 @@
 // For the way back of an answer that the owner gives at the last moment.
 constexpr milliseconds kTransit{ 50 };
 
-int
-StatusOf(reply_kind aKind)
-{
-  switch (aKind) {
-    case reply_kind::kOk:
-      return 200;
-    case reply_kind::kNoSuchJob:
-      return 410;
-    case reply_kind::kRefused:
-      return 429;
-    case reply_kind::kUnavailable:
-      return 503;
-    case reply_kind::kUnknown:
-      return 504;
-  }
-  return 504;
-}
-
 reply_kind
 KindOf(int aStatus)
 {
@@ -113,6 +95,24 @@
 
 } // namespace
 
+int
+StatusOf(reply_kind aKind)
+{
+  switch (aKind) {
+    case reply_kind::kOk:
+      return 200;
+    case reply_kind::kNoSuchJob:
+      return 410;
+    case reply_kind::kRefused:
+      return 429;
+    case reply_kind::kUnavailable:
+      return 503;
+    case reply_kind::kUnknown:
+      return 504;
+  }
+  return 504;
+}
+
 remote_jobs::remote_jobs(http::client& aClient, std::string aAddress)
   : mClient(aClient)
   , mAddress(std::move(aAddress))
--- a/mangospan/node/job_http.h
+++ b/mangospan/node/job_http.h
@@ -17,6 +17,10 @@
 
 namespace mangospan::node {
 
+// The HTTP status that tells a caller of the reply.
+int
+StatusOf(reply_kind aKind);
+
 // Calls another node's interface.
 class remote_jobs final : public job_service
 {
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -379,7 +379,15 @@
 void
 owner::CheckFence()
 {
-  if (mScheduler.IsFenced() && mOnSuperseded) {
+  if (mScheduler.IsFenced()) {
+    TellSuperseded();
+  }
+}
+
+void
+owner::TellSuperseded()
+{
+  if (mOnSuperseded) {
     const auto tell = std::move(mOnSuperseded);
     mOnSuperseded = nullptr;
     tell();
@@ -508,11 +516,7 @@
       log_level::kInfo,
       "owner.superseded",
       { { "term", mTerm.mTerm }, { "revision", term->second->mRevision } });
-    if (mOnSuperseded) {
-      const auto tell = std::move(mOnSuperseded);
-      mOnSuperseded = nullptr;
-      tell();
-    }
+    TellSuperseded();
     return;
   }
   const auto roster = present.find(kRosterKey);
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -143,6 +143,7 @@
   void AnswerWaiters();
   bool AnswerIfStored(const jobs::job_name& aJob, const waiter& aWaiter);
   void CheckFence();
+  void TellSuperseded();
 
   owner_dependencies mDeps;
   const owner_settings mSettings;
