--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -36,9 +36,9 @@
 
 scheduler::scheduler(scheduler_settings aSettings, ownership aOwnership)
   : mSettings(aSettings)
-  , mOwnership(aOwnership)
+  , mOwnership(std::move(aOwnership))
   , mRunBase(static_cast<std::uint32_t>(
-      (std::max<std::uint64_t>(aOwnership.mTerm, 1) - 1) * kRunsPerTerm))
+      (std::max<std::uint64_t>(mOwnership.mTerm, 1) - 1) * kRunsPerTerm))
 {
 }
 
@@ -184,6 +184,23 @@
   return { submit_outcome::kPending, milliseconds(0) };
 }
 
+void
+scheduler::Drop(const job_name& aJob)
+{
+  const auto found = mJobs.find(aJob);
+  if (found != mJobs.end() && found->second.mStoredVersion == 0) {
+    mJobs.erase(found);
+    mActive.erase(aJob);
+    mUnstored.erase(aJob);
+  }
+}
+
+const service_name&
+scheduler::ServiceOf(const queue_policy& aQueue) const
+{
+  return mOwnership.mService.Empty() ? aQueue.mService : mOwnership.mService;
+}
+
 bool
 scheduler::Cancel(const job_name& aJob, time_point aNow, wall_time aWall)
 {
@@ -228,15 +245,20 @@
     }));
 }
 
+bool
+scheduler::IsUrgent(const job_name& aJob) const
+{
+  const job& one = mJobs.at(aJob);
+  return one.mStoredVersion == 0 || IsFinal(one.mState);
+}
+
 std::vector<job_name>
 scheduler::Unstored(std::size_t aMost, bool aUrgentOnly) const
 {
   std::vector<job_name> urgent;
   std::vector<job_name> others;
   for (const job_name& each : mUnstored) {
-    const job& one = mJobs.at(each);
-    const bool isUrgent = one.mStoredVersion == 0 || IsFinal(one.mState);
-    (isUrgent ? urgent : others).push_back(each);
+    (IsUrgent(each) ? urgent : others).push_back(each);
   }
   if (!aUrgentOnly || !urgent.empty()) {
     // A write that is due anyway takes the others along.
@@ -409,7 +431,7 @@
     const job& one = mJobs.at(each);
     const queue_policy* const queue = mCatalog.FindQueue(one.mSpec.mQueue);
     const auto load =
-      queue == nullptr ? loads.end() : loads.find(queue->mService);
+      queue == nullptr ? loads.end() : loads.find(ServiceOf(*queue));
     if (load != loads.end()) {
       AddLoad(one, aWall, load->second);
     }
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -46,13 +46,10 @@
   // Between two looks at a runner; ends that come meanwhile share one look.
   std::chrono::milliseconds mLookSpacing{ 40 };
   // For each runner: the owner of a large fleet looks less often.
-  std::chrono::microseconds mLookSpacingPerRunner{ 600 };
+  std::chrono::microseconds mLookSpacingPerRunner{ 1'200 };
   std::chrono::milliseconds mStopRepeat{ 500 };
   std::chrono::milliseconds mShunTime{ 4'000 };
   std::chrono::milliseconds mKeepEnded{ 150'000 };
-  // Work that may wait in one queue, as a multiple of what its pool does in a
-  // second; more is refused.
-  double mMaxBacklogSeconds = 30;
 };
 
 // Which owner this is. Terms rise from owner to owner.
@@ -60,6 +57,9 @@
 {
   std::uint64_t mTerm = 0;
   time_point mSince{};
+  // Whose runners run all its jobs, also those whose queue has changed to
+  // another service since. Empty: each queue's own.
+  service_name mService;
 };
 
 enum class submit_outcome
@@ -111,6 +111,8 @@
                        const job_spec& aSpec,
                        time_point aNow,
                        wall_time aWall);
+  // Forgets a job that was never stored, since another owner has accepted it.
+  void Drop(const job_name& aJob);
   // False if there is no such job.
   bool Cancel(const job_name& aJob, time_point aNow, wall_time aWall);
   const job* Find(const job_name& aJob) const;
@@ -135,8 +137,10 @@
               time_point aNow,
               wall_time aWall);
 
-  // Jobs whose record differs from the stored one, those first that somebody
-  // waits for. `aUrgentOnly` leaves out mere progress.
+  // Whether somebody waits for the job's record: it is new, or has ended.
+  bool IsUrgent(const job_name& aJob) const;
+  // Jobs whose record differs from the stored one, the urgent ones first.
+  // `aUrgentOnly`: none unless there is an urgent one.
   std::vector<job_name> Unstored(std::size_t aMost, bool aUrgentOnly) const;
   job* Mutable(const job_name& aJob);
   void OnStored(const std::vector<stored_job>& aStored);
@@ -172,6 +176,7 @@
 private:
   struct candidate;
 
+  const service_name& ServiceOf(const queue_policy& aQueue) const;
   time_point LeasesOver() const;
   bool MayStartInherited(const service_name& aService, time_point aNow) const;
   void ReleaseDead(time_point aNow);
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -183,7 +183,7 @@
 {
   const queue_policy* const queue = mCatalog.FindQueue(aJob.mSpec.mQueue);
   if (queue == nullptr || aJob.mStoredVersion == 0 ||
-      (aJob.mInherited && !MayStartInherited(queue->mService, aNow))) {
+      (aJob.mInherited && !MayStartInherited(ServiceOf(*queue), aNow))) {
     return;
   }
   for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
@@ -198,7 +198,7 @@
           return !aTask.mDone && !aTask.mLive;
         });
       if (hasIdle && aJob.IsStepReady(k, s)) {
-        aInto[queue->mService].push_back(
+        aInto[ServiceOf(*queue)].push_back(
           { &aJob, k, s, RankOf(aJob, s, queue->mPriority, aNow) });
       }
     }
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -15,9 +15,10 @@
 
 namespace {
 
-constexpr const char* kPrefix = "mangospan/own/";
-constexpr const char* kLeaseKey = "mangospan/own/lease";
-constexpr const char* kTermKey = "mangospan/own/term";
+constexpr std::string_view kFleet = "fleet";
+constexpr std::string_view kJobs = "jobs/";
+constexpr const char* kLeaseSuffix = "/lease";
+constexpr const char* kTermSuffix = "/term";
 
 std::string
 Encode(const owner_record& aRecord)
@@ -44,9 +45,48 @@
 
 } // namespace
 
+std::string
+FleetSubject()
+{
+  return std::string(kFleet);
+}
+
+std::string
+JobsSubject(const service_name& aService)
+{
+  return std::string(kJobs) + aService.Str();
+}
+
+std::optional<service_name>
+ServiceOf(std::string_view aSubject)
+{
+  if (aSubject.substr(0, kJobs.size()) != kJobs) {
+    return std::nullopt;
+  }
+  return service_name{ std::string(aSubject.substr(kJobs.size())) };
+}
+
+std::string
+SubjectOf(std::string_view aKey)
+{
+  const std::string_view prefix = election::kPrefix;
+  const std::size_t last = aKey.rfind('/');
+  if (aKey.substr(0, prefix.size()) != prefix || last < prefix.size()) {
+    return {};
+  }
+  return std::string(aKey.substr(prefix.size(), last - prefix.size()));
+}
+
+std::string
+election::TermKey(const std::string& aSubject)
+{
+  return kPrefix + aSubject + kTermSuffix;
+}
+
 election::election(boost::asio::io_context& aIo,
                    const clock_source& aClock,
                    platform::transactional_store& aStore,
+                   std::string aSubject,
                    std::string aNode,
                    std::string aAddress,
                    election_settings aSettings,
@@ -55,49 +95,16 @@
   , mRenewTimer(aIo)
   , mClock(aClock)
   , mStore(aStore)
+  , mSubject(std::move(aSubject))
+  , mLeaseKey(kPrefix + mSubject + kLeaseSuffix)
+  , mTermKey(TermKey(mSubject))
   , mNode(std::move(aNode))
   , mAddress(std::move(aAddress))
   , mSettings(aSettings)
   , mHandlers(std::move(aHandlers))
   , mRandom(static_cast<std::minstd_rand::result_type>(DrawBootId().mValue))
-  , mIo(aIo)
-{
-}
-
-std::string
-election::TermKey()
-{
-  return kTermKey;
-}
-
-void
-election::Start()
+  , mStartedAt(aClock.Now())
 {
-  mStartedAt = mClock.Now();
-  mirror_settings settings;
-  mMirror = std::make_shared<mirror>(
-    mIo,
-    mClock,
-    mStore,
-    kPrefix,
-    settings,
-    mirror_handlers{
-      [weak = weak_from_this()](const platform::record& aRecord) {
-        if (const auto self = weak.lock()) {
-          self->OnRecord(aRecord);
-        }
-      },
-      [weak = weak_from_this()](const std::string& aKey) {
-        if (const auto self = weak.lock()) {
-          self->OnDeleted(aKey);
-        }
-      },
-      [weak = weak_from_this()] {
-        if (const auto self = weak.lock()) {
-          self->OnSynced();
-        }
-      } });
-  mMirror->Start();
 }
 
 bool
@@ -129,16 +136,17 @@
   if (aRecord.mRevision < mTerm.mRevision) {
     return; // older than the own claim, which the watch has yet to report
   }
-  if (aRecord.mKey == kTermKey) {
+  if (aRecord.mKey == mTermKey) {
     if (record->mTerm != mTerm.mTerm) {
       LogEvent(log_level::kInfo,
                "owner.changed",
-               { { "term", record->mTerm },
+               { { "subject", mSubject },
+                 { "term", record->mTerm },
                  { "node", record->mNode },
                  { "revision", record->mRevision } });
     }
     mTerm = *record;
-  } else if (aRecord.mKey == kLeaseKey) {
+  } else if (aRecord.mKey == mLeaseKey) {
     mLeaseHolder = aRecord.mValue;
   }
   if (mIsOwner && mTerm.mNode + mTerm.mAddress != mNode + mAddress) {
@@ -149,7 +157,7 @@
 void
 election::OnDeleted(const std::string& aKey)
 {
-  if (aKey != kLeaseKey) {
+  if (aKey != mLeaseKey) {
     return;
   }
   mLeaseHolder.clear();
@@ -174,6 +182,7 @@
     return;
   }
   mIsTrying = true;
+  mBurdenAtTry = mHandlers.mBurden();
   mTryTimer.expires_after(Patience());
   mTryTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aAbort) {
@@ -195,10 +204,12 @@
   const double lack =
     std::max(0.0, 1.0 - mSettings.mProcessorShare / mSettings.mAmpleProcessor) +
     std::max(0.0, 1.0 - mSettings.mLinkMbps / mSettings.mAmpleLinkMbps);
-  const milliseconds handicap(static_cast<std::int64_t>(
-    lack * static_cast<double>(mSettings.mHandicap.count())));
+  const milliseconds handicap =
+    milliseconds(static_cast<std::int64_t>(
+      lack * static_cast<double>(mSettings.mHandicap.count()))) +
+    mSettings.mBurden * mBurdenAtTry;
   if (mTerm.mTerm == 0) {
-    return handicap; // nobody is missed yet
+    return handicap + mSettings.mStagger; // nobody is missed yet
   }
   const auto patience = mSettings.mPatience.count();
   std::uniform_int_distribution<std::int64_t> jitter(patience, 2 * patience);
@@ -214,6 +225,11 @@
     mIsTrying = false;
     return;
   }
+  if (mHandlers.mBurden() > mBurdenAtTry) {
+    mIsTrying = false; // it has won another subject since
+    ScheduleTry();
+    return;
+  }
   mStore.GrantLease(
     mSettings.mTtl,
     mSettings.mCallTimeout,
@@ -233,9 +249,9 @@
 {
   const owner_record claim{ mTerm.mTerm + 1, mNode, mAddress, 0 };
   platform::transaction change;
-  change.mExpected = { { kLeaseKey, 0 }, { kTermKey, mTerm.mRevision } };
-  change.mWrites = { { kLeaseKey, 0, Encode(claim), aLease },
-                     { kTermKey, 0, Encode(claim), std::nullopt } };
+  change.mExpected = { { mLeaseKey, 0 }, { mTermKey, mTerm.mRevision } };
+  change.mWrites = { { mLeaseKey, 0, Encode(claim), aLease },
+                     { mTermKey, 0, Encode(claim), std::nullopt } };
   const time_point sentAt = mClock.Now();
   mStore.Commit(std::move(change),
                 mSettings.mCallTimeout,
@@ -277,7 +293,8 @@
   mIsOwner = true;
   LogEvent(log_level::kInfo,
            "owner.elected",
-           { { "term", mTerm.mTerm },
+           { { "subject", mSubject },
+             { "term", mTerm.mTerm },
              { "node", mNode },
              { "revision", mTerm.mRevision } });
   if (mIsRetired) {
@@ -336,7 +353,9 @@
   mIsOwner = false;
   LogEvent(log_level::kInfo,
            "owner.lost",
-           { { "term", mTerm.mTerm }, { "reason", aReason } });
+           { { "subject", mSubject },
+             { "term", mTerm.mTerm },
+             { "reason", aReason } });
   mRenewTimer.cancel();
   mHandlers.mOnLost();
 }
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -1,9 +1,12 @@
-// Makes one node the owner of all jobs, by a lease in the store.
+// Makes one node the owner of a subject - the jobs of one service, or the hosts
+// of the fleet - by a lease in the store.
 //
-// Two keys: `lease` lives as long as its holder renews it; `term` counts the
-// owners and stays. Both are written in one transaction. Every write of an
-// owner expects the term's revision, so that a successor's claim fences it, and
-// runners ignore orders of a term lower than the highest they saw.
+// Two keys a subject: `lease` lives as long as its holder renews it; `term`
+// counts the owners and stays. Both are written in one transaction. Every write
+// of an owner expects the term's revision, so that a successor's claim fences
+// it, and runners ignore orders of a term lower than the highest they saw.
+//
+// The records come from a mirror that all elections of a node share.
 #ifndef MANGOSPAN_NODE_ELECTION_H
 #define MANGOSPAN_NODE_ELECTION_H
 
@@ -14,12 +17,13 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
-#include "mangospan/node/mirror.h"
 #include "mangospan/platform/store.h"
 
 namespace mangospan::node {
@@ -38,6 +42,10 @@
   // The owner does most of the work. A host waits this long for each of
   // processor and network link, less the share of an ample one that it has.
   std::chrono::milliseconds mHandicap{ 300 };
+  // And once more for each subject that it owns already, so that they spread.
+  std::chrono::milliseconds mBurden{ 500 };
+  // Of the first claims, which nodes make for different subjects first.
+  std::chrono::milliseconds mStagger{ 0 };
   double mAmpleProcessor = 0.5; // of a core
   double mAmpleLinkMbps = 200;
   double mProcessorShare = 1.0; // of this host
@@ -59,20 +67,44 @@
 {
   std::function<void(const owner_record&)> mOnElected; // this node owns now
   std::function<void()> mOnLost;                       // and no longer
+  std::function<std::size_t()> mBurden; // subjects that this node owns
 };
 
+// What elections are held for.
+std::string
+FleetSubject();
+std::string
+JobsSubject(const service_name& aService);
+// The service whose jobs the subject is; nothing for another subject.
+std::optional<service_name>
+ServiceOf(std::string_view aSubject);
+
+// The key's subject; empty for a key that is not an election's.
+std::string
+SubjectOf(std::string_view aKey);
+
 class election : public std::enable_shared_from_this<election>
 {
 public:
+  // Every subject's keys begin so.
+  static constexpr const char* kPrefix = "mangospan/own/";
+  static std::string TermKey(const std::string& aSubject);
+
   election(boost::asio::io_context& aIo,
            const clock_source& aClock,
            platform::transactional_store& aStore,
+           std::string aSubject,
            std::string aNode,
            std::string aAddress,
            election_settings aSettings,
            election_handlers aHandlers);
 
-  void Start();
+  // From the mirror: a record of the subject, one that is gone, and that the
+  // picture is complete.
+  void OnRecord(const platform::record& aRecord);
+  void OnDeleted(const std::string& aKey);
+  void OnSynced();
+
   // Gives the ownership up and tries for it no more; then calls `aDone`.
   void Retire(std::function<void()> aDone);
   // Gives up a term that was found to be superseded.
@@ -85,12 +117,8 @@
   bool IsValidFor(std::chrono::milliseconds aSince) const;
   // The owner that the store named last, if its lease is there.
   std::optional<owner_record> Owner() const;
-  static std::string TermKey();
 
 private:
-  void OnRecord(const platform::record& aRecord);
-  void OnDeleted(const std::string& aKey);
-  void OnSynced();
   void ScheduleTry();
   std::chrono::milliseconds Patience();
   void Try();
@@ -108,21 +136,23 @@
   boost::asio::steady_timer mRenewTimer;
   const clock_source& mClock;
   platform::transactional_store& mStore;
+  const std::string mSubject;
+  const std::string mLeaseKey;
+  const std::string mTermKey;
   const std::string mNode;
   const std::string mAddress;
   const election_settings mSettings;
   const election_handlers mHandlers;
-  std::shared_ptr<mirror> mMirror;
   std::minstd_rand mRandom;
   owner_record mTerm;       // newest seen
   std::string mLeaseHolder; // empty: nobody holds the lease
   std::optional<platform::lease_id> mLease;
   time_point mRenewedAt{};
-  time_point mStartedAt{};
+  const time_point mStartedAt;
+  std::size_t mBurdenAtTry = 0;
   bool mIsOwner = false;
   bool mIsTrying = false;
   bool mIsRetired = false;
-  boost::asio::io_context& mIo;
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -7,6 +7,7 @@
 
 #include "mangospan/base/log.h"
 #include "mangospan/daemon/metrics.h"
+#include "mangospan/node/election.h"
 
 namespace mangospan::node {
 
@@ -20,7 +21,10 @@
 constexpr milliseconds kOrderTransit{ 150 };
 // Hosts' clocks differ by less than this.
 constexpr milliseconds kClockSlack{ 300 };
-constexpr const char* kOrdersKey = "mangospan/orders";
+// Of what the owners of the pools tell, when nothing is urgent.
+constexpr milliseconds kAskPeriod{ 100 };
+// What a pool's owner told longer ago is not acted on.
+constexpr milliseconds kStateAge{ 700 };
 constexpr milliseconds kStatusTimeout{ 1'000 };
 constexpr milliseconds kAnnounceTimeout{ 500 };
 
@@ -55,12 +59,13 @@
 fleet_duty::fleet_duty(fleet_dependencies aDependencies,
                        fleet_settings aSettings,
                        order_fence aFence,
-                       std::shared_ptr<owner> aOwner,
+                       platform::revision aTermRevision,
                        std::function<bool()> aMayOrder)
   : mDeps(aDependencies)
   , mSettings(aSettings)
   , mFence(std::move(aFence))
-  , mOwner(std::move(aOwner))
+  , mTermKey(election::TermKey(FleetSubject()))
+  , mTermRevision(aTermRevision)
   , mMayOrder(std::move(aMayOrder))
   , mTimer(aDependencies.mIo)
   , mPlan(jobs::upkeep_settings{})
@@ -80,7 +85,7 @@
 fleet_duty::LoadOrders()
 {
   mDeps.mStore.Read(
-    kOrdersKey,
+    kHostOrdersKey,
     kStatusTimeout,
     [self = shared_from_this()](
       const result<std::optional<platform::record>>& aResult) {
@@ -95,14 +100,14 @@
       if (!aResult.assume_value()) {
         return;
       }
-      const json orders =
-        json::parse(aResult.assume_value()->mValue, nullptr, false);
-      for (const auto& [host, at] : orders.items()) {
-        if (at.is_number_integer()) {
-          self->mOrderedAt[host_name{ host }] =
-            jobs::wall_time(milliseconds(at.get<std::int64_t>()));
-          self->mForeign.insert(host_name{ host });
-        }
+      auto orders = DecodeHostOrders(aResult.assume_value()->mValue);
+      if (orders.has_error()) {
+        LogError("hosts.malformed_orders", orders.assume_error());
+        return;
+      }
+      self->mOrders = std::move(orders).assume_value();
+      for (const auto& [host, each] : self->mOrders) {
+        self->mForeign.insert(host);
       }
     });
 }
@@ -111,10 +116,11 @@
 bool
 fleet_duty::MayOrder(const host_name& aHost) const
 {
-  if (mForeign.count(aHost) == 0) {
+  const auto ordered = mOrders.find(aHost);
+  if (mForeign.count(aHost) == 0 || ordered == mOrders.end()) {
     return true;
   }
-  return std::chrono::system_clock::now() - mOrderedAt.at(aHost) >=
+  return std::chrono::system_clock::now() - ordered->second.mAt >=
          mSettings.mHostLease + kClockSlack;
 }
 
@@ -135,13 +141,21 @@
 {
   const auto now = std::chrono::system_clock::now();
   std::size_t allowance = Allowance(mDeps.mClock.Now());
-  const auto keep = [this, now, &allowance](const auto& aOrder) {
-    if (allowance == 0 || !MayOrder(aOrder.mHost)) {
+  std::map<std::string, platform::revision> expected{ { mTermKey,
+                                                        mTermRevision } };
+  const auto keep = [&](const auto& aOrder) {
+    const host_entry* const host = Find(aOrder.mHost);
+    if (allowance == 0 || !MayOrder(aOrder.mHost) || host == nullptr) {
       return false;
     }
+    const auto owner = mPools.find(host->mPool);
+    if (owner != mPools.end() && owner->second.mState) {
+      expected[election::TermKey(JobsSubject(host->mPool))] =
+        owner->second.mState->mTermRevision;
+    }
     --allowance;
     mRecentOrders.push_back(mDeps.mClock.Now());
-    mOrderedAt[aOrder.mHost] = now;
+    mOrders[aOrder.mHost] = { now, host->mRunner };
     mForeign.erase(aOrder.mHost);
     return true;
   };
@@ -152,23 +166,24 @@
   }
   aUpkeep.erase(refused, aUpkeep.end());
   aMoves.erase(std::stable_partition(aMoves.begin(), aMoves.end(), keep),
-               aMoves.end());
+               aMoves.end()); // the others stay in `mEmptying`
   if (aUpkeep.empty() && aMoves.empty()) {
     return;
   }
   for (const jobs::move_order& each : aMoves) {
     mSizing.OnMoving(each, mDeps.mClock.Now());
+    mEmptying.erase(each.mHost);
   }
-  json orders = json::object();
-  for (const auto& [host, at] : mOrderedAt) {
-    if (now - at < 2 * mSettings.mHostLease) {
-      orders[host.Str()] =
-        std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count();
-    }
+  for (auto it = mOrders.begin(); it != mOrders.end();) {
+    it = now - it->second.mAt < 2 * mSettings.mHostLease ? std::next(it)
+                                                         : mOrders.erase(it);
   }
   platform::transaction change;
-  change.mExpected.push_back({ election::TermKey(), mOwner->Term().mRevision });
-  change.mWrites.push_back({ kOrdersKey, 0, orders.dump(), std::nullopt });
+  for (const auto& [key, revision] : expected) {
+    change.mExpected.push_back({ key, revision });
+  }
+  change.mWrites.push_back(
+    { kHostOrdersKey, 0, Encode(mOrders), std::nullopt });
   mIsAnnouncing = true;
   mDeps.mStore.Commit(
     std::move(change),
@@ -178,12 +193,14 @@
      moves =
        std::move(aMoves)](const result<platform::commit_outcome>& aResult) {
       self->mIsAnnouncing = false;
+      const bool isDone =
+        aResult.has_value() && aResult.assume_value().mCommitted;
       if (aResult.has_error()) {
         LogError("hosts.announce_failed", aResult.assume_error());
+      } else if (!isDone) {
+        LogEvent(log_level::kInfo, "hosts.announce_superseded", {});
       }
-      self->Issue(upkeep,
-                  moves,
-                  aResult.has_value() && aResult.assume_value().mCommitted);
+      self->Issue(upkeep, moves, isDone);
     });
 }
 
@@ -258,6 +275,7 @@
   if (mDeps.mClock.Now() >= mNextList && !mIsListing) {
     List();
   }
+  AskPools();
   Act();
   ReportWaves();
   mTimer.expires_after(mSettings.mTick);
@@ -290,34 +308,145 @@
   });
 }
 
+const pool_state*
+fleet_duty::StateOf(const service_name& aPool) const
+{
+  const auto found = mPools.find(aPool);
+  const bool isKnown = found != mPools.end() && found->second.mState &&
+                       mDeps.mClock.Now() - found->second.mStateAt < kStateAge;
+  return isKnown ? &*found->second.mState : nullptr;
+}
+
+void
+fleet_duty::AskPools()
+{
+  const time_point now = mDeps.mClock.Now();
+  if (now < mNextAsk) {
+    return;
+  }
+  mNextAsk = now + kAskPeriod;
+  for (const service_name& each : mDeps.mPools.Pools()) {
+    Ask(each);
+  }
+}
+
+void
+fleet_duty::Ask(const service_name& aPool)
+{
+  pool& asked = mPools[aPool];
+  if (asked.mIsAsking) {
+    asked.mIsAskedAgain = true;
+    return;
+  }
+  asked.mIsAsking = true;
+  pool_instructions instructions;
+  instructions.mFleetTerm = mFence.mTerm;
+  for (const host_entry& each : mHosts) {
+    if (each.mPool == aPool && mClosed.count(each.mRunner) > 0) {
+      instructions.mClosed.insert(each.mRunner);
+    }
+  }
+  instructions.mEvict = std::move(asked.mEvict);
+  asked.mEvict.clear();
+  instructions.mDead = asked.mDead;
+  mDeps.mPools.Exchange(
+    aPool,
+    std::move(instructions),
+    [self = shared_from_this(),
+     aPool,
+     dead = asked.mDead,
+     sentAt = mDeps.mClock.Now()](const result<pool_state>& aResult) {
+      if (!self->mIsStopped) {
+        self->OnState(aPool, sentAt, dead, aResult);
+      }
+    });
+}
+
+void
+fleet_duty::OnState(const service_name& aPool,
+                    time_point aSentAt,
+                    const std::vector<jobs::runner_name>& aDead,
+                    const result<pool_state>& aResult)
+{
+  pool& asked = mPools[aPool];
+  asked.mIsAsking = false;
+  if (aResult.has_error()) {
+    const bool wasKnown = StateOf(aPool) != nullptr;
+    if (wasKnown) { // told once for each time that it is lost
+      LogError("pool.not_told", aResult.assume_error());
+      asked.mState.reset();
+    }
+    return;
+  }
+  asked.mState = aResult.assume_value();
+  asked.mStateAt = aSentAt;
+  for (const jobs::runner_name& each : aDead) {
+    asked.mDead.erase(std::remove(asked.mDead.begin(), asked.mDead.end(), each),
+                      asked.mDead.end());
+  }
+  if (asked.mIsAskedAgain) {
+    asked.mIsAskedAgain = false;
+    Ask(aPool);
+  }
+  if (!mEmptying.empty()) {
+    Act();
+  }
+}
+
+std::map<service_name, jobs::pool_load>
+fleet_duty::Loads() const
+{
+  std::map<service_name, jobs::pool_load> loads;
+  for (const auto& [service, each] : mCatalog.mServices) {
+    const pool_state* const state = StateOf(service);
+    if (!each.mSpare && state != nullptr) {
+      loads[service] = state->mLoad;
+    }
+  }
+  return loads;
+}
+
+// A host of a pool whose owner does not tell is left alone.
+void
+fleet_duty::AddRunnerState(jobs::host_view& aView,
+                           const host_entry& aHost) const
+{
+  if (mPools.count(aHost.mPool) == 0) {
+    aView.mIsKnown = true; // a pool without jobs
+    return;
+  }
+  const pool_state* const state = StateOf(aHost.mPool);
+  if (state == nullptr) {
+    aView.mIsUnfit = true;
+    return;
+  }
+  const auto found = state->mRunners.find(aHost.mRunner);
+  if (found == state->mRunners.end()) {
+    aView.mIsKnown = aHost.mRunner.Empty() || state->mKnowsOthers;
+    return;
+  }
+  const runner_state& runner = found->second;
+  aView.mIsKnown = runner.mIsKnown && runner.mIsClosed;
+  aView.mIsUnfit = runner.mIsUnfit;
+  aView.mIsSettled = runner.mIsSettled;
+  aView.mRuns = runner.mRuns;
+  aView.mLasting = runner.mLasting;
+}
+
 std::vector<jobs::host_view>
 fleet_duty::HostViews() const
 {
   std::vector<jobs::host_view> views;
-  const auto& runners = mOwner->Scheduler().Runners();
-  const auto& services = mOwner->Scheduler().Catalog().mServices;
   for (const host_entry& each : mHosts) {
     jobs::host_view view;
     view.mHost = each.mHost;
     view.mPool = each.mPool;
     view.mIsUp = each.mState == host_state::kUp;
     view.mIsInUpkeep = each.mState == host_state::kUpkeep;
-    const auto pool = services.find(each.mPool);
-    view.mIsSpare = pool != services.end() && pool->second.mSpare;
+    const auto pool = mCatalog.mServices.find(each.mPool);
+    view.mIsSpare = pool != mCatalog.mServices.end() && pool->second.mSpare;
     view.mCapacity = each.mCapacity;
-    view.mIsKnown = each.mRunner.Empty() || mOwner->Scheduler().KnowsRunsOf(
-                                              each.mRunner, mDeps.mClock.Now());
-    const auto found = runners.find(each.mRunner);
-    if (found != runners.end()) {
-      view.mIsUnfit = found->second.mFailedLooks > 0 ||
-                      found->second.mInfo.mDraining ||
-                      mDeps.mClock.Now() < found->second.mShunUntil;
-      view.mIsSettled = found->second.mContacted && found->second.mIsInRoster;
-      for (const auto& [key, run] : found->second.Runs()) {
-        ++view.mRuns;
-        view.mLasting += run.mLasting ? 1 : 0;
-      }
-    }
+    AddRunnerState(view, each);
     views.push_back(std::move(view));
   }
   return views;
@@ -330,73 +459,148 @@
     LoadOrders();
     return;
   }
-  if (mHosts.empty() || !mOwner->IsServing() || mIsAnnouncing || !mMayOrder()) {
+  if (mHosts.empty() || mIsAnnouncing || !mMayOrder()) {
     return;
   }
   if (mFence.mTerm > 1 && mListedAt < mStartedAt + kOrderTransit) {
     return; // an order of the predecessor may not show in the listing yet
   }
   const time_point now = mDeps.mClock.Now();
+  for (const auto& [host, each] : mEmptying) {
+    mSizing.OnMoving(each, now); // not ordered yet, so it can not have arrived
+  }
   const std::vector<jobs::host_view> views = HostViews();
   const jobs::upkeep_decision upkeep = mPlan.Decide(views, mListedAt, now);
-  auto moves =
-    mSizing.Decide(mOwner->Scheduler().Loads(std::chrono::system_clock::now()),
-                   SparePool(),
-                   views,
-                   upkeep.mClosed,
-                   mListedAt,
-                   now);
-  Announce(upkeep.mOrders, std::move(moves));
-  CloseAndEvict(upkeep, now);
-  mOwner->Wake();
+  BeginMoves(mSizing.Decide(
+    Loads(), SparePool(), views, upkeep.mClosed, mListedAt, now));
+  SetClosed(upkeep.mClosed);
+  Evict(upkeep.mEvict);
+  Announce(upkeep.mOrders, MovesThatMayGo(views));
 }
 
-service_name
-fleet_duty::SparePool() const
+// A host that holds nothing can not be moved before its runner is closed.
+void
+fleet_duty::BeginMoves(const std::vector<jobs::move_order>& aMoves)
 {
-  for (const auto& [service, each] : mOwner->Scheduler().Catalog().mServices) {
-    if (each.mSpare) {
-      return service;
+  for (const jobs::move_order& each : aMoves) {
+    if (MayOrder(each.mHost)) {
+      mEmptying.emplace(each.mHost, each);
+      mSizing.OnMoving(each, mDeps.mClock.Now());
     }
   }
-  return {};
 }
 
-jobs::runner_name
-fleet_duty::RunnerOf(const host_name& aHost) const
+std::vector<jobs::move_order>
+fleet_duty::MovesThatMayGo(const std::vector<jobs::host_view>& aHosts)
+{
+  std::map<host_name, const jobs::host_view*> views;
+  for (const jobs::host_view& each : aHosts) {
+    views.emplace(each.mHost, &each);
+  }
+  std::vector<jobs::move_order> out;
+  for (auto it = mEmptying.begin(); it != mEmptying.end();) {
+    const auto view = views.find(it->first);
+    const bool isGone = view == views.end() || !view->second->mIsUp;
+    if (isGone || view->second->mRuns > 0) { // or was given something meanwhile
+      mSizing.OnNotMoved(it->first);
+      it = mEmptying.erase(it);
+      continue;
+    }
+    if (view->second->mIsKnown) {
+      out.push_back(it->second);
+    }
+    ++it;
+  }
+  return out;
+}
+
+// The owners are told at once of what has changed.
+void
+fleet_duty::SetClosed(const std::set<host_name>& aUpkeep)
+{
+  std::set<host_name> hosts = mSizing.Leaving();
+  hosts.insert(aUpkeep.begin(), aUpkeep.end());
+  std::set<jobs::runner_name> closed;
+  std::set<service_name> changed;
+  for (const host_entry& each : mHosts) {
+    const bool isClosed = !each.mRunner.Empty() && hosts.count(each.mHost) > 0;
+    if (isClosed) {
+      closed.insert(each.mRunner);
+    }
+    if (isClosed && mClosed.count(each.mRunner) == 0 &&
+        mPools.count(each.mPool) > 0) {
+      changed.insert(each.mPool);
+    }
+  }
+  mClosed = std::move(closed);
+  for (const service_name& each : changed) {
+    Ask(each);
+  }
+}
+
+void
+fleet_duty::SetCatalog(const jobs::catalog& aCatalog)
+{
+  mCatalog = aCatalog;
+}
+
+const host_entry*
+fleet_duty::Find(const host_name& aHost) const
 {
   const auto found = std::find_if(
     mHosts.begin(), mHosts.end(), [&aHost](const host_entry& aEntry) {
       return aEntry.mHost == aHost;
     });
-  return found == mHosts.end() ? jobs::runner_name() : found->mRunner;
+  return found == mHosts.end() ? nullptr : &*found;
 }
 
 void
-fleet_duty::CloseAndEvict(const jobs::upkeep_decision& aUpkeep, time_point aNow)
+fleet_duty::Evict(const std::vector<host_name>& aHosts)
 {
-  std::set<jobs::runner_name> closed;
-  for (const host_name& each : aUpkeep.mClosed) {
-    closed.insert(RunnerOf(each));
+  for (const host_name& each : aHosts) {
+    const host_entry* const host = Find(each);
+    const auto pool = host == nullptr ? mPools.end() : mPools.find(host->mPool);
+    if (pool != mPools.end()) {
+      auto& evict = pool->second.mEvict;
+      if (std::find(evict.begin(), evict.end(), host->mRunner) == evict.end()) {
+        evict.push_back(host->mRunner);
+      }
+    }
   }
-  for (const host_name& each : mSizing.Leaving()) {
-    closed.insert(RunnerOf(each));
+}
+
+// Nothing runs there any more: the order has ended the runner's life.
+void
+fleet_duty::TellDead(const host_entry& aHost)
+{
+  const auto pool = mPools.find(aHost.mPool);
+  if (pool != mPools.end() && !aHost.mRunner.Empty()) {
+    pool->second.mDead.push_back(aHost.mRunner);
+    Ask(aHost.mPool);
   }
-  mOwner->Scheduler().SetClosed(closed);
-  for (const host_name& each : aUpkeep.mEvict) {
-    mOwner->Scheduler().Evict(RunnerOf(each), aNow);
+}
+
+service_name
+fleet_duty::SparePool() const
+{
+  for (const auto& [service, each] : mCatalog.mServices) {
+    if (each.mSpare) {
+      return service;
+    }
   }
+  return {};
 }
 
 void
 fleet_duty::Move(const jobs::move_order& aOrder)
 {
-  const jobs::runner_name runner = RunnerOf(aOrder.mHost);
+  const host_entry* const found = Find(aOrder.mHost);
+  const host_entry host = found == nullptr ? host_entry() : *found;
   mDeps.mHosts.Move(
     mFence,
     aOrder.mHost,
     aOrder.mPool,
-    [self = shared_from_this(), aOrder, runner](host_order_outcome aOutcome) {
+    [self = shared_from_this(), aOrder, host](host_order_outcome aOutcome) {
       LogEvent(log_level::kInfo,
                "host.move",
                { { "host", aOrder.mHost.Str() },
@@ -408,7 +612,7 @@
       const time_point now = self->mDeps.mClock.Now();
       if (aOutcome == host_order_outcome::kDone) {
         self->mSizing.OnMoving(aOrder, now);
-        self->mOwner->Scheduler().OnRunnerDead(runner, now);
+        self->TellDead(host);
       } else if (aOutcome != host_order_outcome::kUnknown) {
         self->mSizing.OnNotMoved(aOrder.mHost);
       }
@@ -421,12 +625,13 @@
   if (!mInFlight.insert(aOrder.mHost).second) {
     return;
   }
-  const jobs::runner_name runner = RunnerOf(aOrder.mHost);
+  const host_entry* const found = Find(aOrder.mHost);
+  const host_entry host = found == nullptr ? host_entry() : *found;
   mDeps.mHosts.Maintain(
     mFence,
     aOrder.mHost,
     aOrder.mWave,
-    [self = shared_from_this(), aOrder, runner](host_order_outcome aOutcome) {
+    [self = shared_from_this(), aOrder, host](host_order_outcome aOutcome) {
       self->mInFlight.erase(aOrder.mHost);
       LogEvent(log_level::kInfo,
                "host.upkeep",
@@ -440,7 +645,7 @@
       switch (aOutcome) {
         case host_order_outcome::kDone:
           self->mPlan.OnBegun(aOrder, now);
-          self->mOwner->Scheduler().OnRunnerDead(runner, now);
+          self->TellDead(host);
           self->KeepRecord(aOrder.mWave);
           break;
         case host_order_outcome::kRefused:
@@ -453,7 +658,6 @@
           self->mPlan.OnNotDone(aOrder, now);
           break;
       }
-      self->mOwner->Wake();
     });
 }
 
@@ -466,7 +670,7 @@
     hosts.push_back(each.Str());
   }
   platform::transaction change;
-  change.mExpected.push_back({ election::TermKey(), mOwner->Term().mRevision });
+  change.mExpected.push_back({ mTermKey, mTermRevision });
   change.mWrites.push_back(
     { WaveRecordKey(aWave), 0, hosts.dump(), std::nullopt });
   mDeps.mStore.Commit(std::move(change),
@@ -492,8 +696,7 @@
       continue;
     }
     platform::transaction change;
-    change.mExpected.push_back(
-      { election::TermKey(), mOwner->Term().mRevision });
+    change.mExpected.push_back({ mTermKey, mTermRevision });
     change.mWrites.push_back(
       { mDeps.mFormat.WaveStatusKey(each),
         0,
--- a/mangospan/node/fleet_duty.h
+++ b/mangospan/node/fleet_duty.h
@@ -1,9 +1,12 @@
-// The owner's duty towards hosts: maintenance waves, and hosts that follow the
-// load from pool to pool.
+// The duty towards hosts: maintenance waves, and hosts that follow the load
+// from pool to pool. One node has it for all hosts; the owners of the pools'
+// jobs, here and on other nodes, tell what their pools need and keep runners
+// closed.
 //
-// Every order is announced in the store first, by a write that a successor's
-// claim fences. So a successor knows which hosts were ordered lately, and none
-// is ordered by the predecessor any more.
+// A host is ordered away only after the owner of its pool has said that it
+// gives the runner nothing new and that nothing runs there. Every order is
+// announced in the store first, by a write that fails once that owner or this
+// node has a successor; each successor reads the announcement.
 #ifndef MANGOSPAN_NODE_FLEET_DUTY_H
 #define MANGOSPAN_NODE_FLEET_DUTY_H
 
@@ -12,7 +15,9 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -21,8 +26,14 @@
 #include "mangospan/base/time.h"
 #include "mangospan/jobs/sizing.h"
 #include "mangospan/jobs/upkeep.h"
-#include "mangospan/node/owner.h"
+#include "mangospan/node/host_orders.h"
+#include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
+#include "mangospan/platform/store.h"
+
+namespace mangospan::daemon {
+class metrics;
+}
 
 namespace mangospan::node {
 
@@ -42,6 +53,7 @@
   const clock_source& mClock;
   platform::transactional_store& mStore;
   host_port& mHosts;
+  pool_link& mPools;
   const record_format& mFormat;
   daemon::metrics& mMetrics;
 };
@@ -53,17 +65,45 @@
   fleet_duty(fleet_dependencies aDependencies,
              fleet_settings aSettings,
              order_fence aFence,
-             std::shared_ptr<owner> aOwner,
+             platform::revision aTermRevision,
              std::function<bool()> aMayOrder);
 
   void Start();
   void Stop();
   void OnWave(const wave_request& aWave);
+  void SetCatalog(const jobs::catalog& aCatalog);
 
 private:
+  // What is known of one pool, and what its owner has yet to be told.
+  struct pool
+  {
+    std::optional<pool_state> mState;
+    time_point mStateAt{}; // when it was asked for
+    bool mIsAsking = false;
+    bool mIsAskedAgain = false;
+    std::vector<jobs::runner_name> mDead;
+    std::vector<jobs::runner_name> mEvict;
+  };
+
   void Tick();
   void List();
   void Act();
+  void AskPools();
+  void Ask(const service_name& aPool);
+  void OnState(const service_name& aPool,
+               time_point aSentAt,
+               const std::vector<jobs::runner_name>& aDead,
+               const result<pool_state>& aResult);
+  // Null unless its owner has told lately.
+  const pool_state* StateOf(const service_name& aPool) const;
+  std::map<service_name, jobs::pool_load> Loads() const;
+  void AddRunnerState(jobs::host_view& aView, const host_entry& aHost) const;
+  void BeginMoves(const std::vector<jobs::move_order>& aMoves);
+  std::vector<jobs::move_order> MovesThatMayGo(
+    const std::vector<jobs::host_view>& aHosts);
+  void SetClosed(const std::set<host_name>& aUpkeep);
+  void TellDead(const host_entry& aHost);
+  const host_entry* Find(const host_name& aHost) const;
   void Maintain(const jobs::upkeep_order& aOrder);
   void Announce(std::vector<jobs::upkeep_order> aUpkeep,
                 std::vector<jobs::move_order> aMoves);
@@ -75,9 +115,8 @@
   // Orders that may still be given within this second.
   std::size_t Allowance(time_point aNow);
   void Move(const jobs::move_order& aOrder);
-  void CloseAndEvict(const jobs::upkeep_decision& aUpkeep, time_point aNow);
+  void Evict(const std::vector<host_name>& aHosts);
   service_name SparePool() const; // empty: there is none
-  jobs::runner_name RunnerOf(const host_name& aHost) const;
   void KeepRecord(std::uint64_t aWave);
   void ReportWaves();
   std::vector<jobs::host_view> HostViews() const;
@@ -85,17 +124,24 @@
   fleet_dependencies mDeps;
   const fleet_settings mSettings;
   const order_fence mFence;
-  std::shared_ptr<owner> mOwner;
+  const std::string mTermKey;
+  const platform::revision mTermRevision;
   const std::function<bool()> mMayOrder;
   boost::asio::steady_timer mTimer;
-  // When a host was ordered last, by this holder or an earlier one.
-  std::map<host_name, jobs::wall_time> mOrderedAt;
+  jobs::catalog mCatalog;
+  std::map<service_name, pool> mPools;
+  std::set<jobs::runner_name> mClosed;
+  // Chosen to move, but its runner may still get or hold runs.
+  std::map<host_name, jobs::move_order> mEmptying;
+  // How each host was ordered last, by this holder or an earlier one.
+  host_orders mOrders;
   std::set<host_name> mForeign; // ordered last by an earlier holder
   std::deque<time_point> mRecentOrders;
   bool mIsLoaded = false;
   bool mIsAnnouncing = false;
   time_point mStartedAt{};
   time_point mNextList{};
+  time_point mNextAsk{};
   time_point mListedAt{};
   std::vector<host_entry> mHosts;
   std::set<host_name> mInFlight;
--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -17,6 +17,9 @@
 
 constexpr std::string_view kJobs = "/mangospan/v1/jobs/";
 constexpr std::string_view kQueues = "/mangospan/v1/queues/";
+constexpr const char* kPool = "/mangospan/v1/pool";
+constexpr const char* kServiceHeader = "Mangospan-Service";
+constexpr milliseconds kExchangeTimeout{ 300 };
 constexpr const char* kPatienceHeader = "Mangospan-Patience-Ms";
 // For the way back of an answer that the owner gives at the last moment.
 constexpr milliseconds kTransit{ 50 };
@@ -113,9 +116,18 @@
   return 504;
 }
 
-remote_jobs::remote_jobs(http::client& aClient, std::string aAddress)
+service_name
+ServiceOf(const http::request& aRequest)
+{
+  return service_name{ std::string(aRequest.Get(kServiceHeader)) };
+}
+
+remote_jobs::remote_jobs(http::client& aClient,
+                         std::string aAddress,
+                         service_name aService)
   : mClient(aClient)
   , mAddress(std::move(aAddress))
+  , mService(std::move(aService))
 {
 }
 
@@ -125,6 +137,7 @@
                   reply_handler aHandler)
 {
   aRequest.Set(kPatienceHeader, std::to_string(aPatience.count()));
+  aRequest.Set(kServiceHeader, mService.Str());
   mClient.Send(mAddress,
                std::move(aRequest),
                aPatience + kTransit,
@@ -221,4 +234,67 @@
   }
 }
 
+void
+ExchangePool(http::client& aClient,
+             const std::string& aAddress,
+             const service_name& aPool,
+             const pool_instructions& aInstructions,
+             pool_state_handler aHandler)
+{
+  http::request call = Request("POST", kPool);
+  call.Set("Content-Type", "application/json");
+  call.Set(kServiceHeader, aPool.Str());
+  call.mBody = Encode(aInstructions);
+  aClient.Send(
+    aAddress,
+    std::move(call),
+    kExchangeTimeout,
+    [address = aAddress, pool = aPool, handler = std::move(aHandler)](
+      const result<http::response>& aResult) {
+      if (aResult.has_error()) {
+        handler(aResult.assume_error());
+        return;
+      }
+      const http::response& answer = aResult.assume_value();
+      if (answer.mStatus != 200) {
+        const bool isOlder = answer.mStatus == 409;
+        handler(
+          error{ isOlder ? error_code::kConflict : error_code::kUnavailable,
+                 "pool.exchange",
+                 address,
+                 pool.Str() + ": status " + std::to_string(answer.mStatus) });
+        return;
+      }
+      handler(DecodeState(answer.mBody));
+    });
+}
+
+bool
+IsPoolExchange(const http::request& aRequest)
+{
+  return http::Path(aRequest) == kPool && aRequest.mMethod == "POST";
+}
+
+void
+ServePool(const http::request& aRequest,
+          const pool_exchanger& aExchange,
+          const http::responder& aRespond)
+{
+  const auto instructions = DecodeInstructions(aRequest.mBody);
+  if (instructions.has_error()) {
+    LogError("pool.malformed", instructions.assume_error());
+    aRespond(http::JsonResponse(400, "{}"));
+    return;
+  }
+  const auto state = aExchange(instructions.assume_value());
+  if (state.has_error()) {
+    const bool isOlder = state.assume_error().mCode == error_code::kConflict;
+    aRespond(http::JsonResponse(
+      isOlder ? 409 : 503,
+      json{ { "message", Describe(state.assume_error()) } }.dump()));
+    return;
+  }
+  aRespond(http::JsonResponse(200, Encode(state.assume_value())));
+}
+
 } // namespace mangospan::node
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -1,11 +1,14 @@
 #include "mangospan/node/node_process.h"
 
+#include <functional>
+#include <set>
 #include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "mangospan/base/log.h"
 #include "mangospan/node/job_http.h"
+#include "mangospan/node/job_search.h"
 #include "mangospan/node/submission.h"
 
 namespace mangospan::node {
@@ -22,55 +25,14 @@
 constexpr milliseconds kOwnerSilence{ 1'000 };
 // A catalog older than this may lack what the operator has added since.
 constexpr milliseconds kCatalogAge{ 2'200 };
-constexpr milliseconds kNoOwnerRetry{ 1'000 };
 // The balancer stops sending callers after two failed checks, a second apart.
 constexpr milliseconds kDrainTime{ 2'500 };
-// Less than the scheduler's own bound by the longest time between two plans.
-constexpr milliseconds kUnconfirmedStarts{ 2'300 };
+// Between the first claims of one node for two subjects.
+constexpr milliseconds kStagger{ 60 };
 // Of the orders that the host service takes; the rest is for a predecessor's.
 constexpr double kOrderShare = 0.9;
 constexpr const char* kHealthPath = "/mangospan/v1/health";
 
-// Stands in for the owner while nobody owns the jobs.
-class no_jobs final : public job_service
-{
-public:
-  void Submit(const jobs::job_name& /*aJob*/,
-              const jobs::job_spec& /*aSpec*/,
-              milliseconds /*aPatience*/,
-              reply_handler aHandler) override
-  {
-    Refuse(aHandler);
-  }
-  void Cancel(const jobs::job_name& /*aJob*/,
-              milliseconds /*aPatience*/,
-              reply_handler aHandler) override
-  {
-    Refuse(aHandler);
-  }
-  void Read(const jobs::job_name& /*aJob*/,
-            milliseconds /*aPatience*/,
-            reply_handler aHandler) override
-  {
-    Refuse(aHandler);
-  }
-  void CountWaiting(const jobs::queue_name& /*aQueue*/,
-                    milliseconds /*aPatience*/,
-                    reply_handler aHandler) override
-  {
-    Refuse(aHandler);
-  }
-
-private:
-  static void Refuse(const reply_handler& aHandler)
-  {
-    job_reply reply;
-    reply.mKind = reply_kind::kUnavailable;
-    reply.mRetryAfter = kNoOwnerRetry;
-    aHandler(reply);
-  }
-};
-
 fleet_settings
 FleetSettings(const node_settings& aSettings)
 {
@@ -81,6 +43,14 @@
   return out;
 }
 
+// Spreads the first claims: each node begins with another subject.
+std::size_t
+FirstClaimRank(const std::string& aNode, const std::string& aSubject)
+{
+  constexpr std::size_t kRanks = 8;
+  return std::hash<std::string>()(aNode + "/" + aSubject) % kRanks;
+}
+
 // A job for the state dump, with what its tasks wait for.
 json
 DumpJob(const jobs::job& aJob, time_point aNow)
@@ -111,6 +81,33 @@
   };
 }
 
+json
+DumpPartition(const partition& aPartition, time_point aNow)
+{
+  json out = json::object();
+  if (const auto known = aPartition.Election().Owner()) {
+    out["owner"] = { { "node", known->mNode }, { "term", known->mTerm } };
+  }
+  if (aPartition.Owner() == nullptr) {
+    return out;
+  }
+  const jobs::scheduler& scheduler = aPartition.Owner()->Scheduler();
+  json runners = json::object();
+  for (const auto& [runnerName, each] : scheduler.Runners()) {
+    runners[runnerName.Str()] = { { "runs", each.Runs().size() },
+                                  { "listed", each.mListed },
+                                  { "closed", each.mClosed },
+                                  { "failed_looks", each.mFailedLooks } };
+  }
+  json jobs = json::object();
+  for (const auto& [jobName, each] : scheduler.Jobs()) {
+    jobs[jobName.Str()] = DumpJob(each, aNow);
+  }
+  out["runners"] = std::move(runners);
+  out["jobs"] = std::move(jobs);
+  return out;
+}
+
 } // namespace
 
 node_process::node_process(boost::asio::io_context& aIo,
@@ -125,7 +122,6 @@
   , mSettings(std::move(aSettings))
   , mPorts(aPorts)
   , mMetrics(aMetrics)
-  , mAway(std::make_unique<no_jobs>())
   , mCheckTimer(aIo)
   , mStopTimer(aIo)
 {
@@ -161,42 +157,81 @@
       [this](const std::string& aKey) { mWaves.erase(aKey); },
       nullptr });
   mOperatorMirror->Start();
-  election_settings terms;
-  terms.mProcessorShare = mSettings.mProcessorShare;
-  terms.mLinkMbps = mSettings.mLinkMbps;
-  mElection = std::make_shared<election>(
+  mOwnMirror = std::make_shared<mirror>(
     mIo,
     mClock,
     mPorts.mStore,
-    mSettings.mNode,
-    mSettings.mNodeAddress,
-    terms,
-    election_handlers{ [this](const owner_record& aTerm) { OnElected(aTerm); },
-                       [this] { OnLost(); } });
-  mElection->Start();
-  CheckOwner();
+    election::kPrefix,
+    mirror_settings{},
+    mirror_handlers{
+      [this](const platform::record& aRecord) { OnOwnRecord(aRecord); },
+      [this](const std::string& aKey) { OnOwnDeleted(aKey); },
+      [this] { OnOwnSynced(); } });
+  StartFleetElection();
+  mOwnMirror->Start();
+  CheckOwners();
   return boost::outcome_v2::success();
 }
 
+election_candidate
+node_process::Candidate(const std::string& aSubject)
+{
+  election_candidate out;
+  out.mNode = mSettings.mNode;
+  out.mAddress = mSettings.mNodeAddress;
+  out.mSettings.mProcessorShare = mSettings.mProcessorShare;
+  out.mSettings.mLinkMbps = mSettings.mLinkMbps;
+  out.mSettings.mStagger = kStagger * FirstClaimRank(mSettings.mNode, aSubject);
+  out.mBurden = [this] { return Burden(); };
+  return out;
+}
+
+std::size_t
+node_process::Burden() const
+{
+  std::size_t owned = mFleetElection && mFleetElection->IsOwner() ? 1 : 0;
+  for (const auto& [service, each] : mPartitions) {
+    owned += each.Election().IsOwner() ? 1 : 0;
+  }
+  return owned;
+}
+
 void
-node_process::OnElected(const owner_record& aTerm)
-{
-  mOwner = std::make_shared<owner>(
-    owner_dependencies{
-      mIo, mClock, mPorts.mStore, mPorts.mRunners, mPorts.mFormat, mMetrics },
-    owner_settings{},
-    jobs::scheduler_settings{},
-    aTerm,
-    [this] { return mElection->IsValidFor(kUnconfirmedStarts); },
-    [this] { mElection->StepDown(); });
-  mOwner->Start(mCatalog ? *mCatalog : jobs::catalog{});
-  mDuty = std::make_shared<fleet_duty>(
-    fleet_dependencies{
-      mIo, mClock, mPorts.mStore, mPorts.mHosts, mPorts.mFormat, mMetrics },
-    FleetSettings(mSettings),
-    order_fence{ mSettings.mNode, aTerm.mTerm },
-    mOwner,
-    [this] { return mElection->IsValid(); });
+node_process::StartFleetElection()
+{
+  const election_candidate self = Candidate(FleetSubject());
+  mFleetElection = std::make_shared<election>(
+    mIo,
+    mClock,
+    mPorts.mStore,
+    FleetSubject(),
+    self.mNode,
+    self.mAddress,
+    self.mSettings,
+    election_handlers{
+      [this](const owner_record& aTerm) { OnFleetElected(aTerm); },
+      [this] { OnFleetLost(); },
+      self.mBurden });
+}
+
+void
+node_process::OnFleetElected(const owner_record& aTerm)
+{
+  mDuty =
+    std::make_shared<fleet_duty>(fleet_dependencies{ mIo,
+                                                     mClock,
+                                                     mPorts.mStore,
+                                                     mPorts.mHosts,
+                                                     *this,
+                                                     mPorts.mFormat,
+                                                     mMetrics },
+                                 FleetSettings(mSettings),
+                                 order_fence{ mSettings.mNode, aTerm.mTerm },
+                                 aTerm.mRevision,
+                                 [this] { return mFleetElection->IsValid(); });
+  if (mCatalog) {
+    mDuty->SetCatalog(*mCatalog);
+  }
   for (const auto& [key, each] : mWaves) {
     mDuty->OnWave(each);
   }
@@ -204,15 +239,71 @@
 }
 
 void
-node_process::OnLost()
+node_process::OnFleetLost()
 {
   if (mDuty) {
     mDuty->Stop();
     mDuty.reset();
   }
-  if (mOwner) {
-    mOwner->Stop();
-    mOwner.reset();
+}
+
+partition&
+node_process::PartitionOf(const service_name& aService)
+{
+  const auto found = mPartitions.find(aService);
+  if (found != mPartitions.end()) {
+    return found->second;
+  }
+  const partition_dependencies dependencies{
+    { mIo, mClock, mPorts.mStore, mPorts.mRunners, mPorts.mFormat, mMetrics },
+    mClient
+  };
+  partition& added = mPartitions
+                       .try_emplace(aService,
+                                    dependencies,
+                                    aService,
+                                    Candidate(JobsSubject(aService)),
+                                    [this] { return mCatalog.get(); })
+                       .first->second;
+  if (mOwnMirror->IsSynced()) {
+    added.Election().OnSynced();
+  }
+  return added;
+}
+
+election*
+node_process::ElectionOf(const std::string& aKey)
+{
+  const std::string subject = SubjectOf(aKey);
+  if (subject == FleetSubject()) {
+    return mFleetElection.get();
+  }
+  const auto service = ServiceOf(subject);
+  return service ? &PartitionOf(*service).Election() : nullptr;
+}
+
+void
+node_process::OnOwnRecord(const platform::record& aRecord)
+{
+  if (election* const found = ElectionOf(aRecord.mKey)) {
+    found->OnRecord(aRecord);
+  }
+}
+
+void
+node_process::OnOwnDeleted(const std::string& aKey)
+{
+  if (election* const found = ElectionOf(aKey)) {
+    found->OnDeleted(aKey);
+  }
+}
+
+void
+node_process::OnOwnSynced()
+{
+  mFleetElection->OnSynced();
+  for (auto& [service, each] : mPartitions) {
+    each.Election().OnSynced();
   }
 }
 
@@ -220,24 +311,7 @@
 node_process::OnOperatorRecord(const platform::record& aRecord)
 {
   if (mPorts.mFormat.IsCatalog(aRecord.mKey)) {
-    auto decoded = mPorts.mFormat.DecodeCatalog(aRecord.mValue);
-    if (decoded.has_error()) {
-      LogError("config.malformed", decoded.assume_error());
-      return;
-    }
-    jobs::catalog next = std::move(decoded).assume_value();
-    if (mCatalog && next.mVersion <= mCatalog->mVersion) {
-      return;
-    }
-    LogEvent(log_level::kInfo,
-             "config.adopted",
-             { { "version", next.mVersion },
-               { "revision", aRecord.mRevision },
-               { "queues", static_cast<std::uint64_t>(next.mQueues.size()) } });
-    mCatalog = std::make_unique<jobs::catalog>(std::move(next));
-    if (mOwner) {
-      mOwner->SetCatalog(*mCatalog);
-    }
+    OnCatalog(aRecord);
   } else if (mPorts.mFormat.IsWave(aRecord.mKey)) {
     auto decoded = mPorts.mFormat.DecodeWave(aRecord.mValue);
     if (decoded.has_error()) {
@@ -251,23 +325,59 @@
   }
 }
 
-job_service&
-node_process::Jobs()
+void
+node_process::OnCatalog(const platform::record& aRecord)
 {
-  if (mOwner) {
-    return *mOwner;
+  auto decoded = mPorts.mFormat.DecodeCatalog(aRecord.mValue);
+  if (decoded.has_error()) {
+    LogError("config.malformed", decoded.assume_error());
+    return;
   }
-  const auto known = mElection ? mElection->Owner() : std::nullopt;
-  const std::string address = known ? known->mAddress : std::string();
-  if (address != mAwayAddress) {
-    mAwayAddress = address;
-    if (address.empty() || address == mSettings.mNodeAddress) {
-      mAway = std::make_unique<no_jobs>();
-    } else {
-      mAway = std::make_unique<remote_jobs>(mClient, address);
+  jobs::catalog next = std::move(decoded).assume_value();
+  if (mCatalog && next.mVersion <= mCatalog->mVersion) {
+    return;
+  }
+  LogEvent(log_level::kInfo,
+           "config.adopted",
+           { { "version", next.mVersion },
+             { "revision", aRecord.mRevision },
+             { "queues", static_cast<std::uint64_t>(next.mQueues.size()) } });
+  mCatalog = std::make_unique<jobs::catalog>(std::move(next));
+  for (const auto& [queueName, each] : mCatalog->mQueues) {
+    PartitionOf(each.mService);
+  }
+  for (auto& [service, each] : mPartitions) {
+    if (each.Owner() != nullptr) {
+      each.Owner()->SetCatalog(*mCatalog);
     }
   }
-  return *mAway;
+  if (mDuty) {
+    mDuty->SetCatalog(*mCatalog);
+  }
+}
+
+std::vector<service_name>
+node_process::Pools() const
+{
+  std::vector<service_name> out;
+  for (const auto& [service, each] : mPartitions) {
+    out.push_back(service);
+  }
+  return out;
+}
+
+void
+node_process::Exchange(const service_name& aPool,
+                       pool_instructions aInstructions,
+                       pool_state_handler aHandler)
+{
+  PartitionOf(aPool).Exchange(std::move(aInstructions), std::move(aHandler));
+}
+
+job_service&
+node_process::Jobs(const service_name& aService)
+{
+  return PartitionOf(aService).Jobs();
 }
 
 void
@@ -276,11 +386,80 @@
                      milliseconds aPatience,
                      reply_handler aHandler)
 {
-  std::make_shared<submission>(
-    mIo, mClock, [this]() -> job_service& { return Jobs(); }, aJob, aSpec)
+  // By the newest catalog at each try.
+  const auto finder = [this, queue = aSpec.mQueue]() -> job_service& {
+    const auto* const policy = mCatalog ? mCatalog->FindQueue(queue) : nullptr;
+    return policy == nullptr ? mNobody : Jobs(policy->mService);
+  };
+  std::make_shared<submission>(mIo, mClock, finder, aJob, aSpec)
     ->Start(aPatience, std::move(aHandler));
 }
 
+std::vector<service_name>
+node_process::SearchOrder(const jobs::queue_policy& aQueue) const
+{
+  std::vector<service_name> out{ aQueue.mService };
+  for (const auto& [service, each] : mPartitions) {
+    if (service != aQueue.mService) {
+      out.push_back(service);
+    }
+  }
+  return out;
+}
+
+void
+node_process::Cancel(const jobs::queue_policy& aQueue,
+                     const jobs::job_name& aJob,
+                     milliseconds aPatience,
+                     reply_handler aHandler)
+{
+  SearchJob(
+    mClock,
+    [this](const service_name& aService) -> job_service& {
+      return Jobs(aService);
+    },
+    SearchOrder(aQueue),
+    [aJob](job_service& aService, milliseconds aLeft, reply_handler aReply) {
+      aService.Cancel(aJob, aLeft, std::move(aReply));
+    },
+    aPatience,
+    std::move(aHandler));
+}
+
+void
+node_process::Read(const jobs::queue_policy& aQueue,
+                   const jobs::job_name& aJob,
+                   milliseconds aPatience,
+                   reply_handler aHandler)
+{
+  SearchJob(
+    mClock,
+    [this](const service_name& aService) -> job_service& {
+      return Jobs(aService);
+    },
+    SearchOrder(aQueue),
+    [aJob](job_service& aService, milliseconds aLeft, reply_handler aReply) {
+      aService.Read(aJob, aLeft, std::move(aReply));
+    },
+    aPatience,
+    std::move(aHandler));
+}
+
+void
+node_process::CountWaiting(const jobs::queue_policy& aQueue,
+                           milliseconds aPatience,
+                           reply_handler aHandler)
+{
+  node::CountWaiting(
+    [this](const service_name& aService) -> job_service& {
+      return Jobs(aService);
+    },
+    SearchOrder(aQueue),
+    aQueue.mName,
+    aPatience,
+    std::move(aHandler));
+}
+
 const jobs::catalog*
 node_process::Catalog() const
 {
@@ -294,41 +473,85 @@
          mClock.Now() - mOperatorMirror->ConfirmedAt() < kCatalogAge;
 }
 
-// Asks the owner elsewhere whether it serves; its answer is what readiness
-// rests on while no caller's request tells.
+// Asks the owners elsewhere whether they serve; what they say is what readiness
+// rests on.
 void
-node_process::CheckOwner()
+node_process::CheckOwners()
 {
-  if (mOwner) {
-    if (mOwner->IsServing() && mOwner->CanWrite() && mElection->IsValid()) {
-      mOwnerHeardAt = mClock.Now();
+  std::set<std::string> addresses;
+  for (auto& [service, each] : mPartitions) {
+    const auto known = each.Election().Owner();
+    if (each.IsServing()) {
+      each.OnHeard(mClock.Now());
+    } else if (known && known->mAddress != mSettings.mNodeAddress) {
+      addresses.insert(known->mAddress);
     }
-  } else if (const auto known = mElection->Owner()) {
-    http::request call;
-    call.mTarget = kHealthPath;
-    mClient.Send(
-      known->mAddress,
-      std::move(call),
-      kCheckTimeout,
-      [this, sentAt = mClock.Now()](const result<http::response>& aResult) {
-        if (aResult.has_value() && aResult.assume_value().mStatus == 200) {
-          mOwnerHeardAt = sentAt;
-        }
-      });
+  }
+  for (const std::string& each : addresses) {
+    CheckOwnersAt(each);
   }
   mCheckTimer.expires_after(kCheckPeriod);
   mCheckTimer.async_wait([this](const boost::system::error_code& aAbort) {
     if (!aAbort) {
-      CheckOwner();
+      CheckOwners();
     }
   });
 }
 
+void
+node_process::CheckOwnersAt(const std::string& aAddress)
+{
+  http::request call;
+  call.mTarget = kHealthPath;
+  mClient.Send(
+    aAddress,
+    std::move(call),
+    kCheckTimeout,
+    [this, sentAt = mClock.Now()](const result<http::response>& aResult) {
+      if (aResult.has_error() || aResult.assume_value().mStatus != 200) {
+        return; // its silence is what counts
+      }
+      const json body =
+        json::parse(aResult.assume_value().mBody, nullptr, false);
+      const json serves =
+        body.is_object() ? body.value("serves", json()) : json();
+      for (const json& each : serves) {
+        const auto found = mPartitions.find(
+          service_name{ each.is_string() ? each.get<std::string>() : "" });
+        if (found != mPartitions.end()) {
+          found->second.OnHeard(sentAt);
+        }
+      }
+    });
+}
+
+http::response
+node_process::AnswerHealth() const
+{
+  json serves = json::array();
+  for (const auto& [service, each] : mPartitions) {
+    if (each.IsServing()) {
+      serves.push_back(service.Str());
+    }
+  }
+  return http::JsonResponse(200, json{ { "serves", serves } }.dump());
+}
+
+// An owner that is known but not heard is out of this node's reach; while one
+// is being elected, no other node serves better.
 bool
 node_process::IsReady() const
 {
-  return !mIsStopping && IsCatalogCurrent() &&
-         mClock.Now() - mOwnerHeardAt < kOwnerSilence;
+  const time_point now = mClock.Now();
+  bool isAnyHeard = false;
+  for (const auto& [service, each] : mPartitions) {
+    const bool isHeard = now - each.HeardAt() < kOwnerSilence;
+    if (!isHeard && each.Election().Owner()) {
+      return false;
+    }
+    isAnyHeard = isAnyHeard || isHeard;
+  }
+  return !mIsStopping && IsCatalogCurrent() && isAnyHeard;
 }
 
 http::response
@@ -343,14 +566,27 @@
 {
   const std::string_view path = http::Path(aRequest);
   if (path == kHealthPath) {
-    const bool serves = mOwner && mOwner->IsServing() && mOwner->CanWrite() &&
-                        mElection->IsValid();
-    aRespond(http::JsonResponse(serves ? 200 : 503, "{}"));
-  } else if (mOwner) {
-    ServeJobs(aRequest, *mOwner, aRespond);
+    aRespond(AnswerHealth());
+    return;
+  }
+  const auto found = mPartitions.find(ServiceOf(aRequest));
+  owner* const local =
+    found == mPartitions.end() ? nullptr : found->second.Owner();
+  if (local == nullptr) {
+    if (IsPoolExchange(aRequest)) {
+      aRespond(http::JsonResponse(503, "{}"));
+    } else {
+      ServeJobs(aRequest, mNobody, aRespond);
+    }
+  } else if (IsPoolExchange(aRequest)) {
+    ServePool(
+      aRequest,
+      [local](const pool_instructions& aInstructions) {
+        return local->Exchange(aInstructions);
+      },
+      aRespond);
   } else {
-    no_jobs nobody;
-    ServeJobs(aRequest, nobody, aRespond);
+    ServeJobs(aRequest, *local, aRespond);
   }
 }
 
@@ -360,24 +596,11 @@
   json out{ { "node", mSettings.mNode },
             { "ready", IsReady() },
             { "catalog_version", mCatalog ? mCatalog->mVersion : 0 } };
-  if (const auto known = mElection->Owner()) {
-    out["owner"] = { { "node", known->mNode }, { "term", known->mTerm } };
+  for (const auto& [service, each] : mPartitions) {
+    out["services"][service.Str()] = DumpPartition(each, mClock.Now());
   }
-  if (mOwner) {
-    json runners = json::object();
-    for (const auto& [runnerName, each] : mOwner->Scheduler().Runners()) {
-      runners[runnerName.Str()] = { { "service", each.mInfo.mService.Str() },
-                                    { "runs", each.Runs().size() },
-                                    { "listed", each.mListed },
-                                    { "closed", each.mClosed },
-                                    { "failed_looks", each.mFailedLooks } };
-    }
-    json jobs = json::object();
-    for (const auto& [jobName, each] : mOwner->Scheduler().Jobs()) {
-      jobs[jobName.Str()] = DumpJob(each, mClock.Now());
-    }
-    out["runners"] = std::move(runners);
-    out["jobs"] = std::move(jobs);
+  if (const auto known = mFleetElection->Owner()) {
+    out["fleet"] = { { "node", known->mNode }, { "term", known->mTerm } };
   }
   return out.dump();
 }
@@ -386,18 +609,18 @@
 node_process::Stop(std::function<void()> aDone)
 {
   mIsStopping = true;
-  const auto retire = [this, done = std::move(aDone)] {
-    mElection->Retire([this, done] {
-      mStopTimer.expires_after(kDrainTime);
-      mStopTimer.async_wait(
-        [done](const boost::system::error_code&) { done(); });
-    });
+  const auto open = std::make_shared<std::size_t>(mPartitions.size() + 1);
+  const auto retired = [this, open, done = std::move(aDone)] {
+    if (--*open > 0) {
+      return;
+    }
+    mStopTimer.expires_after(kDrainTime);
+    mStopTimer.async_wait([done](const boost::system::error_code&) { done(); });
   };
-  if (mOwner && mOwner->IsServing()) {
-    mOwner->HandOver(retire);
-  } else {
-    retire();
+  for (auto& [service, each] : mPartitions) {
+    each.Retire(retired);
   }
+  mFleetElection->Retire(retired);
 }
 
 } // namespace mangospan::node
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -1,7 +1,10 @@
-// One node: takes callers' requests, and is ready to own all jobs.
+// One node: takes callers' requests, and is ready to own the jobs of any
+// service and the duty for the hosts.
 //
-// Every node watches the configuration and who owns the jobs. Requests are
-// answered by the owner; a node that does not own them passes them on.
+// Every node watches the configuration and who owns what. Requests are answered
+// by the owner of the queue's service; other nodes pass them on. A queue may
+// have changed its service: a job is then still known to the owner of the
+// service that it was accepted for.
 #ifndef MANGOSPAN_NODE_NODE_PROCESS_H
 #define MANGOSPAN_NODE_NODE_PROCESS_H
 
@@ -9,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -21,7 +25,8 @@
 #include "mangospan/node/fleet_duty.h"
 #include "mangospan/node/job_service.h"
 #include "mangospan/node/mirror.h"
-#include "mangospan/node/owner.h"
+#include "mangospan/node/partition.h"
+#include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
 #include "mangospan/node/settings.h"
 
@@ -36,7 +41,7 @@
   const record_format& mFormat;
 };
 
-class node_process
+class node_process : private pool_link
 {
 public:
   node_process(boost::asio::io_context& aIo,
@@ -53,13 +58,23 @@
   // way are answered; then calls `aDone`.
   void Stop(std::function<void()> aDone);
 
-  // Where a caller's request goes now.
-  job_service& Jobs();
   // Hands a job in, again if need be; see submission.h.
   void Submit(const jobs::job_name& aJob,
               const jobs::job_spec& aSpec,
               std::chrono::milliseconds aPatience,
               reply_handler aHandler);
+  // The queue is the one that the caller has named.
+  void Cancel(const jobs::queue_policy& aQueue,
+              const jobs::job_name& aJob,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler);
+  void Read(const jobs::queue_policy& aQueue,
+            const jobs::job_name& aJob,
+            std::chrono::milliseconds aPatience,
+            reply_handler aHandler);
+  void CountWaiting(const jobs::queue_policy& aQueue,
+                    std::chrono::milliseconds aPatience,
+                    reply_handler aHandler);
   // Null until the first configuration is known.
   const jobs::catalog* Catalog() const;
   // Whether the catalog was confirmed lately, so that what it lacks does not
@@ -70,10 +85,30 @@
   std::string DumpState() const;
 
 private:
-  void OnElected(const owner_record& aTerm);
-  void OnLost();
+  std::vector<service_name> Pools() const override;
+  void Exchange(const service_name& aPool,
+                pool_instructions aInstructions,
+                pool_state_handler aHandler) override;
+
+  election_candidate Candidate(const std::string& aSubject);
+  std::size_t Burden() const;
+  void StartFleetElection();
+  void OnFleetElected(const owner_record& aTerm);
+  void OnFleetLost();
+  // Makes it known, and takes part in its election.
+  partition& PartitionOf(const service_name& aService);
+  job_service& Jobs(const service_name& aService);
+  // The queue's service first.
+  std::vector<service_name> SearchOrder(const jobs::queue_policy& aQueue) const;
+  election* ElectionOf(const std::string& aKey);
+  void OnOwnRecord(const platform::record& aRecord);
+  void OnOwnDeleted(const std::string& aKey);
+  void OnOwnSynced();
   void OnOperatorRecord(const platform::record& aRecord);
-  void CheckOwner();
+  void OnCatalog(const platform::record& aRecord);
+  void CheckOwners();
+  void CheckOwnersAt(const std::string& aAddress);
+  http::response AnswerHealth() const;
   http::response AnswerReadiness() const;
   void ServeNode(const http::request& aRequest,
                  const http::responder& aRespond);
@@ -85,18 +120,17 @@
   const node_ports mPorts;
   daemon::metrics& mMetrics;
   std::shared_ptr<mirror> mOperatorMirror;
-  std::shared_ptr<election> mElection;
-  std::shared_ptr<owner> mOwner;
+  std::shared_ptr<mirror> mOwnMirror; // of who owns what
+  std::map<service_name, partition> mPartitions;
+  std::shared_ptr<election> mFleetElection;
   std::shared_ptr<fleet_duty> mDuty;
-  std::unique_ptr<job_service> mAway; // of the owner elsewhere, or of nobody
-  std::string mAwayAddress;
   std::unique_ptr<http::server> mReadinessServer;
   std::unique_ptr<http::server> mNodeServer;
   std::unique_ptr<jobs::catalog> mCatalog;
   std::map<std::string, wave_request> mWaves;
   boost::asio::steady_timer mCheckTimer;
   boost::asio::steady_timer mStopTimer;
-  time_point mOwnerHeardAt{};
+  no_jobs mNobody;
   bool mIsStopping = false;
 };
 
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -14,12 +14,6 @@
 
 namespace {
 
-constexpr const char* kOwnedPrefix = "mangospan/owned/";
-constexpr const char* kJobPrefix = "mangospan/owned/jobs/";
-constexpr const char* kRosterKey = "mangospan/owned/runners";
-// Each job takes two of a transaction's entries; two more keys may be needed.
-constexpr std::size_t kJobsPerWrite = platform::kMaxTransactionKeys / 2 - 2;
-constexpr std::size_t kJobsPerDelete = 16;
 constexpr milliseconds kUnavailableRetry{ 1'000 };
 
 jobs::wall_time
@@ -28,12 +22,6 @@
   return std::chrono::system_clock::now();
 }
 
-std::string
-JobKey(const jobs::job_name& aJob)
-{
-  return kJobPrefix + aJob.Str();
-}
-
 job_reply
 Reply(reply_kind aKind)
 {
@@ -47,15 +35,19 @@
 owner::owner(owner_dependencies aDependencies,
              owner_settings aSettings,
              jobs::scheduler_settings aScheduling,
+             service_name aService,
              owner_record aTerm,
              std::function<bool()> aMayStart,
              std::function<void()> aOnSuperseded)
   : mDeps(aDependencies)
   , mSettings(aSettings)
+  , mService(std::move(aService))
+  , mTermKey(election::TermKey(JobsSubject(mService)))
+  , mRosterKey(RosterKey(mService))
   , mTerm(std::move(aTerm))
   , mMayStart(std::move(aMayStart))
   , mOnSuperseded(std::move(aOnSuperseded))
-  , mScheduler(aScheduling, { mTerm.mTerm, mDeps.mClock.Now() })
+  , mScheduler(aScheduling, { mTerm.mTerm, mDeps.mClock.Now(), mService })
   , mTickTimer(mDeps.mIo)
   , mPlanTimer(mDeps.mIo)
   , mWriteTimer(mDeps.mIo)
@@ -90,28 +82,6 @@
   }
 }
 
-void
-owner::HandOver(std::function<void()> aDone)
-{
-  mIsHandingOver = true;
-  mScheduler.SetMayStart(false);
-  written_roster roster;
-  roster.mText =
-    jobs::EncodeRoster(mScheduler.Roster(mDeps.mClock.Now(), WallNow()));
-  platform::transaction change;
-  change.mExpected.push_back({ election::TermKey(), mTerm.mRevision });
-  change.mWrites.push_back({ kRosterKey, 0, roster.mText, std::nullopt });
-  mDeps.mStore.Commit(
-    std::move(change),
-    mSettings.mWriteTimeout,
-    [done = std::move(aDone)](const result<platform::commit_outcome>& aResult) {
-      if (aResult.has_error()) { // the successor waits for the longest lease
-        LogError("owner.handover_failed", aResult.assume_error());
-      }
-      done();
-    });
-}
-
 void
 owner::SetCatalog(const jobs::catalog& aCatalog)
 {
@@ -119,67 +89,6 @@
   Wake();
 }
 
-void
-owner::Load()
-{
-  mDeps.mStore.List(kOwnedPrefix,
-                    mSettings.mLoadTimeout,
-                    [self = shared_from_this()](
-                      const result<std::vector<platform::record>>& aResult) {
-                      if (self->mIsStopped) {
-                        return;
-                      }
-                      if (aResult.has_value()) {
-                        self->OnLoaded(aResult.assume_value());
-                        return;
-                      }
-                      LogError("owner.load_failed", aResult.assume_error());
-                      self->mLoadTimer.expires_after(
-                        self->mSettings.mWriteRetry);
-                      self->mLoadTimer.async_wait(
-                        [self](const boost::system::error_code& aAbort) {
-                          if (!aAbort && !self->mIsStopped) {
-                            self->Load();
-                          }
-                        });
-                    });
-}
-
-void
-owner::OnLoaded(const std::vector<platform::record>& aRecords)
-{
-  std::vector<jobs::job> loaded;
-  std::vector<jobs::roster_entry> roster;
-  for (const platform::record& each : aRecords) {
-    if (each.mKey == kRosterKey) {
-      mRosterRevision = each.mRevision;
-      auto known = jobs::DecodeRoster(each.mValue);
-      if (known.has_error()) {
-        LogError("owner.malformed_roster", known.assume_error());
-      } else {
-        roster = std::move(known).assume_value();
-      }
-      continue;
-    }
-    const jobs::job_name name{ each.mKey.substr(
-      std::string_view(kJobPrefix).size()) };
-    auto decoded = jobs::DecodeRecord(name, each.mValue);
-    if (decoded.has_error()) {
-      LogError("owner.malformed_job", decoded.assume_error());
-      continue;
-    }
-    decoded.assume_value().mRevision = each.mRevision;
-    loaded.push_back(std::move(decoded).assume_value());
-  }
-  LogEvent(log_level::kInfo,
-           "owner.loaded",
-           { { "term", mTerm.mTerm },
-             { "jobs", static_cast<std::uint64_t>(loaded.size()) } });
-  mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now(), WallNow());
-  mIsLoaded = true;
-  Tick();
-}
-
 void
 owner::StartRunnerMirror()
 {
@@ -195,8 +104,13 @@
       LogError("runner.malformed_record", info.assume_error());
       return;
     }
-    self->mScheduler.OnRunner(info.assume_value(), self->mDeps.mClock.Now());
-    self->Wake();
+    const time_point now = self->mDeps.mClock.Now();
+    if (info.assume_value().mService == self->mService) {
+      self->mScheduler.OnRunner(info.assume_value(), now);
+      self->Wake();
+    } else {
+      self->mScheduler.OnRunnerUnlisted(info.assume_value().mName, now);
+    }
   };
   const auto onDeleted = [weak = weak_from_this()](const std::string& aKey) {
     if (const auto self = weak.lock()) {
@@ -254,11 +168,11 @@
     });
 }
 
-// Planning takes a third of the time at the most, however much waits.
+// Planning takes a tenth of the time at the most, however much waits.
 time_point::duration
 owner::PlanSpacing() const
 {
-  return std::max<time_point::duration>(mSettings.mPlanSpacing, 3 * mPlanTook);
+  return std::max<time_point::duration>(mSettings.mPlanSpacing, 9 * mPlanTook);
 }
 
 void
@@ -394,179 +308,6 @@
   }
 }
 
-void
-owner::ScheduleWrite()
-{
-  if (mIsWriteScheduled || mIsWriting || mIsStopped || !mIsLoaded) {
-    return;
-  }
-  const bool progressIsDue = mDeps.mClock.Now() >= mNextProgress;
-  const bool rosterIsDue =
-    mScheduler.RosterVersion() != mScheduler.StoredRosterVersion();
-  if (!rosterIsDue && mScheduler.Unstored(1, !progressIsDue).empty()) {
-    return;
-  }
-  mIsWriteScheduled = true;
-  mWriteTimer.expires_after(mFailedWrites > 0 ? mSettings.mWriteRetry
-                                              : mSettings.mWriteDelay);
-  mWriteTimer.async_wait(
-    [self = shared_from_this()](const boost::system::error_code& aAbort) {
-      self->mIsWriteScheduled = false;
-      if (!aAbort && !self->mIsStopped) {
-        self->Write();
-      }
-    });
-}
-
-void
-owner::AddRoster(platform::transaction& aChange, written_records& aWritten)
-{
-  if (mScheduler.RosterVersion() == mScheduler.StoredRosterVersion()) {
-    return;
-  }
-  written_roster& roster = aWritten.mRoster;
-  roster.mVersion = mScheduler.RosterVersion();
-  roster.mRunners = mScheduler.Roster(mDeps.mClock.Now(), WallNow());
-  roster.mText = jobs::EncodeRoster(roster.mRunners);
-  aChange.mExpected.push_back({ kRosterKey, mRosterRevision });
-  aChange.mWrites.push_back({ kRosterKey, 0, roster.mText, std::nullopt });
-}
-
-void
-owner::Write()
-{
-  platform::transaction change;
-  written_records written;
-  change.mExpected.push_back({ election::TermKey(), mTerm.mRevision });
-  AddRoster(change, written);
-  for (const jobs::job_name& each : mScheduler.Unstored(kJobsPerWrite, false)) {
-    const jobs::job& one = *mScheduler.Find(each);
-    written_job record{ { each, one.mVersion, 0 }, jobs::EncodeRecord(one) };
-    change.mExpected.push_back({ JobKey(each), one.mRevision });
-    change.mWrites.push_back({ JobKey(each), 0, record.mText, std::nullopt });
-    written.mJobs.push_back(std::move(record));
-  }
-  if (change.mWrites.empty()) {
-    return;
-  }
-  mIsWriting = true;
-  mNextProgress = mDeps.mClock.Now() + mSettings.mProgressDelay;
-  mDeps.mMetrics.Add("mangospan_node_store_writes_total", {});
-  mDeps.mStore.Commit(std::move(change),
-                      mSettings.mWriteTimeout,
-                      [self = shared_from_this(), written](
-                        const result<platform::commit_outcome>& aResult) {
-                        self->mIsWriting = false;
-                        if (!self->mIsStopped) {
-                          self->OnWritten(written, aResult);
-                        }
-                      });
-}
-
-void
-owner::OnWritten(const written_records& aWritten,
-                 const result<platform::commit_outcome>& aResult)
-{
-  if (aResult.has_error()) {
-    if (mFailedWrites++ == 0) {
-      LogError("owner.write_failed", aResult.assume_error());
-    }
-    ScheduleWrite();
-    return;
-  }
-  if (mFailedWrites > 0) {
-    LogEvent(
-      log_level::kInfo, "owner.writes_again", { { "failed", mFailedWrites } });
-  }
-  mFailedWrites = 0;
-  if (!aResult.assume_value().mCommitted) {
-    OnConflict(aWritten, aResult.assume_value().mPresent);
-    return;
-  }
-  const platform::revision revision = aResult.assume_value().mRevision;
-  std::vector<jobs::stored_job> stored;
-  for (const written_job& each : aWritten.mJobs) {
-    stored.push_back(each.mStored);
-    stored.back().mRevision = revision;
-  }
-  if (!aWritten.mRoster.mText.empty()) {
-    mRosterRevision = revision;
-    mScheduler.OnRosterStored(aWritten.mRoster.mVersion,
-                              aWritten.mRoster.mRunners);
-  }
-  mScheduler.OnStored(stored);
-  AnswerWaiters();
-  ScheduleWrite();
-  Wake();
-}
-
-// Either a newer owner has claimed the term, or an earlier attempt of ours took
-// effect although its answer was lost.
-void
-owner::OnConflict(const written_records& aWritten,
-                  const std::vector<platform::record>& aPresent)
-{
-  std::map<std::string, const platform::record*> present;
-  for (const platform::record& each : aPresent) {
-    present.emplace(each.mKey, &each);
-  }
-  const auto term = present.find(election::TermKey());
-  if (term != present.end() && term->second->mRevision != mTerm.mRevision) {
-    LogEvent(
-      log_level::kInfo,
-      "owner.superseded",
-      { { "term", mTerm.mTerm }, { "revision", term->second->mRevision } });
-    TellSuperseded();
-    return;
-  }
-  const auto roster = present.find(kRosterKey);
-  if (roster != present.end()) {
-    mRosterRevision = roster->second->mRevision; // written again over it
-  }
-  std::vector<jobs::stored_job> stored;
-  for (const written_job& each : aWritten.mJobs) {
-    const auto found = present.find(JobKey(each.mStored.mJob));
-    if (found == present.end()) {
-      continue;
-    }
-    jobs::job* const one = mScheduler.Mutable(each.mStored.mJob);
-    if (one == nullptr) {
-      continue;
-    }
-    if (found->second->mValue == each.mText && found->second->mRevision > 0) {
-      stored.push_back(each.mStored);
-      stored.back().mRevision = found->second->mRevision;
-    } else {
-      one->mRevision = found->second->mRevision; // written again over it
-    }
-  }
-  mScheduler.OnStored(stored);
-  AnswerWaiters();
-  ScheduleWrite();
-}
-
-void
-owner::Forget()
-{
-  const auto expired = mScheduler.TakeExpired(WallNow(), kJobsPerDelete);
-  if (expired.empty()) {
-    return;
-  }
-  platform::transaction change;
-  change.mExpected.push_back({ election::TermKey(), mTerm.mRevision });
-  for (const jobs::job_name& each : expired) {
-    change.mDeletes.push_back(JobKey(each));
-  }
-  mDeps.mStore.Commit(std::move(change),
-                      mSettings.mWriteTimeout,
-                      [](const result<platform::commit_outcome>& aResult) {
-                        if (aResult.has_error()) { // a later owner deletes them
-                          LogError("owner.delete_failed",
-                                   aResult.assume_error());
-                        }
-                      });
-}
-
 void
 owner::Submit(const jobs::job_name& aJob,
               const jobs::job_spec& aSpec,
@@ -574,8 +315,9 @@
               reply_handler aHandler)
 {
   const time_point now = mDeps.mClock.Now();
+  const bool isKnown = mScheduler.Find(aJob) != nullptr;
   if (!IsServing() || mIsHandingOver ||
-      (mFailedWrites > 0 && mScheduler.Find(aJob) == nullptr)) {
+      (!isKnown && (mFailedWrites > 0 || !IsOurs(aSpec.mQueue)))) {
     job_reply busy = Reply(reply_kind::kUnavailable);
     busy.mRetryAfter = kUnavailableRetry;
     aHandler(busy);
@@ -595,6 +337,15 @@
   aHandler(reply);
 }
 
+// Whether new jobs of the queue belong here, by the catalog known here. The
+// node that passed one on may have another catalog for a moment.
+bool
+owner::IsOurs(const jobs::queue_name& aQueue) const
+{
+  const auto* const queue = mScheduler.Catalog().FindQueue(aQueue);
+  return queue != nullptr && queue->mService == mService;
+}
+
 void
 owner::Cancel(const jobs::job_name& aJob,
               milliseconds aPatience,
@@ -652,6 +403,59 @@
   aHandler(reply);
 }
 
+result<pool_state>
+owner::Exchange(const pool_instructions& aInstructions)
+{
+  if (!IsServing() || mIsHandingOver) {
+    return error{
+      error_code::kUnavailable, "pool.exchange", mService.Str(), "not serving"
+    };
+  }
+  if (aInstructions.mFleetTerm < mFleetTerm) {
+    return error{
+      error_code::kConflict, "pool.exchange", mService.Str(), "older term"
+    };
+  }
+  mFleetTerm = aInstructions.mFleetTerm;
+  const time_point now = mDeps.mClock.Now();
+  for (const jobs::runner_name& each : aInstructions.mDead) {
+    mScheduler.OnRunnerDead(each, now);
+  }
+  mScheduler.SetClosed(aInstructions.mClosed);
+  for (const jobs::runner_name& each : aInstructions.mEvict) {
+    mScheduler.Evict(each, now);
+  }
+  Wake();
+  return State(now);
+}
+
+pool_state
+owner::State(time_point aNow) const
+{
+  pool_state out;
+  out.mTermRevision = mTerm.mRevision;
+  const auto loads = mScheduler.Loads(WallNow());
+  const auto load = loads.find(mService);
+  if (load != loads.end()) {
+    out.mLoad = load->second;
+  }
+  out.mKnowsOthers = mScheduler.KnowsRunsOf(jobs::runner_name(), aNow);
+  for (const auto& [runnerName, each] : mScheduler.Runners()) {
+    runner_state state;
+    state.mIsKnown = mScheduler.KnowsRunsOf(runnerName, aNow);
+    state.mIsUnfit =
+      each.mFailedLooks > 0 || each.mInfo.mDraining || aNow < each.mShunUntil;
+    state.mIsSettled = each.mContacted && each.mIsInRoster;
+    state.mIsClosed = each.mClosed;
+    for (const auto& [key, run] : each.Runs()) {
+      ++state.mRuns;
+      state.mLasting += run.mLasting ? 1 : 0;
+    }
+    out.mRunners.emplace(runnerName, state);
+  }
+  return out;
+}
+
 bool
 owner::AnswerIfStored(const jobs::job_name& aJob, const waiter& aWaiter)
 {
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -1,5 +1,6 @@
-// Carries out what the scheduler decides while this node owns all jobs: writes
-// to the store, orders to runners, answers to those who wait for a write.
+// Carries out what the scheduler decides while this node owns a service's jobs:
+// writes to the store, orders to runners, answers to those who wait for a
+// write.
 #ifndef MANGOSPAN_NODE_OWNER_H
 #define MANGOSPAN_NODE_OWNER_H
 
@@ -7,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,7 @@
 #include "mangospan/node/election.h"
 #include "mangospan/node/job_service.h"
 #include "mangospan/node/mirror.h"
+#include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
 
 namespace mangospan::daemon {
@@ -31,6 +34,7 @@
   // Accepted and ended jobs that come within it share one write.
   std::chrono::milliseconds mWriteDelay{ 8 };
   std::chrono::milliseconds mProgressDelay{ 400 }; // of mere progress
+  std::size_t mMaxWrites = 4; // under way at once, for different jobs
   std::chrono::milliseconds mWriteTimeout{ 500 };
   std::chrono::milliseconds mWriteRetry{ 60 };
   std::chrono::milliseconds mTick{ 50 };
@@ -58,6 +62,7 @@
   owner(owner_dependencies aDependencies,
         owner_settings aSettings,
         jobs::scheduler_settings aScheduling,
+        service_name aService,
         owner_record aTerm,
         // Whether this node may still act as owner for now.
         std::function<bool()> aMayStart,
@@ -91,10 +96,11 @@
                     std::chrono::milliseconds aPatience,
                     reply_handler aHandler) override;
 
-  jobs::scheduler& Scheduler() { return mScheduler; }
-  const owner_record& Term() const { return mTerm; }
-  // Plans again soon; call it after changing the scheduler.
-  void Wake();
+  // Follows the fleet's instructions and tells of the pool. Errors:
+  // kUnavailable while it does not serve, kConflict for an older fleet term.
+  result<pool_state> Exchange(const pool_instructions& aInstructions);
+
+  const jobs::scheduler& Scheduler() const { return mScheduler; }
 
 private:
   struct waiter
@@ -120,11 +126,19 @@
     written_roster mRoster;
   };
 
+  static std::string OwnedPrefix(const service_name& aService);
+  static std::string RosterKey(const service_name& aService);
+  std::string JobKey(const jobs::job_name& aJob) const;
+  bool IsOurs(const jobs::queue_name& aQueue) const;
+  pool_state State(time_point aNow) const;
   void Load();
+  void LoadAgain(const error& aError);
+  void LoadHostOrders(std::vector<platform::record> aRecords);
   void OnLoaded(const std::vector<platform::record>& aRecords);
   void AddRoster(platform::transaction& aChange, written_records& aWritten);
   void StartRunnerMirror();
   void Tick();
+  void Wake(); // plans again soon
   void Plan();
   time_point::duration PlanSpacing() const;
   void Send(const jobs::order& aOrder);
@@ -133,12 +147,15 @@
   void SendStop(const jobs::stop_order& aOrder);
   void SendPace(const jobs::pace_order& aOrder);
   void SendLook(const jobs::look_order& aOrder);
+  bool IsWriteDue() const;
   void ScheduleWrite();
   void Write();
+  void OnAnswered(const written_records& aWritten);
   void OnWritten(const written_records& aWritten,
                  const result<platform::commit_outcome>& aResult);
   void OnConflict(const written_records& aWritten,
                   const std::vector<platform::record>& aPresent);
+  void OnElsewhere(const jobs::job_name& aJob, const service_name& aService);
   void Forget();
   void AnswerWaiters();
   bool AnswerIfStored(const jobs::job_name& aJob, const waiter& aWaiter);
@@ -147,6 +164,9 @@
 
   owner_dependencies mDeps;
   const owner_settings mSettings;
+  const service_name mService;
+  const std::string mTermKey;
+  const std::string mRosterKey;
   const owner_record mTerm;
   const std::function<bool()> mMayStart;
   std::function<void()> mOnSuperseded;
@@ -161,12 +181,15 @@
   time_point mPlannedAt{};
   time_point::duration mPlanTook{};
   platform::revision mRosterRevision = 0;
+  std::uint64_t mFleetTerm = 0; // the highest heard of
   bool mIsLoaded = false;
   bool mIsHandingOver = false;
   bool mIsStopped = false;
   bool mIsPlanPosted = false;
   bool mIsWriteScheduled = false;
-  bool mIsWriting = false;
+  std::size_t mWritesInFlight = 0;
+  std::set<jobs::job_name> mBeingWritten;
+  bool mIsRosterInFlight = false;
   int mFailedWrites = 0; // in a row
 };
 
--- /dev/null
+++ b/mangospan/node/owner_writes.cc
@@ -0,0 +1,434 @@
+#include "mangospan/node/owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "mangospan/base/log.h"
+#include "mangospan/daemon/metrics.h"
+#include "mangospan/jobs/codec.h"
+#include "mangospan/node/host_orders.h"
+
+namespace mangospan::node {
+
+namespace {
+
+constexpr const char* kOwnedPrefix = "mangospan/owned/";
+constexpr const char* kJobs = "jobs/";
+constexpr const char* kRoster = "runners";
+// Which service owns a job: the key is there from acceptance to removal, so no
+// second owner accepts the job after its queue has changed the service.
+constexpr const char* kHomePrefix = "mangospan/homes/";
+// A job's record and its home, each expected and written.
+constexpr std::size_t kKeysOfNewJob = 4;
+constexpr std::size_t kKeysOfJob = 2;
+constexpr std::size_t kJobsPerDelete = 12;
+
+jobs::wall_time
+WallNow()
+{
+  return std::chrono::system_clock::now();
+}
+
+std::string
+HomeKey(const jobs::job_name& aJob)
+{
+  return kHomePrefix + aJob.Str();
+}
+
+} // namespace
+
+std::string
+owner::OwnedPrefix(const service_name& aService)
+{
+  return kOwnedPrefix + aService.Str() + "/";
+}
+
+std::string
+owner::RosterKey(const service_name& aService)
+{
+  return OwnedPrefix(aService) + kRoster;
+}
+
+std::string
+owner::JobKey(const jobs::job_name& aJob) const
+{
+  return OwnedPrefix(mService) + kJobs + aJob.Str();
+}
+
+void
+owner::HandOver(std::function<void()> aDone)
+{
+  mIsHandingOver = true;
+  mScheduler.SetMayStart(false);
+  written_roster roster;
+  roster.mText =
+    jobs::EncodeRoster(mScheduler.Roster(mDeps.mClock.Now(), WallNow()));
+  platform::transaction change;
+  change.mExpected.push_back({ mTermKey, mTerm.mRevision });
+  change.mWrites.push_back({ mRosterKey, 0, roster.mText, std::nullopt });
+  mDeps.mStore.Commit(
+    std::move(change),
+    mSettings.mWriteTimeout,
+    [done = std::move(aDone)](const result<platform::commit_outcome>& aResult) {
+      if (aResult.has_error()) { // the successor waits for the longest lease
+        LogError("owner.handover_failed", aResult.assume_error());
+      }
+      done();
+    });
+}
+
+void
+owner::Load()
+{
+  mDeps.mStore.List(
+    OwnedPrefix(mService),
+    mSettings.mLoadTimeout,
+    [self = shared_from_this()](result<std::vector<platform::record>> aResult) {
+      if (self->mIsStopped) {
+        return;
+      }
+      if (aResult.has_error()) {
+        self->LoadAgain(aResult.assume_error());
+        return;
+      }
+      self->LoadHostOrders(std::move(aResult).assume_value());
+    });
+}
+
+void
+owner::LoadAgain(const error& aError)
+{
+  LogError("owner.load_failed", aError);
+  mLoadTimer.expires_after(mSettings.mWriteRetry);
+  mLoadTimer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aAbort) {
+      if (!aAbort && !self->mIsStopped) {
+        self->Load();
+      }
+    });
+}
+
+// A host that was ordered away on an earlier owner's word takes nothing new.
+void
+owner::LoadHostOrders(std::vector<platform::record> aRecords)
+{
+  mDeps.mStore.Read(
+    kHostOrdersKey,
+    mSettings.mLoadTimeout,
+    [self = shared_from_this(), records = std::move(aRecords)](
+      const result<std::optional<platform::record>>& aResult) {
+      if (self->mIsStopped) {
+        return;
+      }
+      if (aResult.has_error()) {
+        self->LoadAgain(aResult.assume_error());
+        return;
+      }
+      std::set<jobs::runner_name> closed;
+      if (aResult.assume_value()) {
+        const auto orders = DecodeHostOrders(aResult.assume_value()->mValue);
+        if (orders.has_error()) {
+          LogError("owner.malformed_orders", orders.assume_error());
+        } else {
+          for (const auto& [host, each] : orders.assume_value()) {
+            closed.insert(each.mRunner);
+          }
+        }
+      }
+      self->mScheduler.SetClosed(closed);
+      self->OnLoaded(records);
+    });
+}
+
+void
+owner::OnLoaded(const std::vector<platform::record>& aRecords)
+{
+  std::vector<jobs::job> loaded;
+  std::vector<jobs::roster_entry> roster;
+  const std::string jobPrefix = OwnedPrefix(mService) + kJobs;
+  for (const platform::record& each : aRecords) {
+    if (each.mKey == mRosterKey) {
+      mRosterRevision = each.mRevision;
+      auto known = jobs::DecodeRoster(each.mValue);
+      if (known.has_error()) {
+        LogError("owner.malformed_roster", known.assume_error());
+      } else {
+        roster = std::move(known).assume_value();
+      }
+      continue;
+    }
+    if (each.mKey.compare(0, jobPrefix.size(), jobPrefix) != 0) {
+      continue; // of a service whose name goes on after a slash
+    }
+    const jobs::job_name name{ each.mKey.substr(jobPrefix.size()) };
+    auto decoded = jobs::DecodeRecord(name, each.mValue);
+    if (decoded.has_error()) {
+      LogError("owner.malformed_job", decoded.assume_error());
+      continue;
+    }
+    decoded.assume_value().mRevision = each.mRevision;
+    loaded.push_back(std::move(decoded).assume_value());
+  }
+  LogEvent(log_level::kInfo,
+           "owner.loaded",
+           { { "service", mService.Str() },
+             { "term", mTerm.mTerm },
+             { "jobs", static_cast<std::uint64_t>(loaded.size()) } });
+  mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now(), WallNow());
+  mIsLoaded = true;
+  Tick();
+}
+
+// Whether a job waits for a write that no transaction under way carries.
+bool
+owner::IsWriteDue() const
+{
+  if (mWritesInFlight == 0) {
+    const bool rosterIsDue =
+      mScheduler.RosterVersion() != mScheduler.StoredRosterVersion();
+    const bool progressIsDue = mDeps.mClock.Now() >= mNextProgress;
+    return rosterIsDue || !mScheduler.Unstored(1, !progressIsDue).empty();
+  }
+  const auto urgent =
+    mScheduler.Unstored(mBeingWritten.size() + 1, /*aUrgentOnly=*/true);
+  return std::any_of(
+    urgent.begin(), urgent.end(), [this](const jobs::job_name& aJob) {
+      return mBeingWritten.count(aJob) == 0 && mScheduler.IsUrgent(aJob);
+    });
+}
+
+void
+owner::ScheduleWrite()
+{
+  const bool isBusy = mWritesInFlight >= mSettings.mMaxWrites ||
+                      (mFailedWrites > 0 && mWritesInFlight > 0);
+  if (mIsWriteScheduled || isBusy || mIsStopped || !mIsLoaded ||
+      !IsWriteDue()) {
+    return;
+  }
+  mIsWriteScheduled = true;
+  mWriteTimer.expires_after(mFailedWrites > 0 ? mSettings.mWriteRetry
+                                              : mSettings.mWriteDelay);
+  mWriteTimer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aAbort) {
+      self->mIsWriteScheduled = false;
+      if (!aAbort && !self->mIsStopped) {
+        self->Write();
+        self->ScheduleWrite();
+      }
+    });
+}
+
+void
+owner::AddRoster(platform::transaction& aChange, written_records& aWritten)
+{
+  if (mIsRosterInFlight ||
+      mScheduler.RosterVersion() == mScheduler.StoredRosterVersion()) {
+    return;
+  }
+  mIsRosterInFlight = true;
+  written_roster& roster = aWritten.mRoster;
+  roster.mVersion = mScheduler.RosterVersion();
+  roster.mRunners = mScheduler.Roster(mDeps.mClock.Now(), WallNow());
+  roster.mText = jobs::EncodeRoster(roster.mRunners);
+  aChange.mExpected.push_back({ mRosterKey, mRosterRevision });
+  aChange.mWrites.push_back({ mRosterKey, 0, roster.mText, std::nullopt });
+}
+
+void
+owner::Write()
+{
+  platform::transaction change;
+  written_records written;
+  change.mExpected.push_back({ mTermKey, mTerm.mRevision });
+  AddRoster(change, written);
+  const auto unstored = mScheduler.Unstored(
+    mBeingWritten.size() + platform::kMaxTransactionKeys / kKeysOfJob, false);
+  for (const jobs::job_name& each : unstored) {
+    if (mBeingWritten.count(each) > 0) {
+      continue;
+    }
+    const jobs::job& one = *mScheduler.Find(each);
+    const bool isNew = one.mRevision == 0;
+    const std::size_t taken = change.mExpected.size() + change.mWrites.size() +
+                              (isNew ? kKeysOfNewJob : kKeysOfJob);
+    if (taken > platform::kMaxTransactionKeys) {
+      break;
+    }
+    if (isNew) {
+      change.mExpected.push_back({ HomeKey(each), 0 });
+      change.mWrites.push_back(
+        { HomeKey(each), 0, mService.Str(), std::nullopt });
+    }
+    written_job record{ { each, one.mVersion, 0 }, jobs::EncodeRecord(one) };
+    change.mExpected.push_back({ JobKey(each), one.mRevision });
+    change.mWrites.push_back({ JobKey(each), 0, record.mText, std::nullopt });
+    mBeingWritten.insert(each);
+    written.mJobs.push_back(std::move(record));
+  }
+  if (change.mWrites.empty()) {
+    return;
+  }
+  ++mWritesInFlight;
+  mNextProgress = mDeps.mClock.Now() + mSettings.mProgressDelay;
+  mDeps.mMetrics.Add("mangospan_node_store_writes_total", {});
+  mDeps.mStore.Commit(std::move(change),
+                      mSettings.mWriteTimeout,
+                      [self = shared_from_this(), written](
+                        const result<platform::commit_outcome>& aResult) {
+                        self->OnAnswered(written);
+                        if (!self->mIsStopped) {
+                          self->OnWritten(written, aResult);
+                        }
+                      });
+}
+
+void
+owner::OnAnswered(const written_records& aWritten)
+{
+  --mWritesInFlight;
+  for (const written_job& each : aWritten.mJobs) {
+    mBeingWritten.erase(each.mStored.mJob);
+  }
+  if (!aWritten.mRoster.mText.empty()) {
+    mIsRosterInFlight = false;
+  }
+}
+
+void
+owner::OnWritten(const written_records& aWritten,
+                 const result<platform::commit_outcome>& aResult)
+{
+  if (aResult.has_error()) {
+    if (mFailedWrites++ == 0) {
+      LogError("owner.write_failed", aResult.assume_error());
+    }
+    ScheduleWrite();
+    return;
+  }
+  if (mFailedWrites > 0) {
+    LogEvent(
+      log_level::kInfo, "owner.writes_again", { { "failed", mFailedWrites } });
+  }
+  mFailedWrites = 0;
+  if (!aResult.assume_value().mCommitted) {
+    OnConflict(aWritten, aResult.assume_value().mPresent);
+    return;
+  }
+  const platform::revision revision = aResult.assume_value().mRevision;
+  std::vector<jobs::stored_job> stored;
+  for (const written_job& each : aWritten.mJobs) {
+    stored.push_back(each.mStored);
+    stored.back().mRevision = revision;
+  }
+  if (!aWritten.mRoster.mText.empty()) {
+    mRosterRevision = revision;
+    mScheduler.OnRosterStored(aWritten.mRoster.mVersion,
+                              aWritten.mRoster.mRunners);
+  }
+  mScheduler.OnStored(stored);
+  AnswerWaiters();
+  ScheduleWrite();
+  Wake();
+}
+
+// Either a newer owner has claimed the term, or an earlier attempt of ours took
+// effect although its answer was lost.
+void
+owner::OnConflict(const written_records& aWritten,
+                  const std::vector<platform::record>& aPresent)
+{
+  std::map<std::string, const platform::record*> present;
+  for (const platform::record& each : aPresent) {
+    present.emplace(each.mKey, &each);
+  }
+  const auto term = present.find(mTermKey);
+  if (term != present.end() && term->second->mRevision != mTerm.mRevision) {
+    LogEvent(
+      log_level::kInfo,
+      "owner.superseded",
+      { { "term", mTerm.mTerm }, { "revision", term->second->mRevision } });
+    TellSuperseded();
+    return;
+  }
+  const auto roster = present.find(mRosterKey);
+  if (roster != present.end()) {
+    mRosterRevision = roster->second->mRevision; // written again over it
+  }
+  std::vector<jobs::stored_job> stored;
+  for (const written_job& each : aWritten.mJobs) {
+    jobs::job* const one = mScheduler.Mutable(each.mStored.mJob);
+    if (one == nullptr) {
+      continue;
+    }
+    const auto home = present.find(HomeKey(each.mStored.mJob));
+    const bool isElsewhere =
+      home != present.end() && home->second->mValue != mService.Str();
+    if (isElsewhere && one->mRevision == 0) {
+      OnElsewhere(each.mStored.mJob, service_name{ home->second->mValue });
+      continue;
+    }
+    const auto found = present.find(JobKey(each.mStored.mJob));
+    if (found == present.end()) {
+      continue;
+    }
+    if (found->second->mValue == each.mText && found->second->mRevision > 0) {
+      stored.push_back(each.mStored);
+      stored.back().mRevision = found->second->mRevision;
+    } else {
+      one->mRevision = found->second->mRevision; // written again over it
+    }
+  }
+  mScheduler.OnStored(stored);
+  AnswerWaiters();
+  ScheduleWrite();
+}
+
+// The queue has changed its service since another owner accepted the job, which
+// stays there.
+void
+owner::OnElsewhere(const jobs::job_name& aJob, const service_name& aService)
+{
+  LogEvent(log_level::kInfo,
+           "job.elsewhere",
+           { { "job", aJob.Str() },
+             { "service", mService.Str() },
+             { "home", aService.Str() } });
+  mScheduler.Drop(aJob);
+  const auto waiting = mWaiters.equal_range(aJob);
+  std::vector<reply_handler> handlers;
+  for (auto it = waiting.first; it != waiting.second; ++it) {
+    handlers.push_back(it->second.mHandler);
+  }
+  mWaiters.erase(waiting.first, waiting.second);
+  job_reply accepted;
+  accepted.mKind = reply_kind::kOk;
+  for (const reply_handler& each : handlers) {
+    each(accepted);
+  }
+}
+
+void
+owner::Forget()
+{
+  const auto expired = mScheduler.TakeExpired(WallNow(), kJobsPerDelete);
+  if (expired.empty()) {
+    return;
+  }
+  platform::transaction change;
+  change.mExpected.push_back({ mTermKey, mTerm.mRevision });
+  for (const jobs::job_name& each : expired) {
+    change.mDeletes.push_back(JobKey(each));
+    change.mDeletes.push_back(HomeKey(each));
+  }
+  mDeps.mStore.Commit(std::move(change),
+                      mSettings.mWriteTimeout,
+                      [](const result<platform::commit_outcome>& aResult) {
+                        if (aResult.has_error()) { // a later owner deletes them
+                          LogError("owner.delete_failed",
+                                   aResult.assume_error());
+                        }
+                      });
+}
+
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/partition.cc
@@ -0,0 +1,178 @@
+#include "mangospan/node/partition.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "mangospan/base/log.h"
+#include "mangospan/node/job_http.h"
+
+namespace mangospan::node {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kNoOwnerRetry{ 1'000 };
+// Less than the scheduler's own bound by the longest time between two plans.
+constexpr milliseconds kUnconfirmedStarts{ 2'300 };
+
+void
+Refuse(const reply_handler& aHandler)
+{
+  job_reply reply;
+  reply.mKind = reply_kind::kUnavailable;
+  reply.mRetryAfter = kNoOwnerRetry;
+  aHandler(reply);
+}
+
+} // namespace
+
+void
+no_jobs::Submit(const jobs::job_name& /*aJob*/,
+                const jobs::job_spec& /*aSpec*/,
+                milliseconds /*aPatience*/,
+                reply_handler aHandler)
+{
+  Refuse(aHandler);
+}
+
+void
+no_jobs::Cancel(const jobs::job_name& /*aJob*/,
+                milliseconds /*aPatience*/,
+                reply_handler aHandler)
+{
+  Refuse(aHandler);
+}
+
+void
+no_jobs::Read(const jobs::job_name& /*aJob*/,
+              milliseconds /*aPatience*/,
+              reply_handler aHandler)
+{
+  Refuse(aHandler);
+}
+
+void
+no_jobs::CountWaiting(const jobs::queue_name& /*aQueue*/,
+                      milliseconds /*aPatience*/,
+                      reply_handler aHandler)
+{
+  Refuse(aHandler);
+}
+
+partition::partition(partition_dependencies aDependencies,
+                     service_name aService,
+                     const election_candidate& aCandidate,
+                     std::function<const jobs::catalog*()> aCatalog)
+  : mDeps(aDependencies)
+  , mService(std::move(aService))
+  , mAddress(aCandidate.mAddress)
+  , mCatalog(std::move(aCatalog))
+  , mElection(std::make_shared<election>(
+      mDeps.mOwner.mIo,
+      mDeps.mOwner.mClock,
+      mDeps.mOwner.mStore,
+      JobsSubject(mService),
+      aCandidate.mNode,
+      aCandidate.mAddress,
+      aCandidate.mSettings,
+      election_handlers{
+        [this](const owner_record& aTerm) { OnElected(aTerm); },
+        [this] { OnLost(); },
+        aCandidate.mBurden }))
+  , mAway(std::make_unique<no_jobs>())
+{
+}
+
+void
+partition::OnElected(const owner_record& aTerm)
+{
+  mOwner = std::make_shared<owner>(
+    mDeps.mOwner,
+    owner_settings{},
+    jobs::scheduler_settings{},
+    mService,
+    aTerm,
+    [this] { return mElection->IsValidFor(kUnconfirmedStarts); },
+    [this] { mElection->StepDown(); });
+  const jobs::catalog* const known = mCatalog();
+  mOwner->Start(known == nullptr ? jobs::catalog{} : *known);
+}
+
+void
+partition::OnLost()
+{
+  if (mOwner) {
+    mOwner->Stop();
+    mOwner.reset();
+  }
+}
+
+bool
+partition::IsServing() const
+{
+  return mOwner && mOwner->IsServing() && mOwner->CanWrite() &&
+         mElection->IsValid();
+}
+
+job_service&
+partition::Jobs()
+{
+  if (mOwner) {
+    return *mOwner;
+  }
+  const auto known = mElection->Owner();
+  const std::string address = known ? known->mAddress : std::string();
+  if (address != mAwayAddress) {
+    mAwayAddress = address;
+    if (address.empty() || address == mAddress) {
+      mAway = std::make_unique<no_jobs>();
+    } else {
+      mAway = std::make_unique<remote_jobs>(mDeps.mClient, address, mService);
+    }
+  }
+  return *mAway;
+}
+
+void
+partition::Exchange(pool_instructions aInstructions,
+                    pool_state_handler aHandler)
+{
+  const auto known = mElection->Owner();
+  if (mOwner || !known || known->mAddress == mAddress) {
+    boost::asio::post(mDeps.mOwner.mIo,
+                      [local = mOwner,
+                       pool = mService,
+                       instructions = std::move(aInstructions),
+                       handler = std::move(aHandler)] {
+                        if (local) {
+                          handler(local->Exchange(instructions));
+                        } else {
+                          handler(error{ error_code::kUnavailable,
+                                         "pool.exchange",
+                                         pool.Str(),
+                                         "nobody owns its jobs" });
+                        }
+                      });
+    return;
+  }
+  ExchangePool(mDeps.mClient,
+               known->mAddress,
+               mService,
+               aInstructions,
+               std::move(aHandler));
+}
+
+void
+partition::Retire(std::function<void()> aDone)
+{
+  auto retire = [this, done = std::move(aDone)] { mElection->Retire(done); };
+  if (mOwner && mOwner->IsServing()) {
+    mOwner->HandOver(std::move(retire));
+  } else {
+    retire();
+  }
+}
+
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/pool_link.cc
@@ -0,0 +1,127 @@
+#include "mangospan/node/pool_link.h"
+
+#include <nlohmann/json.hpp>
+
+namespace mangospan::node {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned kKnown = 1;
+constexpr unsigned kUnfit = 2;
+constexpr unsigned kSettled = 4;
+constexpr unsigned kClosed = 8;
+
+unsigned
+Flags(const runner_state& aState)
+{
+  return (aState.mIsKnown ? kKnown : 0) | (aState.mIsUnfit ? kUnfit : 0) |
+         (aState.mIsSettled ? kSettled : 0) | (aState.mIsClosed ? kClosed : 0);
+}
+
+template<typename Names>
+json
+NamesOf(const Names& aNames)
+{
+  json out = json::array();
+  for (const jobs::runner_name& each : aNames) {
+    out.push_back(each.Str());
+  }
+  return out;
+}
+
+std::vector<jobs::runner_name>
+NamesFrom(const json& aNames)
+{
+  std::vector<jobs::runner_name> out;
+  for (const json& each : aNames) {
+    out.emplace_back(each.get<std::string>());
+  }
+  return out;
+}
+
+error
+Malformed(const char* aStep, const std::exception& aFailure)
+{
+  return error{ error_code::kInvalidArgument, aStep, "", aFailure.what() };
+}
+
+} // namespace
+
+std::string
+Encode(const pool_instructions& aInstructions)
+{
+  return json{
+    { "fleet_term", aInstructions.mFleetTerm },
+    { "closed", NamesOf(aInstructions.mClosed) },
+    { "evict", NamesOf(aInstructions.mEvict) },
+    { "dead", NamesOf(aInstructions.mDead) }
+  }.dump();
+}
+
+result<pool_instructions>
+DecodeInstructions(std::string_view aText)
+{
+  try {
+    const json body = json::parse(aText);
+    pool_instructions out;
+    out.mFleetTerm = body.at("fleet_term").get<std::uint64_t>();
+    for (jobs::runner_name& each : NamesFrom(body.at("closed"))) {
+      out.mClosed.insert(std::move(each));
+    }
+    out.mEvict = NamesFrom(body.at("evict"));
+    out.mDead = NamesFrom(body.at("dead"));
+    return out;
+  } catch (const std::exception& failure) {
+    return Malformed("pool.decode_instructions", failure);
+  }
+}
+
+std::string
+Encode(const pool_state& aState)
+{
+  json runners = json::object();
+  for (const auto& [runnerName, each] : aState.mRunners) {
+    runners[runnerName.Str()] = { Flags(each), each.mRuns, each.mLasting };
+  }
+  const jobs::resources& wanted = aState.mLoad.mWanted;
+  return json{
+    { "term_revision", aState.mTermRevision },
+    { "wanted", { wanted.mCpu, wanted.mMemoryMb, wanted.mGpus } },
+    { "min_hosts", aState.mLoad.mMinHosts },
+    { "knows_others", aState.mKnowsOthers },
+    { "runners", std::move(runners) }
+  }.dump();
+}
+
+result<pool_state>
+DecodeState(std::string_view aText)
+{
+  try {
+    const json body = json::parse(aText);
+    pool_state out;
+    out.mTermRevision = body.at("term_revision").get<std::uint64_t>();
+    jobs::resources& wanted = out.mLoad.mWanted;
+    wanted.mCpu = body.at("wanted").at(0).get<std::int64_t>();
+    wanted.mMemoryMb = body.at("wanted").at(1).get<std::int64_t>();
+    wanted.mGpus = body.at("wanted").at(2).get<std::int64_t>();
+    out.mLoad.mMinHosts = body.at("min_hosts").get<std::size_t>();
+    out.mKnowsOthers = body.at("knows_others").get<bool>();
+    for (const auto& [runnerName, each] : body.at("runners").items()) {
+      const auto flags = each.at(0).get<unsigned>();
+      out.mRunners.emplace(jobs::runner_name{ runnerName },
+                           runner_state{ (flags & kKnown) != 0,
+                                         (flags & kUnfit) != 0,
+                                         (flags & kSettled) != 0,
+                                         (flags & kClosed) != 0,
+                                         each.at(1).get<std::size_t>(),
+                                         each.at(2).get<std::size_t>() });
+    }
+    return out;
+  } catch (const std::exception& failure) {
+    return Malformed("pool.decode_state", failure);
+  }
+}
+
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/testing/memory_store.cc
@@ -0,0 +1,193 @@
+#include "mangospan/node/testing/memory_store.h"
+
+#include <memory>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace mangospan::node::testing {
+
+using platform::handler;
+using platform::record;
+using platform::revision;
+using std::chrono::milliseconds;
+
+namespace {
+
+template<typename T>
+void
+Answer(boost::asio::io_context& aIo, handler<T> aHandler, result<T> aResult)
+{
+  boost::asio::post(
+    aIo,
+    [handler = std::move(aHandler), answer = std::move(aResult)]() mutable {
+      handler(std::move(answer));
+    });
+}
+
+} // namespace
+
+memory_store::memory_store(boost::asio::io_context& aIo)
+  : mIo(aIo)
+{
+}
+
+revision
+memory_store::Put(const std::string& aKey, std::string aValue)
+{
+  mRecords[aKey] = { aKey, std::move(aValue), ++mRevision };
+  return mRevision;
+}
+
+std::string
+memory_store::Value(const std::string& aKey) const
+{
+  const auto found = mRecords.find(aKey);
+  return found == mRecords.end() ? std::string() : found->second.mValue;
+}
+
+std::vector<record>
+memory_store::Find(const std::string& aPrefix) const
+{
+  std::vector<record> out;
+  for (auto it = mRecords.lower_bound(aPrefix);
+       it != mRecords.end() &&
+       it->first.compare(0, aPrefix.size(), aPrefix) == 0;
+       ++it) {
+    out.push_back(it->second);
+  }
+  return out;
+}
+
+void
+memory_store::Read(std::string aKey,
+                   milliseconds /*aTimeout*/,
+                   handler<std::optional<record>> aHandler)
+{
+  const auto found = mRecords.find(aKey);
+  std::optional<record> out;
+  if (found != mRecords.end()) {
+    out = found->second;
+  }
+  Answer<std::optional<record>>(mIo, std::move(aHandler), std::move(out));
+}
+
+void
+memory_store::List(std::string aPrefix,
+                   milliseconds /*aTimeout*/,
+                   handler<std::vector<record>> aHandler)
+{
+  Answer<std::vector<record>>(mIo, std::move(aHandler), Find(aPrefix));
+}
+
+void
+memory_store::CompareAndSwap(platform::swap_request aRequest,
+                             milliseconds /*aTimeout*/,
+                             handler<revision> aHandler)
+{
+  const auto found = mRecords.find(aRequest.mKey);
+  const revision present =
+    found == mRecords.end() ? 0 : found->second.mRevision;
+  if (present != aRequest.mExpected) {
+    Answer<revision>(
+      mIo,
+      std::move(aHandler),
+      error{ error_code::kConflict, "store.cas", aRequest.mKey, "" });
+    return;
+  }
+  Answer<revision>(
+    mIo, std::move(aHandler), Put(aRequest.mKey, std::move(aRequest.mValue)));
+}
+
+void
+memory_store::Delete(std::string aKey,
+                     revision /*aExpected*/,
+                     milliseconds /*aTimeout*/,
+                     handler<revision> aHandler)
+{
+  mRecords.erase(aKey);
+  Answer<revision>(mIo, std::move(aHandler), ++mRevision);
+}
+
+void
+memory_store::GrantLease(milliseconds /*aTtl*/,
+                         milliseconds /*aTimeout*/,
+                         handler<platform::lease_id> aHandler)
+{
+  Answer<platform::lease_id>(
+    mIo, std::move(aHandler), platform::lease_id{ ++mRevision });
+}
+
+void
+memory_store::RenewLease(platform::lease_id aLease,
+                         milliseconds /*aTimeout*/,
+                         handler<platform::lease_id> aHandler)
+{
+  Answer<platform::lease_id>(mIo, std::move(aHandler), aLease);
+}
+
+void
+memory_store::RevokeLease(platform::lease_id aLease,
+                          milliseconds /*aTimeout*/,
+                          handler<platform::lease_id> aHandler)
+{
+  Answer<platform::lease_id>(mIo, std::move(aHandler), aLease);
+}
+
+void
+memory_store::Watch(std::string /*aPrefix*/,
+                    revision aAfter,
+                    milliseconds aWait,
+                    handler<platform::change_batch> aHandler)
+{
+  auto timer = std::make_shared<boost::asio::steady_timer>(mIo, aWait);
+  timer->async_wait([timer, aAfter, handler = std::move(aHandler)](
+                      const boost::system::error_code& aAbort) {
+    if (!aAbort) {
+      handler(platform::change_batch{ {}, aAfter });
+    }
+  });
+}
+
+void
+memory_store::Commit(platform::transaction aTransaction,
+                     milliseconds /*aTimeout*/,
+                     handler<platform::commit_outcome> aHandler)
+{
+  platform::commit_outcome out;
+  out.mCommitted = true;
+  for (const platform::expectation& each : aTransaction.mExpected) {
+    const auto found = mRecords.find(each.mKey);
+    const record present =
+      found == mRecords.end() ? record{ each.mKey, "", 0 } : found->second;
+    out.mCommitted = out.mCommitted && present.mRevision == each.mRevision;
+    if (found != mRecords.end()) {
+      out.mPresent.push_back(present);
+    }
+  }
+  if (out.mCommitted) {
+    out.mPresent.clear();
+    out.mRevision = ++mRevision;
+    for (platform::swap_request& each : aTransaction.mWrites) {
+      mRecords[each.mKey] = { each.mKey,
+                              std::move(each.mValue),
+                              out.mRevision };
+    }
+    for (const std::string& each : aTransaction.mDeletes) {
+      mRecords.erase(each);
+    }
+  }
+  Answer<platform::commit_outcome>(mIo, std::move(aHandler), std::move(out));
+}
+
+void
+memory_store::ListForWatch(std::string aPrefix,
+                           milliseconds /*aTimeout*/,
+                           handler<platform::listing> aHandler)
+{
+  Answer<platform::listing>(
+    mIo, std::move(aHandler), platform::listing{ Find(aPrefix), mRevision });
+}
+
+} // namespace mangospan::node::testing
