Hosts are sent by what arrives; owners on weak hosts yield

The first seconds of a peak: hosts were sent for what waits, which grows for as long as a job takes. Now the work that came in over the last 0.6 s tells the level that the peak will have, less what chance may add to a few large jobs.

Now burdens weigh less than a weak host's handicap, and an owner that lacks much is asked for the jobs by a node that does not; it hands over and leaves the subject alone for two seconds. A submission waits up to half a second for the next owner while nobody owns the jobs.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -178,6 +178,7 @@
              { "objective_ms",
                static_cast<std::int64_t>(queue->Objective(aSpec).count()) },
              { "steps", Summary(aSpec) } });
+  mArrivals[ServiceOf(*queue)].Add(aSpec, aNow);
   mJobs.emplace(aJob, std::move(made));
   mActive.insert(aJob);
   mUnstored.insert(aJob);
@@ -419,12 +420,12 @@
 }
 
 std::map<service_name, pool_load>
-scheduler::Loads(wall_time aWall) const
+scheduler::Loads(time_point aNow, wall_time aWall)
 {
   std::map<service_name, pool_load> loads;
   for (const auto& [service, policy] : mCatalog.mServices) {
     if (!policy.mSpare) {
-      loads[service];
+      loads[service].mArriving = mArrivals[service].Level(aNow);
     }
   }
   for (const job_name& each : mActive) {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "mangospan/base/time.h"
+#include "mangospan/jobs/arrivals.h"
 #include "mangospan/jobs/job.h"
 #include "mangospan/jobs/orders.h"
 #include "mangospan/jobs/runner.h"
@@ -168,7 +169,7 @@
   bool KnowsRunsOf(const runner_name& aRunner, time_point aNow) const;
 
   // What each service would use now if it had room for all.
-  std::map<service_name, pool_load> Loads(wall_time aWall) const;
+  std::map<service_name, pool_load> Loads(time_point aNow, wall_time aWall);
 
   const std::map<runner_name, runner>& Runners() const { return mRunners; }
   const std::map<job_name, job>& Jobs() const { return mJobs; }
@@ -252,6 +253,7 @@
   std::map<runner_name, runner> mRunners;
   std::map<job_name, std::set<runner_name>> mRunnersOfJob;
   std::map<runner_name, std::map<job_name, time_point>> mFailuresOfRunner;
+  std::map<service_name, arrivals> mArrivals;
   std::set<runner_name> mClosed;
   std::uint64_t mRosterVersion = 0;
   std::uint64_t mStoredRosterVersion = 0;
--- a/mangospan/jobs/sizing.cc
+++ b/mangospan/jobs/sizing.cc
@@ -31,6 +31,8 @@
     { mSettings.mMinHosts,
       aLoad.mMinHosts,
       HostsFor(aLoad.mWanted.mCpu, aPerHost.mCpu, mSettings.mHeadroom),
+      HostsFor(aLoad.mArriving.mCpu, aPerHost.mCpu, 1.0),
+      HostsFor(aLoad.mArriving.mMemoryMb, aPerHost.mMemoryMb, 1.0),
       HostsFor(
         aLoad.mWanted.mMemoryMb, aPerHost.mMemoryMb, mSettings.mHeadroom) });
 }
--- a/mangospan/jobs/sizing.h
+++ b/mangospan/jobs/sizing.h
@@ -22,6 +22,7 @@
 struct pool_load
 {
   resources mWanted;         // live runs and tasks that may start
+  resources mArriving;       // what will be, if jobs come as they do now
   std::size_t mMinHosts = 0; // that its lasting steps need by themselves
 };
 
--- a/mangospan/jobs/sizing_test.cc
+++ b/mangospan/jobs/sizing_test.cc
@@ -1,5 +1,7 @@
 #include "mangospan/jobs/sizing.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace mangospan::jobs {
@@ -32,8 +34,8 @@
 std::map<service_name, pool_load>
 Loads(std::int64_t aHotCpu, std::int64_t aColdCpu)
 {
-  return { { kHot, { { aHotCpu, 0, 0 }, 0 } },
-           { kCold, { { aColdCpu, 0, 0 }, 0 } } };
+  return { { kHot, { { aHotCpu, 0, 0 }, {}, 0 } },
+           { kCold, { { aColdCpu, 0, 0 }, {}, 0 } } };
 }
 
 // A fleet of two pools of eight hosts and four spare ones, replayed over turns
@@ -179,5 +181,24 @@
       .empty());
 }
 
+// A tenth of a second into a peak little waits yet, but the hosts that it will
+// need take 1.5 seconds to come.
+TEST(sizing_test, HostsAreSentForWhatIsArriving)
+{
+  pool_sizing sizing{ sizing_settings{} };
+  std::vector<host_view> hosts{ Host("a", kHot, 3), Host("b", kHot, 3) };
+  for (int i = 0; i < 10; ++i) {
+    hosts.push_back(Host("s" + std::to_string(i), kSpare, 0));
+  }
+  auto loads = Loads(30'000, 0);
+  loads[kHot].mArriving = { 120'000, 0, 0 };
+  const auto moves = sizing.Decide(loads, kSpare, hosts, {}, kStart, kStart);
+  const auto toHot =
+    std::count_if(moves.begin(), moves.end(), [](const move_order& aEach) {
+      return aEach.mPool == kHot;
+    });
+  EXPECT_EQ(toHot, 6); // eight hosts of 16 cores for 120
+}
+
 } // namespace
 } // namespace mangospan::jobs
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -26,7 +26,8 @@
   return json{
     { "term", aRecord.mTerm },
     { "node", aRecord.mNode },
-    { "address", aRecord.mAddress }
+    { "address", aRecord.mAddress },
+    { "lack", aRecord.mLack }
   }.dump();
 }
 
@@ -40,11 +41,20 @@
   return owner_record{ body.value("term", std::uint64_t{ 0 }),
                        body.value("node", std::string()),
                        body.value("address", std::string()),
+                       body.value("lack", 0.0),
                        aRecord.mRevision };
 }
 
 } // namespace
 
+double
+LackOf(const election_settings& aSettings)
+{
+  return std::max(0.0,
+                  1.0 - aSettings.mProcessorShare / aSettings.mAmpleProcessor) +
+         std::max(0.0, 1.0 - aSettings.mLinkMbps / aSettings.mAmpleLinkMbps);
+}
+
 std::string
 FleetSubject()
 {
@@ -144,6 +154,7 @@
                  { "term", record->mTerm },
                  { "node", record->mNode },
                  { "revision", record->mRevision } });
+      mOwnerSince = mClock.Now();
     }
     mTerm = *record;
   } else if (aRecord.mKey == mLeaseKey) {
@@ -198,16 +209,15 @@
 {
   const bool wasOwner =
     mTerm.mTerm > 0 && mTerm.mNode == mNode && mTerm.mAddress == mAddress;
-  if (wasOwner) {
+  if (wasOwner && mClock.Now() >= mNotBefore) {
     return milliseconds(0);
   }
-  const double lack =
-    std::max(0.0, 1.0 - mSettings.mProcessorShare / mSettings.mAmpleProcessor) +
-    std::max(0.0, 1.0 - mSettings.mLinkMbps / mSettings.mAmpleLinkMbps);
+  const auto yielded = std::chrono::duration_cast<milliseconds>(
+    std::max(time_point::duration(0), mNotBefore - mClock.Now()));
   const milliseconds handicap =
     milliseconds(static_cast<std::int64_t>(
-      lack * static_cast<double>(mSettings.mHandicap.count()))) +
-    mSettings.mBurden * mBurdenAtTry;
+      LackOf(mSettings) * static_cast<double>(mSettings.mHandicap.count()))) +
+    mSettings.mBurden * mBurdenAtTry + yielded;
   if (mTerm.mTerm == 0) {
     return handicap + mSettings.mStagger; // nobody is missed yet
   }
@@ -230,12 +240,14 @@
     ScheduleTry();
     return;
   }
+  mIsClaiming = true;
   mStore.GrantLease(
     mSettings.mTtl,
     mSettings.mCallTimeout,
     [self = shared_from_this()](result<platform::lease_id> aResult) {
       if (aResult.has_error()) {
         self->mIsTrying = false;
+        self->mIsClaiming = false;
         LogError("election.no_lease", aResult.assume_error());
         self->ScheduleTry();
         return;
@@ -247,7 +259,9 @@
 void
 election::Claim(platform::lease_id aLease)
 {
-  const owner_record claim{ mTerm.mTerm + 1, mNode, mAddress, 0 };
+  const owner_record claim{
+    mTerm.mTerm + 1, mNode, mAddress, LackOf(mSettings), 0
+  };
   platform::transaction change;
   change.mExpected = { { mLeaseKey, 0 }, { mTermKey, mTerm.mRevision } };
   change.mWrites = { { mLeaseKey, 0, Encode(claim), aLease },
@@ -268,6 +282,7 @@
                     const result<platform::commit_outcome>& aResult)
 {
   mIsTrying = false;
+  mIsClaiming = false;
   if (aResult.has_error() || !aResult.assume_value().mCommitted) {
     // An unknown result shows in the mirror as a lease that nobody renews; it
     // lapses, and everybody tries again.
@@ -367,6 +382,14 @@
   EndLease();
 }
 
+void
+election::Yield()
+{
+  mNotBefore = mClock.Now() + mSettings.mYieldTime;
+  Lose("yielded");
+  EndLease();
+}
+
 void
 election::EndLease()
 {
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -41,9 +41,11 @@
   std::chrono::milliseconds mRecentStart{ 45'000 };
   // The owner does most of the work. A host waits this long for each of
   // processor and network link, less the share of an ample one that it has.
-  std::chrono::milliseconds mHandicap{ 300 };
+  std::chrono::milliseconds mHandicap{ 450 };
   // And once more for each subject that it owns already, so that they spread.
-  std::chrono::milliseconds mBurden{ 500 };
+  std::chrono::milliseconds mBurden{ 250 };
+  // After it has given the subject to another node.
+  std::chrono::milliseconds mYieldTime{ 2'000 };
   // Of the first claims, which nodes make for different subjects first.
   std::chrono::milliseconds mStagger{ 0 };
   double mAmpleProcessor = 0.5; // of a core
@@ -60,9 +62,15 @@
   std::uint64_t mTerm = 0;
   std::string mNode;
   std::string mAddress; // of its own interface
+  double mLack = 0;     // see `LackOf`
   platform::revision mRevision = 0;
 };
 
+// What the host lacks of an ample one: 0 for none, up to 1 each for processor
+// and network link.
+double
+LackOf(const election_settings& aSettings);
+
 struct election_handlers
 {
   std::function<void(const owner_record&)> mOnElected; // this node owns now
@@ -109,8 +117,15 @@
   void Retire(std::function<void()> aDone);
   // Gives up a term that was found to be superseded.
   void StepDown();
+  // Gives the ownership to another node, and leaves it to the others for a
+  // while.
+  void Yield();
 
   bool IsOwner() const { return mIsOwner; }
+  // Whether it owns, or is about to.
+  bool IsClaimed() const { return mIsOwner || mIsClaiming; }
+  // When this node has heard of the present owner.
+  time_point OwnerSince() const { return mOwnerSince; }
   // Whether the lease certainly holds.
   bool IsValid() const { return IsValidFor(std::chrono::milliseconds(0)); }
   // Whether it certainly held `aSince` ago.
@@ -149,6 +164,9 @@
   std::optional<platform::lease_id> mLease;
   time_point mRenewedAt{};
   const time_point mStartedAt;
+  time_point mOwnerSince{};
+  time_point mNotBefore{}; // leaves it to others until then
+  bool mIsClaiming = false;
   std::size_t mBurdenAtTry = 0;
   bool mIsOwner = false;
   bool mIsTrying = false;
--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -24,7 +24,7 @@
 // Of what the owners of the pools tell, when nothing is urgent.
 constexpr milliseconds kAskPeriod{ 100 };
 // What a pool's owner told longer ago is not acted on.
-constexpr milliseconds kStateAge{ 700 };
+constexpr milliseconds kStateAge{ 1'000 };
 constexpr milliseconds kStatusTimeout{ 1'000 };
 constexpr milliseconds kAnnounceTimeout{ 500 };
 
--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -18,8 +18,9 @@
 constexpr std::string_view kJobs = "/mangospan/v1/jobs/";
 constexpr std::string_view kQueues = "/mangospan/v1/queues/";
 constexpr const char* kPool = "/mangospan/v1/pool";
+constexpr const char* kYield = "/mangospan/v1/yield";
 constexpr const char* kServiceHeader = "Mangospan-Service";
-constexpr milliseconds kExchangeTimeout{ 300 };
+constexpr milliseconds kExchangeTimeout{ 600 };
 constexpr const char* kPatienceHeader = "Mangospan-Patience-Ms";
 // For the way back of an answer that the owner gives at the last moment.
 constexpr milliseconds kTransit{ 50 };
@@ -269,6 +270,29 @@
     });
 }
 
+void
+AskForYield(http::client& aClient,
+            const std::string& aAddress,
+            const service_name& aService)
+{
+  http::request call = Request("POST", kYield);
+  call.Set(kServiceHeader, aService.Str());
+  aClient.Send(aAddress,
+               std::move(call),
+               kExchangeTimeout,
+               [](const result<http::response>& aResult) {
+                 if (aResult.has_error()) { // asked again soon
+                   LogError("yield.not_asked", aResult.assume_error());
+                 }
+               });
+}
+
+bool
+IsYield(const http::request& aRequest)
+{
+  return http::Path(aRequest) == kYield && aRequest.mMethod == "POST";
+}
+
 bool
 IsPoolExchange(const http::request& aRequest)
 {
--- a/mangospan/node/job_http.h
+++ b/mangospan/node/job_http.h
@@ -6,6 +6,7 @@
 //   DELETE /mangospan/v1/jobs/JOB     cancel
 //   GET    /mangospan/v1/queues/NAME  {"waiting":12}
 //   POST   /mangospan/v1/pool         the fleet's instructions, see pool_link.h
+//   POST   /mangospan/v1/yield        give the jobs to a host that has more
 //
 // A node that does not own the service's jobs answers 503.
 #ifndef MANGOSPAN_NODE_JOB_HTTP_H
@@ -78,6 +79,15 @@
 bool
 IsPoolExchange(const http::request& aRequest);
 
+// Asks the owner at `aAddress` to give the service's jobs away.
+void
+AskForYield(http::client& aClient,
+            const std::string& aAddress,
+            const service_name& aService);
+
+bool
+IsYield(const http::request& aRequest);
+
 using pool_exchanger =
   std::function<result<pool_state>(const pool_instructions&)>;
 
--- a/mangospan/node/job_service.h
+++ b/mangospan/node/job_service.h
@@ -22,6 +22,9 @@
   kUnknown,     // it may have an effect
 };
 
+// Of a reply kUnavailable while the jobs pass from one owner to the next.
+inline constexpr std::chrono::milliseconds kTakeoverRetry{ 150 };
+
 struct job_reply
 {
   reply_kind mKind = reply_kind::kUnavailable;
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -25,6 +25,11 @@
 constexpr milliseconds kOwnerSilence{ 1'000 };
 // A catalog older than this may lack what the operator has added since.
 constexpr milliseconds kCatalogAge{ 2'200 };
+// An owner is asked to yield to a host that lacks this much less, after a time
+// that grows with what that host owns already.
+constexpr double kMuchLack = 0.5;
+constexpr milliseconds kYieldPatience{ 2'000 };
+constexpr std::size_t kMaxBurden = 2;
 // The balancer stops sending callers after two failed checks, a second apart.
 constexpr milliseconds kDrainTime{ 2'500 };
 // Between the first claims of one node for two subjects.
@@ -189,9 +194,9 @@
 std::size_t
 node_process::Burden() const
 {
-  std::size_t owned = mFleetElection && mFleetElection->IsOwner() ? 1 : 0;
+  std::size_t owned = mFleetElection && mFleetElection->IsClaimed() ? 1 : 0;
   for (const auto& [service, each] : mPartitions) {
-    owned += each.Election().IsOwner() ? 1 : 0;
+    owned += each.Election().IsClaimed() ? 1 : 0;
   }
   return owned;
 }
@@ -490,6 +495,7 @@
   for (const std::string& each : addresses) {
     CheckOwnersAt(each);
   }
+  AskToYield();
   mCheckTimer.expires_after(kCheckPeriod);
   mCheckTimer.async_wait([this](const boost::system::error_code& aAbort) {
     if (!aAbort) {
@@ -498,6 +504,29 @@
   });
 }
 
+// An owner on a host that has much less than this one is asked for the jobs: it
+// would hold them up at a peak.
+void
+node_process::AskToYield()
+{
+  const std::size_t burden = Burden();
+  if (burden > kMaxBurden || mIsStopping || !IsCatalogCurrent()) {
+    return;
+  }
+  const double lack = LackOf(Candidate(std::string()).mSettings);
+  const auto patience = kYieldPatience * (burden + 1);
+  for (const auto& [service, each] : mPartitions) {
+    const auto known = each.Election().Owner();
+    const bool isBetter =
+      known && known->mLack - lack >= kMuchLack &&
+      mClock.Now() - each.Election().OwnerSince() > patience;
+    if (isBetter) {
+      AskForYield(mClient, known->mAddress, service);
+      return; // one at a time
+    }
+  }
+}
+
 void
 node_process::CheckOwnersAt(const std::string& aAddress)
 {
@@ -570,6 +599,13 @@
     return;
   }
   const auto found = mPartitions.find(ServiceOf(aRequest));
+  if (IsYield(aRequest)) {
+    if (found != mPartitions.end()) {
+      found->second.Yield();
+    }
+    aRespond(http::JsonResponse(200, "{}"));
+    return;
+  }
   owner* const local =
     found == mPartitions.end() ? nullptr : found->second.Owner();
   if (local == nullptr) {
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -107,6 +107,7 @@
   void OnOperatorRecord(const platform::record& aRecord);
   void OnCatalog(const platform::record& aRecord);
   void CheckOwners();
+  void AskToYield();
   void CheckOwnersAt(const std::string& aAddress);
   http::response AnswerHealth() const;
   http::response AnswerReadiness() const;
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -319,7 +319,7 @@
   if (!IsServing() || mIsHandingOver ||
       (!isKnown && (mFailedWrites > 0 || !IsOurs(aSpec.mQueue)))) {
     job_reply busy = Reply(reply_kind::kUnavailable);
-    busy.mRetryAfter = kUnavailableRetry;
+    busy.mRetryAfter = mFailedWrites > 0 ? kUnavailableRetry : kTakeoverRetry;
     aHandler(busy);
     return;
   }
@@ -430,11 +430,11 @@
 }
 
 pool_state
-owner::State(time_point aNow) const
+owner::State(time_point aNow)
 {
   pool_state out;
   out.mTermRevision = mTerm.mRevision;
-  const auto loads = mScheduler.Loads(WallNow());
+  const auto loads = mScheduler.Loads(aNow, WallNow());
   const auto load = loads.find(mService);
   if (load != loads.end()) {
     out.mLoad = load->second;
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -73,6 +73,7 @@
   // Orders nothing more, tells the successor until when runs may live, and
   // calls `aDone` once that is stored or can not be.
   void HandOver(std::function<void()> aDone);
+  bool IsHandingOver() const { return mIsHandingOver; }
   // Answers everybody who waits and stops at once.
   void Stop();
   void SetCatalog(const jobs::catalog& aCatalog);
@@ -130,7 +131,7 @@
   static std::string RosterKey(const service_name& aService);
   std::string JobKey(const jobs::job_name& aJob) const;
   bool IsOurs(const jobs::queue_name& aQueue) const;
-  pool_state State(time_point aNow) const;
+  pool_state State(time_point aNow);
   void Load();
   void LoadAgain(const error& aError);
   void LoadHostOrders(std::vector<platform::record> aRecords);
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr milliseconds kNoOwnerRetry{ 1'000 };
 // Less than the scheduler's own bound by the longest time between two plans.
 constexpr milliseconds kUnconfirmedStarts{ 2'300 };
 
@@ -22,7 +21,7 @@
 {
   job_reply reply;
   reply.mKind = reply_kind::kUnavailable;
-  reply.mRetryAfter = kNoOwnerRetry;
+  reply.mRetryAfter = kTakeoverRetry;
   aHandler(reply);
 }
 
@@ -164,6 +163,16 @@
                std::move(aHandler));
 }
 
+void
+partition::Yield()
+{
+  if (mOwner && mOwner->IsServing() && !mOwner->IsHandingOver()) {
+    LogEvent(
+      log_level::kInfo, "owner.yields", { { "service", mService.Str() } });
+    mOwner->HandOver([this] { mElection->Yield(); });
+  }
+}
+
 void
 partition::Retire(std::function<void()> aDone)
 {
--- a/mangospan/node/partition.h
+++ b/mangospan/node/partition.h
@@ -79,7 +79,10 @@
   void OnHeard(time_point aAt) { mHeardAt = aAt; }
   time_point HeardAt() const { return mHeardAt; }
 
-  // Gives the jobs to another node, if this one owns them.
+  // Gives the jobs to another node, if this one owns them, and may take them
+  // back later.
+  void Yield();
+  // As `Yield`, for good.
   void Retire(std::function<void()> aDone);
 
 private:
--- a/mangospan/node/pool_link.cc
+++ b/mangospan/node/pool_link.cc
@@ -86,9 +86,11 @@
     runners[runnerName.Str()] = { Flags(each), each.mRuns, each.mLasting };
   }
   const jobs::resources& wanted = aState.mLoad.mWanted;
+  const jobs::resources& arriving = aState.mLoad.mArriving;
   return json{
     { "term_revision", aState.mTermRevision },
     { "wanted", { wanted.mCpu, wanted.mMemoryMb, wanted.mGpus } },
+    { "arriving", { arriving.mCpu, arriving.mMemoryMb } },
     { "min_hosts", aState.mLoad.mMinHosts },
     { "knows_others", aState.mKnowsOthers },
     { "runners", std::move(runners) }
@@ -106,6 +108,9 @@
     wanted.mCpu = body.at("wanted").at(0).get<std::int64_t>();
     wanted.mMemoryMb = body.at("wanted").at(1).get<std::int64_t>();
     wanted.mGpus = body.at("wanted").at(2).get<std::int64_t>();
+    out.mLoad.mArriving.mCpu = body.at("arriving").at(0).get<std::int64_t>();
+    out.mLoad.mArriving.mMemoryMb =
+      body.at("arriving").at(1).get<std::int64_t>();
     out.mLoad.mMinHosts = body.at("min_hosts").get<std::size_t>();
     out.mKnowsOthers = body.at("knows_others").get<bool>();
     for (const auto& [runnerName, each] : body.at("runners").items()) {
--- a/mangospan/node/submission.cc
+++ b/mangospan/node/submission.cc
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kRetryDelay{ 120 };
+// While nobody can answer: a planned takeover lasts about as long.
+constexpr milliseconds kTakeoverPatience{ 500 };
 
 } // namespace
 
@@ -31,6 +33,8 @@
 submission::Start(milliseconds aPatience, reply_handler aHandler)
 {
   mUntil = mClock.Now() + aPatience;
+  mTakeoverUntil =
+    mClock.Now() + std::min(kTakeoverPatience, aPatience - 2 * kRetryDelay);
   mHandler = std::move(aHandler);
   Try();
 }
@@ -49,13 +53,17 @@
 void
 submission::OnReply(const job_reply& aReply)
 {
-  const bool isCertain = aReply.mKind == reply_kind::kOk ||
-                         (aReply.mKind != reply_kind::kUnknown && !mIsInDoubt);
+  const bool isTakeover = aReply.mKind == reply_kind::kUnavailable &&
+                          aReply.mRetryAfter <= kTakeoverRetry &&
+                          mClock.Now() + kRetryDelay < mTakeoverUntil;
+  const bool isCertain =
+    aReply.mKind == reply_kind::kOk ||
+    (aReply.mKind != reply_kind::kUnknown && !mIsInDoubt && !isTakeover);
   if (isCertain) {
     mHandler(aReply);
     return;
   }
-  mIsInDoubt = true;
+  mIsInDoubt = mIsInDoubt || aReply.mKind == reply_kind::kUnknown;
   if (mClock.Now() + 2 * kRetryDelay >= mUntil) {
     job_reply unknown;
     unknown.mKind = reply_kind::kUnknown;
--- a/mangospan/node/submission.h
+++ b/mangospan/node/submission.h
@@ -42,7 +42,8 @@
   const jobs::job_spec mSpec;
   reply_handler mHandler;
   time_point mUntil{};
-  bool mIsInDoubt = false; // an earlier try may have had an effect
+  time_point mTakeoverUntil{}; // tries again while nobody owns the jobs
+  bool mIsInDoubt = false;     // an earlier try may have had an effect
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/submission_test.cc
+++ b/mangospan/node/submission_test.cc
@@ -13,8 +13,10 @@
 class scripted_jobs final : public job_service
 {
 public:
-  explicit scripted_jobs(std::vector<reply_kind> aReplies)
+  explicit scripted_jobs(std::vector<reply_kind> aReplies,
+                         milliseconds aRetryAfter = milliseconds(1'000))
     : mReplies(std::move(aReplies))
+    , mRetryAfter(aRetryAfter)
   {
   }
 
@@ -25,6 +27,7 @@
   {
     job_reply reply;
     reply.mKind = mReplies[std::min(mTries++, mReplies.size() - 1)];
+    reply.mRetryAfter = mRetryAfter;
     aHandler(reply);
   }
   void Cancel(const jobs::job_name& /*aJob*/,
@@ -47,6 +50,7 @@
 
 private:
   std::vector<reply_kind> mReplies;
+  const milliseconds mRetryAfter;
 };
 
 reply_kind
@@ -87,6 +91,22 @@
   EXPECT_EQ(jobs.mTries, 3U);
 }
 
+// A planned takeover is short: the caller need not come again.
+TEST(submission_test, TheNextOwnerIsAwaitedWhileNobodyOwnsTheJobs)
+{
+  scripted_jobs jobs({ reply_kind::kUnavailable, reply_kind::kOk },
+                     kTakeoverRetry);
+  EXPECT_EQ(Outcome(jobs, milliseconds(60'000)), reply_kind::kOk);
+  EXPECT_EQ(jobs.mTries, 2U);
+}
+
+TEST(submission_test, WithoutANextOwnerTheCallerIsToldSoon)
+{
+  scripted_jobs jobs({ reply_kind::kUnavailable }, kTakeoverRetry);
+  EXPECT_EQ(Outcome(jobs, milliseconds(60'000)), reply_kind::kUnavailable);
+  EXPECT_LE(jobs.mTries, 5U);
+}
+
 // The first try may have been accepted, so a later refusal proves nothing.
 TEST(submission_test, ARefusalAfterAnUnknownResultIsNotPassedOn)
 {
