--- a/bench/owner/main.cc
+++ b/bench/owner/main.cc
@@ -8,7 +8,6 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <nlohmann/json.hpp>
 
 #include "bench/owner/runner_farm.h"
 #include "mangospan/base/log.h"
@@ -16,6 +15,7 @@
 #include "mangospan/http/client.h"
 #include "mangospan/node/owner.h"
 #include "mangospan/node/testing/memory_store.h"
+#include "mangospan/node/testing/runner_records.h"
 #include "platform/runner_client.h"
 
 namespace {
@@ -35,49 +35,6 @@
   int mSeconds = 8;
 };
 
-// Only what an owner reads: the runners.
-class runner_records final : public node::record_format
-{
-public:
-  explicit runner_records(const std::vector<jobs::runner_info>& aInfos)
-  {
-    for (const jobs::runner_info& each : aInfos) {
-      mInfos.emplace(RunnerPrefix() + each.mName.Str(), each);
-    }
-  }
-  std::string OperatorPrefix() const override { return "op/"; }
-  std::string RunnerPrefix() const override { return "runners/"; }
-  bool IsCatalog(std::string_view /*aKey*/) const override { return false; }
-  bool IsWave(std::string_view /*aKey*/) const override { return false; }
-  result<jobs::catalog> DecodeCatalog(std::string_view /*aText*/) const override
-  {
-    return jobs::catalog{};
-  }
-  result<node::wave_request> DecodeWave(
-    std::string_view /*aText*/) const override
-  {
-    return node::wave_request{};
-  }
-  result<jobs::runner_info> DecodeRunner(
-    std::string_view aKey,
-    std::string_view /*aText*/) const override
-  {
-    return mInfos.at(std::string(aKey));
-  }
-  std::string WaveStatusKey(std::uint64_t /*aWave*/) const override
-  {
-    return {};
-  }
-  std::string EncodeWaveStatus(std::uint64_t /*aWave*/,
-                               bool /*aIsCompleted*/) const override
-  {
-    return {};
-  }
-
-private:
-  std::map<std::string, jobs::runner_info> mInfos;
-};
-
 double
 ProcessorSeconds()
 {
@@ -187,8 +144,9 @@
                                 { 16'000, 64'000, 0 },
                                 milliseconds(800),
                                 { 1'500, 1'024, 0 });
-  const runner_records format(farm.Infos());
+  node::testing::runner_records format;
   for (const jobs::runner_info& each : farm.Infos()) {
+    format.mInfos.emplace(each.mName, each);
     store.Put(format.RunnerPrefix() + each.mName.Str(), "{}");
   }
   const service_name service{ "work" };
@@ -199,7 +157,7 @@
     node::owner_settings{},
     jobs::scheduler_settings{},
     service,
-    node::owner_record{ 1, "bench", "", store.Put(termKey, "1") },
+    node::owner_record{ 1, "bench", "", 0, store.Put(termKey, "1") },
     [] { return true; },
     [] {});
   one->Start(OneQueue());
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -116,7 +116,8 @@
 fake_world::Elect()
 {
   scheduler_settings settings;
-  mOwner = std::make_unique<scheduler>(settings, ownership{ ++mTerm, mNow });
+  mOwner =
+    std::make_unique<scheduler>(settings, ownership{ ++mTerm, mNow, {} });
   mOwner->SetCatalog(mCatalog);
   mConfirmedAt = mNow;
   std::vector<job> stored;
--- /dev/null
+++ b/mangospan/node/election_test.cc
@@ -0,0 +1,105 @@
+#include "mangospan/node/election.h"
+
+#include <map>
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <gtest/gtest.h>
+
+#include "mangospan/node/testing/memory_store.h"
+
+namespace mangospan::node {
+namespace {
+
+const service_name kWork{ "work" };
+
+class election_test : public ::testing::Test
+{
+protected:
+  std::shared_ptr<election> Join(const std::string& aNode,
+                                 double aProcessorShare)
+  {
+    election_settings settings;
+    settings.mProcessorShare = aProcessorShare;
+    return std::make_shared<election>(
+      mIo,
+      mClock,
+      mStore,
+      JobsSubject(kWork),
+      aNode,
+      aNode + ":1",
+      settings,
+      election_handlers{ [this, aNode](const owner_record& aTerm) {
+                          mElected = aNode;
+                          mTerm = aTerm;
+                        },
+                         [this] { ++mLost; },
+                         [] { return std::size_t{ 0 }; } });
+  }
+  void RunUntilElected(const std::string& aNode)
+  {
+    while (mElected != aNode) {
+      mIo.run_one();
+    }
+  }
+
+  boost::asio::io_context mIo;
+  const system_clock_source mClock;
+  testing::memory_store mStore{ mIo };
+  std::string mElected;
+  owner_record mTerm;
+  int mLost = 0;
+};
+
+TEST(subject_test, KeysTellTheirSubject)
+{
+  const std::string subject = JobsSubject(service_name{ "a/b" });
+  EXPECT_EQ(SubjectOf(election::TermKey(subject)), subject);
+  EXPECT_EQ(ServiceOf(subject), service_name{ "a/b" });
+  EXPECT_EQ(SubjectOf(election::TermKey(FleetSubject())), FleetSubject());
+  EXPECT_FALSE(ServiceOf(FleetSubject()));
+  EXPECT_EQ(SubjectOf("mangospan/own/stray"), "");
+  EXPECT_EQ(SubjectOf("elsewhere/a/term"), "");
+}
+
+TEST_F(election_test, TheRecordTellsWhatTheHostLacks)
+{
+  const auto weak = Join("weak", 0.12);
+  weak->OnSynced();
+  RunUntilElected("weak");
+  EXPECT_NEAR(mTerm.mLack, 0.76, 0.01);
+  EXPECT_TRUE(weak->IsValid());
+}
+
+// Of two that try at the same time, the one on the better host is first.
+TEST_F(election_test, AWeakHostLeavesTheSubjectToABetterOne)
+{
+  const auto weak = Join("weak", 0.12);
+  const auto ample = Join("ample", 0.5);
+  weak->OnSynced();
+  ample->OnSynced();
+  RunUntilElected("ample");
+  EXPECT_FALSE(weak->IsOwner());
+}
+
+TEST_F(election_test, AnOwnerThatYieldsDoesNotComeFirstAgain)
+{
+  const auto first = Join("first", 0.5);
+  first->OnSynced();
+  RunUntilElected("first");
+  const auto second = Join("second", 0.5);
+  second->OnRecord({ election::TermKey(JobsSubject(kWork)),
+                     mStore.Value(election::TermKey(JobsSubject(kWork))),
+                     mTerm.mRevision });
+  first->Yield();
+  EXPECT_EQ(mLost, 1);
+  EXPECT_FALSE(first->IsOwner());
+  const std::string lease = "mangospan/own/jobs/work/lease";
+  first->OnDeleted(lease);
+  second->OnSynced();
+  RunUntilElected("second");
+  EXPECT_EQ(mTerm.mTerm, 2U);
+}
+
+} // namespace
+} // namespace mangospan::node
--- /dev/null
+++ b/mangospan/node/owner_test.cc
@@ -0,0 +1,235 @@
+#include "mangospan/node/owner.h"
+
+#include <map>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <gtest/gtest.h>
+
+#include "mangospan/daemon/metrics.h"
+#include "mangospan/node/host_orders.h"
+#include "mangospan/node/testing/memory_store.h"
+#include "mangospan/node/testing/runner_records.h"
+
+namespace mangospan::node {
+namespace {
+
+using jobs::job_name;
+using jobs::runner_name;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPatience{ 5'000 };
+const service_name kOurs{ "ours" };
+const service_name kOther{ "other" };
+const jobs::queue_name kQueue{ "queue" };
+const jobs::queue_name kMoved{ "moved" };
+
+// Runners that never answer: nothing ends here.
+class silent_runners final : public runner_port
+{
+public:
+  void Start(const runner_target& /*aTarget*/,
+             const jobs::start_order& aOrder,
+             outcome_handler /*aHandler*/) override
+  {
+    mStarted.push_back(aOrder.mTask.mJob);
+  }
+  void Stop(const runner_target& /*aTarget*/,
+            const jobs::stop_order& /*aOrder*/,
+            outcome_handler /*aHandler*/) override
+  {
+  }
+  void Pace(const runner_target& /*aTarget*/,
+            const jobs::pace_order& /*aOrder*/,
+            outcome_handler /*aHandler*/) override
+  {
+  }
+  void Look(const runner_target& /*aTarget*/,
+            const jobs::look_order& /*aOrder*/,
+            look_handler /*aHandler*/) override
+  {
+  }
+
+  std::vector<job_name> mStarted;
+};
+
+jobs::catalog
+TwoServices()
+{
+  jobs::catalog out;
+  out.mVersion = 1;
+  for (const auto& [queue, service] :
+       { std::pair{ kQueue, kOurs }, std::pair{ kMoved, kOther } }) {
+    jobs::queue_policy policy;
+    policy.mName = queue;
+    policy.mService = service;
+    out.mQueues.emplace(queue, policy);
+    out.mServices.emplace(service, jobs::service_policy{ service, false });
+  }
+  return out;
+}
+
+jobs::job_spec
+OneTask(const jobs::queue_name& aQueue)
+{
+  jobs::step_spec step;
+  step.mTasks = 1;
+  step.mNeed = { 100, 100, 0 };
+  step.mEstimate = milliseconds(100);
+  jobs::job_spec out;
+  out.mQueue = aQueue;
+  out.mSteps = { step };
+  return out;
+}
+
+class owner_test : public ::testing::Test
+{
+protected:
+  owner_test()
+  {
+    jobs::runner_info runner;
+    runner.mName = runner_name{ "r1" };
+    runner.mService = kOurs;
+    runner.mCapacity = { 1'000, 1'000, 0 };
+    mFormat.mInfos[runner.mName] = runner;
+    mStore.Put("runners/r1", "{}");
+  }
+
+  owner& Start()
+  {
+    const std::string key = election::TermKey(JobsSubject(kOurs));
+    mOwner = std::make_shared<owner>(
+      owner_dependencies{ mIo, mClock, mStore, mRunners, mFormat, mMetrics },
+      owner_settings{},
+      jobs::scheduler_settings{},
+      kOurs,
+      owner_record{ 1, "n", "", 0, mStore.Put(key, "1") },
+      [] { return true; },
+      [] {});
+    mOwner->Start(TwoServices());
+    RunUntil([this] { return mOwner->IsServing(); });
+    return *mOwner;
+  }
+  ~owner_test() override
+  {
+    if (mOwner) {
+      mOwner->Stop();
+    }
+  }
+
+  template<typename Condition>
+  void RunUntil(const Condition& aCondition)
+  {
+    while (!aCondition()) {
+      mIo.run_one();
+    }
+  }
+
+  reply_kind Submit(const char* aJob, const jobs::queue_name& aQueue)
+  {
+    std::optional<reply_kind> reply;
+    mOwner->Submit(job_name{ aJob },
+                   OneTask(aQueue),
+                   kPatience,
+                   [&reply](const job_reply& aReply) { reply = aReply.mKind; });
+    RunUntil([&reply] { return reply.has_value(); });
+    return *reply;
+  }
+
+  boost::asio::io_context mIo;
+  const system_clock_source mClock;
+  daemon::metrics mMetrics;
+  testing::memory_store mStore{ mIo };
+  testing::runner_records mFormat;
+  silent_runners mRunners;
+  std::shared_ptr<owner> mOwner;
+};
+
+TEST_F(owner_test, AnAcceptedJobIsInTheStoreWithItsHome)
+{
+  Start();
+  EXPECT_EQ(Submit("a1", kQueue), reply_kind::kOk);
+  EXPECT_NE(mStore.Value("mangospan/owned/ours/jobs/a1"), "");
+  EXPECT_EQ(mStore.Value("mangospan/homes/a1"), "ours");
+}
+
+// The queue has changed its service: the job was accepted by the owner of the
+// former one, where it runs.
+TEST_F(owner_test, AJobThatAnotherServiceHasAcceptedIsNotAcceptedTwice)
+{
+  mStore.Put("mangospan/homes/a1", "other");
+  Start();
+  EXPECT_EQ(Submit("a1", kQueue), reply_kind::kOk);
+  EXPECT_EQ(mStore.Value("mangospan/owned/ours/jobs/a1"), "");
+  EXPECT_EQ(mOwner->Scheduler().Find(job_name{ "a1" }), nullptr);
+  EXPECT_EQ(Submit("a2", kQueue), reply_kind::kOk);
+}
+
+TEST_F(owner_test, AQueueOfAnotherServiceIsNotServed)
+{
+  Start();
+  EXPECT_EQ(Submit("a1", kMoved), reply_kind::kUnavailable);
+  EXPECT_EQ(mStore.Value("mangospan/homes/a1"), "");
+}
+
+TEST_F(owner_test, MoreJobsThanOneWriteHoldsAreWrittenAtOnce)
+{
+  Start();
+  constexpr int kJobs = 24;
+  int accepted = 0;
+  for (int i = 0; i < kJobs; ++i) {
+    mOwner->Submit(job_name{ "b" + std::to_string(i) },
+                   OneTask(kQueue),
+                   kPatience,
+                   [&accepted](const job_reply& aReply) {
+                     accepted += aReply.mKind == reply_kind::kOk ? 1 : 0;
+                   });
+  }
+  mStore.mHoldsCommits = true;
+  RunUntil([this] { return mStore.HeldCommits() == 4; });
+  mStore.mHoldsCommits = false;
+  mStore.ReleaseCommits();
+  RunUntil([&accepted] { return accepted == kJobs; });
+  EXPECT_EQ(accepted, kJobs);
+}
+
+// An earlier owner had said that nothing runs there.
+TEST_F(owner_test, ARunnerWhoseHostWasOrderedAwayStaysClosed)
+{
+  const host_orders orders{ { host_name{ "h1" },
+                              { std::chrono::system_clock::now(),
+                                runner_name{ "r1" } } } };
+  mStore.Put(kHostOrdersKey, Encode(orders));
+  Start();
+  const auto& runners = mOwner->Scheduler().Runners();
+  EXPECT_TRUE(runners.at(runner_name{ "r1" }).mClosed);
+}
+
+TEST_F(owner_test, TheFleetClosesRunnersAndHearsSo)
+{
+  Start();
+  pool_instructions wanted;
+  wanted.mFleetTerm = 2;
+  wanted.mClosed = { runner_name{ "r1" } };
+  const auto state = mOwner->Exchange(wanted);
+  ASSERT_TRUE(state.has_value());
+  EXPECT_TRUE(state.assume_value().mRunners.at(runner_name{ "r1" }).mIsClosed);
+  EXPECT_NE(state.assume_value().mTermRevision, 0U);
+}
+
+TEST_F(owner_test, AnOlderFleetIsRefused)
+{
+  Start();
+  pool_instructions newer;
+  newer.mFleetTerm = 2;
+  ASSERT_TRUE(mOwner->Exchange(newer).has_value());
+  pool_instructions older;
+  older.mFleetTerm = 1;
+  const auto refused = mOwner->Exchange(older);
+  ASSERT_TRUE(refused.has_error());
+  EXPECT_EQ(refused.assume_error().mCode, error_code::kConflict);
+}
+
+} // namespace
+} // namespace mangospan::node
--- a/mangospan/node/testing/memory_store.cc
+++ b/mangospan/node/testing/memory_store.cc
@@ -132,9 +132,23 @@
                           milliseconds /*aTimeout*/,
                           handler<platform::lease_id> aHandler)
 {
+  for (const std::string& each : mLeased[aLease.mValue]) {
+    mRecords.erase(each);
+  }
+  mLeased.erase(aLease.mValue);
   Answer<platform::lease_id>(mIo, std::move(aHandler), aLease);
 }
 
+void
+memory_store::ReleaseCommits()
+{
+  std::vector<held_commit> held;
+  held.swap(mHeld);
+  for (held_commit& each : held) {
+    Commit(std::move(each.mTransaction), {}, std::move(each.mHandler));
+  }
+}
+
 void
 memory_store::Watch(std::string /*aPrefix*/,
                     revision aAfter,
@@ -155,6 +169,10 @@
                      milliseconds /*aTimeout*/,
                      handler<platform::commit_outcome> aHandler)
 {
+  if (mHoldsCommits) {
+    mHeld.push_back({ std::move(aTransaction), std::move(aHandler) });
+    return;
+  }
   platform::commit_outcome out;
   out.mCommitted = true;
   for (const platform::expectation& each : aTransaction.mExpected) {
@@ -170,6 +188,9 @@
     out.mPresent.clear();
     out.mRevision = ++mRevision;
     for (platform::swap_request& each : aTransaction.mWrites) {
+      if (each.mLease) {
+        mLeased[each.mLease->mValue].push_back(each.mKey);
+      }
       mRecords[each.mKey] = { each.mKey,
                               std::move(each.mValue),
                               out.mRevision };
--- a/mangospan/node/testing/memory_store.h
+++ b/mangospan/node/testing/memory_store.h
@@ -4,9 +4,11 @@
 #ifndef MANGOSPAN_NODE_TESTING_MEMORY_STORE_H
 #define MANGOSPAN_NODE_TESTING_MEMORY_STORE_H
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
-#include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -21,6 +23,10 @@
 
   // As another client would; returns the revision.
   platform::revision Put(const std::string& aKey, std::string aValue);
+  // Commits wait until they are released.
+  bool mHoldsCommits = false;
+  std::size_t HeldCommits() const { return mHeld.size(); }
+  void ReleaseCommits();
   // Empty if there is none.
   std::string Value(const std::string& aKey) const;
 
@@ -59,10 +65,18 @@
                     platform::handler<platform::listing> aHandler) override;
 
 private:
+  struct held_commit
+  {
+    platform::transaction mTransaction;
+    platform::handler<platform::commit_outcome> mHandler;
+  };
+
   std::vector<platform::record> Find(const std::string& aPrefix) const;
 
   boost::asio::io_context& mIo;
   std::map<std::string, platform::record> mRecords;
+  std::map<std::uint64_t, std::vector<std::string>> mLeased; // keys
+  std::vector<held_commit> mHeld;
   platform::revision mRevision = 1;
 };
 
--- /dev/null
+++ b/mangospan/node/testing/runner_records.h
@@ -0,0 +1,55 @@
+// A record format that only knows runners, whatever their text says. For tests.
+#ifndef MANGOSPAN_NODE_TESTING_RUNNER_RECORDS_H
+#define MANGOSPAN_NODE_TESTING_RUNNER_RECORDS_H
+
+#include <map>
+#include <string>
+
+#include "mangospan/node/ports.h"
+
+namespace mangospan::node::testing {
+
+class runner_records final : public record_format
+{
+public:
+  std::string OperatorPrefix() const override { return "operators/"; }
+  std::string RunnerPrefix() const override { return "runners/"; }
+  bool IsCatalog(std::string_view /*aKey*/) const override { return false; }
+  bool IsWave(std::string_view /*aKey*/) const override { return false; }
+  result<jobs::catalog> DecodeCatalog(std::string_view /*aText*/) const override
+  {
+    return jobs::catalog{};
+  }
+  result<wave_request> DecodeWave(std::string_view /*aText*/) const override
+  {
+    return wave_request{};
+  }
+  result<jobs::runner_info> DecodeRunner(
+    std::string_view aKey,
+    std::string_view /*aText*/) const override
+  {
+    const auto found = mInfos.find(
+      jobs::runner_name{ std::string(aKey.substr(RunnerPrefix().size())) });
+    if (found == mInfos.end()) {
+      return error{
+        error_code::kNotFound, "runner.decode", std::string(aKey), "unknown"
+      };
+    }
+    return found->second;
+  }
+  std::string WaveStatusKey(std::uint64_t aWave) const override
+  {
+    return "waves/" + std::to_string(aWave);
+  }
+  std::string EncodeWaveStatus(std::uint64_t /*aWave*/,
+                               bool aIsCompleted) const override
+  {
+    return aIsCompleted ? "completed" : "running";
+  }
+
+  std::map<jobs::runner_name, jobs::runner_info> mInfos;
+};
+
+} // namespace mangospan::node::testing
+
+#endif // MANGOSPAN_NODE_TESTING_RUNNER_RECORDS_H
