--- a/mangospan/node/election_test.cc
+++ b/mangospan/node/election_test.cc
@@ -44,7 +44,7 @@
   }
 
   boost::asio::io_context mIo;
-  const system_clock_source mClock;
+  const system_clock_source mClock{};
   testing::memory_store mStore{ mIo };
   std::string mElected;
   owner_record mTerm;
--- a/mangospan/node/job_search_test.cc
+++ b/mangospan/node/job_search_test.cc
@@ -39,7 +39,7 @@
     return out;
   }
 
-  const system_clock_source mClock;
+  const system_clock_source mClock{};
   std::map<service_name, fixed_jobs> mServices{
     { kPresent, fixed_jobs{ reply_kind::kNoSuchJob } },
     { kFormer, fixed_jobs{ reply_kind::kNoSuchJob } }
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -50,7 +50,7 @@
                node_settings aSettings,
                node_ports aPorts,
                daemon::metrics& aMetrics);
-  ~node_process();
+  ~node_process() override;
 
   // Errors: as http::server::Listen.
   status Start();
--- a/mangospan/node/owner_test.cc
+++ b/mangospan/node/owner_test.cc
@@ -138,7 +138,7 @@
   }
 
   boost::asio::io_context mIo;
-  const system_clock_source mClock;
+  const system_clock_source mClock{};
   daemon::metrics mMetrics;
   testing::memory_store mStore{ mIo };
   testing::runner_records mFormat;
