A runner that its owner is told to open is not taken as closed any more

Found by reading: the duty for hosts kept the pool's last answer while a later exchange, which opens a runner again, was under way. A host could be chosen again in those milliseconds and be ordered away on the older word, with work on it. The new test moved a host before the change and none after it.

--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -346,6 +346,14 @@
       instructions.mClosed.insert(each.mRunner);
     }
   }
+  if (asked.mState) {
+    // The owner may start something on the others from now on, whatever it has
+    // told before.
+    for (auto& [runnerName, each] : asked.mState->mRunners) {
+      each.mIsClosed =
+        each.mIsClosed && instructions.mClosed.count(runnerName) > 0;
+    }
+  }
   instructions.mEvict = std::move(asked.mEvict);
   asked.mEvict.clear();
   instructions.mDead = asked.mDead;
--- a/mangospan/node/fleet_duty_test.cc
+++ b/mangospan/node/fleet_duty_test.cc
@@ -90,7 +90,11 @@
     ++mExchanges;
     pool_state& state = mStates[aPool];
     for (auto& [name, each] : state.mRunners) {
-      each.mIsClosed = mCloses && aInstructions.mClosed.count(name) > 0;
+      each.mIsClosed =
+        mKeepsFirstAnswer || (mCloses && aInstructions.mClosed.count(name) > 0);
+    }
+    if (aPool == kCold && !mAnswersCold) {
+      return; // its answer is under way
     }
     mAskedToClose = mAskedToClose || !aInstructions.mClosed.empty();
     boost::asio::post(mIo, [state, aHandler] { aHandler(state); });
@@ -98,6 +102,8 @@
 
   std::map<service_name, pool_state> mStates;
   bool mCloses = true;
+  bool mKeepsFirstAnswer = false;
+  bool mAnswersCold = true;
   bool mAskedToClose = false;
   int mExchanges = 0;
 
@@ -173,6 +179,24 @@
   EXPECT_TRUE(mHosts.mMoved.empty());
 }
 
+// An owner that is told to open a runner may start something there before its
+// answer comes, so an earlier answer says nothing any more.
+TEST_F(fleet_duty_test, ARunnerThatIsOpenedAgainIsNotTakenAsClosed)
+{
+  mPools.mStates[kHot].mLoad.mWanted = { 0, 0, 0 };
+  for (auto& [runner, each] : mPools.mStates[kCold].mRunners) {
+    each.mIsClosed = true; // as an earlier duty for hosts wanted it
+  }
+  mPools.mKeepsFirstAnswer = true;
+  Start();
+  RunUntil([this] { return mPools.mExchanges >= 2; });
+  mPools.mStates[kHot].mLoad.mWanted = { 60'000, 0, 0 };
+  mPools.mAnswersCold = false;
+  const int asked = mPools.mExchanges;
+  RunUntil([this, asked] { return mPools.mExchanges > asked + 8; });
+  EXPECT_TRUE(mHosts.mMoved.empty());
+}
+
 // The next owner does not know of the closed runner and may start something.
 TEST_F(fleet_duty_test, NothingMovesOnTheWordOfAnOwnerThatHasASuccessor)
 {
