--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -253,18 +253,26 @@
   return one.mStoredVersion == 0 || IsFinal(one.mState);
 }
 
+bool
+scheduler::AwaitsWrite(const std::set<job_name>& aExcept,
+                       bool aUrgentOnly) const
+{
+  return std::any_of(
+    mUnstored.begin(), mUnstored.end(), [&](const job_name& aJob) {
+      return (!aUrgentOnly || IsUrgent(aJob)) && aExcept.count(aJob) == 0;
+    });
+}
+
 std::vector<job_name>
-scheduler::Unstored(std::size_t aMost, bool aUrgentOnly) const
+scheduler::Unstored(std::size_t aMost) const
 {
   std::vector<job_name> urgent;
   std::vector<job_name> others;
   for (const job_name& each : mUnstored) {
     (IsUrgent(each) ? urgent : others).push_back(each);
   }
-  if (!aUrgentOnly || !urgent.empty()) {
-    // A write that is due anyway takes the others along.
-    urgent.insert(urgent.end(), others.begin(), others.end());
-  }
+  // A write that is due anyway takes the others along.
+  urgent.insert(urgent.end(), others.begin(), others.end());
   urgent.resize(std::min(urgent.size(), aMost));
   return urgent;
 }
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -138,11 +138,11 @@
               time_point aNow,
               wall_time aWall);
 
-  // Whether somebody waits for the job's record: it is new, or has ended.
-  bool IsUrgent(const job_name& aJob) const;
-  // Jobs whose record differs from the stored one, the urgent ones first.
-  // `aUrgentOnly`: none unless there is an urgent one.
-  std::vector<job_name> Unstored(std::size_t aMost, bool aUrgentOnly) const;
+  // Jobs whose record differs from the stored one. Those are urgent, and come
+  // first, that somebody waits for: they are new, or have ended.
+  std::vector<job_name> Unstored(std::size_t aMost) const;
+  // Whether there is one that is not in `aExcept`.
+  bool AwaitsWrite(const std::set<job_name>& aExcept, bool aUrgentOnly) const;
   job* Mutable(const job_name& aJob);
   void OnStored(const std::vector<stored_job>& aStored);
   // The runners in use. A runner gets its first run only once the roster that
@@ -176,7 +176,9 @@
 
 private:
   struct candidate;
+  struct collection;
 
+  bool IsUrgent(const job_name& aJob) const;
   const service_name& ServiceOf(const queue_policy& aQueue) const;
   time_point LeasesOver() const;
   bool MayStartInherited(const service_name& aService, time_point aNow) const;
@@ -187,7 +189,7 @@
   void CollectCandidates(job& aJob,
                          time_point aNow,
                          wall_time aWall,
-                         std::map<service_name, std::vector<candidate>>& aInto);
+                         collection& aInto);
   // Both: false if there was no room for a task.
   bool PlaceStep(const candidate& aCandidate,
                  const std::vector<runner*>& aPool,
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -46,6 +46,13 @@
   }
 };
 
+// While one plan is made.
+struct scheduler::collection
+{
+  std::map<service_name, std::vector<candidate>> mCandidates;
+  std::map<service_name, bool> mMayStartInherited; // as far as it was asked
+};
+
 std::vector<order>
 scheduler::Plan(time_point aNow, wall_time aWall)
 {
@@ -140,11 +147,11 @@
                       wall_time aWall,
                       std::vector<order>& aOut)
 {
-  std::map<service_name, std::vector<candidate>> wanted;
+  collection wanted;
   for (const job_name& each : mActive) {
     CollectCandidates(mJobs.at(each), aNow, aWall, wanted);
   }
-  for (auto& [service, candidates] : wanted) {
+  for (auto& [service, candidates] : wanted.mCandidates) {
     std::vector<runner*> pool;
     for (auto& [runnerName, each] : mRunners) {
       if (each.mInfo.mService == service && TakesRuns(each, aNow)) {
@@ -175,17 +182,27 @@
 }
 
 void
-scheduler::CollectCandidates(
-  job& aJob,
-  time_point aNow,
-  wall_time aWall,
-  std::map<service_name, std::vector<candidate>>& aInto)
+scheduler::CollectCandidates(job& aJob,
+                             time_point aNow,
+                             wall_time aWall,
+                             collection& aInto)
 {
   const queue_policy* const queue = mCatalog.FindQueue(aJob.mSpec.mQueue);
-  if (queue == nullptr || aJob.mStoredVersion == 0 ||
-      (aJob.mInherited && !MayStartInherited(ServiceOf(*queue), aNow))) {
+  if (queue == nullptr || aJob.mStoredVersion == 0) {
     return;
   }
+  const service_name& service = ServiceOf(*queue);
+  if (aJob.mInherited) {
+    auto known = aInto.mMayStartInherited.find(service);
+    if (known == aInto.mMayStartInherited.end()) {
+      known = aInto.mMayStartInherited
+                .emplace(service, MayStartInherited(service, aNow))
+                .first;
+    }
+    if (!known->second) {
+      return;
+    }
+  }
   for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
     if (aJob.mSpec.mRepetitions > 0 && aWall < aJob.mSpec.DueAt(k)) {
       break;
@@ -198,7 +215,7 @@
           return !aTask.mDone && !aTask.mLive;
         });
       if (hasIdle && aJob.IsStepReady(k, s)) {
-        aInto[ServiceOf(*queue)].push_back(
+        aInto.mCandidates[service].push_back(
           { &aJob, k, s, RankOf(aJob, s, queue->mPriority, aNow) });
       }
     }
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -279,7 +279,7 @@
   }
   const std::uint64_t term = mTerm;
   std::map<std::string, std::pair<std::uint64_t, std::string>> texts;
-  for (const job_name& each : mOwner->Unstored(14, false)) {
+  for (const job_name& each : mOwner->Unstored(14)) {
     const job& one = *mOwner->Find(each);
     texts[each.Str()] = { one.mVersion, EncodeRecord(one) };
   }
--- a/mangospan/jobs/upkeep.cc
+++ b/mangospan/jobs/upkeep.cc
@@ -260,12 +260,4 @@
   return hosts;
 }
 
-bool
-upkeep_plan::IsBusy() const
-{
-  return std::any_of(mWaves.begin(), mWaves.end(), [this](const auto& aEntry) {
-    return !IsCompleted(aEntry.first);
-  });
-}
-
 } // namespace mangospan::jobs
--- a/mangospan/jobs/upkeep.h
+++ b/mangospan/jobs/upkeep.h
@@ -91,8 +91,6 @@
   bool IsCompleted(std::uint64_t aWave) const;
   std::vector<std::uint64_t> Waves() const;
   std::vector<host_name> Maintained(std::uint64_t aWave) const;
-  // Whether a host is down or about to go.
-  bool IsBusy() const;
 
 private:
   enum class phase
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -47,6 +47,14 @@
 
 } // namespace
 
+platform::transaction
+term_fence::Begin() const
+{
+  platform::transaction out;
+  out.mExpected.push_back({ mTermKey, mRevision });
+  return out;
+}
+
 double
 LackOf(const election_settings& aSettings)
 {
@@ -264,8 +272,8 @@
   };
   platform::transaction change;
   change.mExpected = { { mLeaseKey, 0 }, { mTermKey, mTerm.mRevision } };
-  change.mWrites = { { mLeaseKey, 0, Encode(claim), aLease },
-                     { mTermKey, 0, Encode(claim), std::nullopt } };
+  change.mWrites = { { mLeaseKey, Encode(claim), aLease },
+                     { mTermKey, Encode(claim), std::nullopt } };
   const time_point sentAt = mClock.Now();
   mStore.Commit(std::move(change),
                 mSettings.mCallTimeout,
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -66,6 +66,16 @@
   platform::revision mRevision = 0;
 };
 
+// Makes writes that fail once another node owns the subject.
+struct term_fence
+{
+  std::string mTermKey;
+  platform::revision mRevision = 0;
+
+  // A transaction that expects the term; add to it.
+  platform::transaction Begin() const;
+};
+
 // What the host lacks of an ample one: 0 for none, up to 1 each for processor
 // and network link.
 double
--- a/mangospan/node/election_test.cc
+++ b/mangospan/node/election_test.cc
@@ -11,7 +11,7 @@
 namespace mangospan::node {
 namespace {
 
-const service_name kWork{ "work" };
+const service_name kSurvey{ "survey" };
 
 class election_test : public ::testing::Test
 {
@@ -25,7 +25,7 @@
       mIo,
       mClock,
       mStore,
-      JobsSubject(kWork),
+      JobsSubject(kSurvey),
       aNode,
       aNode + ":1",
       settings,
@@ -88,13 +88,13 @@
   first->OnSynced();
   RunUntilElected("first");
   const auto second = Join("second", 0.5);
-  second->OnRecord({ election::TermKey(JobsSubject(kWork)),
-                     mStore.Value(election::TermKey(JobsSubject(kWork))),
+  second->OnRecord({ election::TermKey(JobsSubject(kSurvey)),
+                     mStore.Value(election::TermKey(JobsSubject(kSurvey))),
                      mTerm.mRevision });
   first->Yield();
   EXPECT_EQ(mLost, 1);
   EXPECT_FALSE(first->IsOwner());
-  const std::string lease = "mangospan/own/jobs/work/lease";
+  const std::string lease = "mangospan/own/jobs/survey/lease";
   first->OnDeleted(lease);
   second->OnSynced();
   RunUntilElected("second");
--- /dev/null
+++ b/mangospan/node/fixed_jobs.h
@@ -0,0 +1,38 @@
+// Answers every call at once with the same reply.
+#ifndef MANGOSPAN_NODE_FIXED_JOBS_H
+#define MANGOSPAN_NODE_FIXED_JOBS_H
+
+#include "mangospan/node/job_service.h"
+
+namespace mangospan::node {
+
+// The reply while the jobs have no owner: they will have one soon.
+job_reply
+NobodyOwns();
+
+class fixed_jobs final : public job_service
+{
+public:
+  explicit fixed_jobs(job_reply aReply);
+
+  void Submit(const jobs::job_name& aJob,
+              const jobs::job_spec& aSpec,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler) override;
+  void Cancel(const jobs::job_name& aJob,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler) override;
+  void Read(const jobs::job_name& aJob,
+            std::chrono::milliseconds aPatience,
+            reply_handler aHandler) override;
+  void CountWaiting(const jobs::queue_name& aQueue,
+                    std::chrono::milliseconds aPatience,
+                    reply_handler aHandler) override;
+
+private:
+  const job_reply mReply;
+};
+
+} // namespace mangospan::node
+
+#endif // MANGOSPAN_NODE_FIXED_JOBS_H
--- a/mangospan/node/fleet_duty.cc
+++ b/mangospan/node/fleet_duty.cc
@@ -3,15 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "mangospan/base/log.h"
-#include "mangospan/daemon/metrics.h"
 #include "mangospan/node/election.h"
+#include "mangospan/node/wall_clock.h"
 
 namespace mangospan::node {
 
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 namespace {
@@ -21,10 +18,6 @@
 constexpr milliseconds kOrderTransit{ 150 };
 // Hosts' clocks differ by less than this.
 constexpr milliseconds kClockSlack{ 300 };
-// Of what the owners of the pools tell, when nothing is urgent.
-constexpr milliseconds kAskPeriod{ 100 };
-// What a pool's owner told longer ago is not acted on.
-constexpr milliseconds kStateAge{ 1'000 };
 constexpr milliseconds kStatusTimeout{ 1'000 };
 constexpr milliseconds kAnnounceTimeout{ 500 };
 
@@ -48,12 +41,6 @@
   return "";
 }
 
-std::string
-WaveRecordKey(std::uint64_t aWave)
-{
-  return "mangospan/waves/" + std::to_string(aWave);
-}
-
 } // namespace
 
 fleet_duty::fleet_duty(fleet_dependencies aDependencies,
@@ -64,10 +51,15 @@
   : mDeps(aDependencies)
   , mSettings(aSettings)
   , mFence(std::move(aFence))
-  , mTermKey(election::TermKey(FleetSubject()))
-  , mTermRevision(aTermRevision)
+  , mTermFence{ election::TermKey(FleetSubject()), aTermRevision }
   , mMayOrder(std::move(aMayOrder))
   , mTimer(aDependencies.mIo)
+  , mPools(std::make_shared<pool_watch>(mDeps.mClock,
+                                        mDeps.mPools,
+                                        mFence.mTerm,
+                                        [this] { OnPoolState(); }))
+  , mWaves(
+      std::make_shared<wave_records>(mDeps.mStore, mDeps.mFormat, mTermFence))
   , mPlan(jobs::upkeep_settings{})
   , mSizing(jobs::sizing_settings{})
 {
@@ -120,8 +112,7 @@
   if (mForeign.count(aHost) == 0 || ordered == mOrders.end()) {
     return true;
   }
-  return std::chrono::system_clock::now() - ordered->second.mAt >=
-         mSettings.mHostLease + kClockSlack;
+  return WallNow() - ordered->second.mAt >= mSettings.mHostLease + kClockSlack;
 }
 
 std::size_t
@@ -139,19 +130,16 @@
 fleet_duty::Announce(std::vector<jobs::upkeep_order> aUpkeep,
                      std::vector<jobs::move_order> aMoves)
 {
-  const auto now = std::chrono::system_clock::now();
+  const auto now = WallNow();
   std::size_t allowance = Allowance(mDeps.mClock.Now());
-  std::map<std::string, platform::revision> expected{ { mTermKey,
-                                                        mTermRevision } };
+  std::map<std::string, platform::revision> expected; // of the pools' owners
   const auto keep = [&](const auto& aOrder) {
     const host_entry* const host = Find(aOrder.mHost);
     if (allowance == 0 || !MayOrder(aOrder.mHost) || host == nullptr) {
       return false;
     }
-    const auto owner = mPools.find(host->mPool);
-    if (owner != mPools.end() && owner->second.mState) {
-      expected[election::TermKey(JobsSubject(host->mPool))] =
-        owner->second.mState->mTermRevision;
+    if (const auto revision = mPools->TermRevisionOf(host->mPool)) {
+      expected[election::TermKey(JobsSubject(host->mPool))] = *revision;
     }
     --allowance;
     mRecentOrders.push_back(mDeps.mClock.Now());
@@ -178,12 +166,11 @@
     it = now - it->second.mAt < 2 * mSettings.mHostLease ? std::next(it)
                                                          : mOrders.erase(it);
   }
-  platform::transaction change;
+  platform::transaction change = mTermFence.Begin();
   for (const auto& [key, revision] : expected) {
     change.mExpected.push_back({ key, revision });
   }
-  change.mWrites.push_back(
-    { kHostOrdersKey, 0, Encode(mOrders), std::nullopt });
+  change.mWrites.push_back({ kHostOrdersKey, Encode(mOrders), std::nullopt });
   mIsAnnouncing = true;
   mDeps.mStore.Commit(
     std::move(change),
@@ -230,6 +217,8 @@
 fleet_duty::Stop()
 {
   mIsStopped = true;
+  mPools->Stop();
+  mWaves->Stop();
   mTimer.cancel();
 }
 
@@ -246,23 +235,10 @@
                static_cast<std::int64_t>(aWave.mCompleteBy.count()) } });
   mPlan.AddWave(
     aWave.mNumber, aWave.mHosts, now + aWave.mCompleteBy, aWave.mMaxDown);
-  mDeps.mStore.Read(
-    WaveRecordKey(aWave.mNumber),
-    kStatusTimeout,
-    [self = shared_from_this(), number = aWave.mNumber](
-      const result<std::optional<platform::record>>& aResult) {
-      if (self->mIsStopped || aResult.has_error() || !aResult.assume_value()) {
-        return; // repeated upkeep of a host is no harm
-      }
-      const json hosts =
-        json::parse(aResult.assume_value()->mValue, nullptr, false);
-      std::vector<host_name> maintained;
-      for (const json& each : hosts) {
-        if (each.is_string()) {
-          maintained.push_back(host_name{ each.get<std::string>() });
-        }
-      }
-      self->mPlan.AddMaintained(number, maintained);
+  mWaves->Load(
+    aWave.mNumber,
+    [this, number = aWave.mNumber](const std::vector<host_name>& aMaintained) {
+      mPlan.AddMaintained(number, aMaintained);
     });
 }
 
@@ -275,7 +251,7 @@
   if (mDeps.mClock.Now() >= mNextList && !mIsListing) {
     List();
   }
-  AskPools();
+  mPools->Tick();
   Act();
   ReportWaves();
   mTimer.expires_after(mSettings.mTick);
@@ -308,105 +284,12 @@
   });
 }
 
-const pool_state*
-fleet_duty::StateOf(const service_name& aPool) const
-{
-  const auto found = mPools.find(aPool);
-  const bool isKnown = found != mPools.end() && found->second.mState &&
-                       mDeps.mClock.Now() - found->second.mStateAt < kStateAge;
-  return isKnown ? &*found->second.mState : nullptr;
-}
-
-void
-fleet_duty::AskPools()
-{
-  const time_point now = mDeps.mClock.Now();
-  if (now < mNextAsk) {
-    return;
-  }
-  mNextAsk = now + kAskPeriod;
-  for (const service_name& each : mDeps.mPools.Pools()) {
-    Ask(each);
-  }
-}
-
-void
-fleet_duty::Ask(const service_name& aPool)
-{
-  pool& asked = mPools[aPool];
-  if (asked.mIsAsking) {
-    asked.mIsAskedAgain = true;
-    return;
-  }
-  asked.mIsAsking = true;
-  pool_instructions instructions;
-  instructions.mFleetTerm = mFence.mTerm;
-  for (const host_entry& each : mHosts) {
-    if (each.mPool == aPool && mClosed.count(each.mRunner) > 0) {
-      instructions.mClosed.insert(each.mRunner);
-    }
-  }
-  if (asked.mState) {
-    // The owner may start something on the others from now on, whatever it has
-    // told before.
-    for (auto& [runnerName, each] : asked.mState->mRunners) {
-      each.mIsClosed =
-        each.mIsClosed && instructions.mClosed.count(runnerName) > 0;
-    }
-  }
-  instructions.mEvict = std::move(asked.mEvict);
-  asked.mEvict.clear();
-  instructions.mDead = asked.mDead;
-  mDeps.mPools.Exchange(
-    aPool,
-    std::move(instructions),
-    [self = shared_from_this(),
-     aPool,
-     dead = asked.mDead,
-     sentAt = mDeps.mClock.Now()](const result<pool_state>& aResult) {
-      if (!self->mIsStopped) {
-        self->OnState(aPool, sentAt, dead, aResult);
-      }
-    });
-}
-
-void
-fleet_duty::OnState(const service_name& aPool,
-                    time_point aSentAt,
-                    const std::vector<jobs::runner_name>& aDead,
-                    const result<pool_state>& aResult)
-{
-  pool& asked = mPools[aPool];
-  asked.mIsAsking = false;
-  if (aResult.has_error()) {
-    const bool wasKnown = StateOf(aPool) != nullptr;
-    if (wasKnown) { // told once for each time that it is lost
-      LogError("pool.not_told", aResult.assume_error());
-      asked.mState.reset();
-    }
-    return;
-  }
-  asked.mState = aResult.assume_value();
-  asked.mStateAt = aSentAt;
-  for (const jobs::runner_name& each : aDead) {
-    asked.mDead.erase(std::remove(asked.mDead.begin(), asked.mDead.end(), each),
-                      asked.mDead.end());
-  }
-  if (asked.mIsAskedAgain) {
-    asked.mIsAskedAgain = false;
-    Ask(aPool);
-  }
-  if (!mEmptying.empty()) {
-    Act();
-  }
-}
-
 std::map<service_name, jobs::pool_load>
 fleet_duty::Loads() const
 {
   std::map<service_name, jobs::pool_load> loads;
   for (const auto& [service, each] : mCatalog.mServices) {
-    const pool_state* const state = StateOf(service);
+    const pool_state* const state = mPools->StateOf(service);
     if (!each.mSpare && state != nullptr) {
       loads[service] = state->mLoad;
     }
@@ -419,11 +302,11 @@
 fleet_duty::AddRunnerState(jobs::host_view& aView,
                            const host_entry& aHost) const
 {
-  if (mPools.count(aHost.mPool) == 0) {
+  if (!mPools->HasJobs(aHost.mPool)) {
     aView.mIsKnown = true; // a pool without jobs
     return;
   }
-  const pool_state* const state = StateOf(aHost.mPool);
+  const pool_state* const state = mPools->StateOf(aHost.mPool);
   if (state == nullptr) {
     aView.mIsUnfit = true;
     return;
@@ -522,27 +405,26 @@
   return out;
 }
 
-// The owners are told at once of what has changed.
 void
 fleet_duty::SetClosed(const std::set<host_name>& aUpkeep)
 {
   std::set<host_name> hosts = mSizing.Leaving();
   hosts.insert(aUpkeep.begin(), aUpkeep.end());
-  std::set<jobs::runner_name> closed;
-  std::set<service_name> changed;
+  runners_of_pools closed;
   for (const host_entry& each : mHosts) {
-    const bool isClosed = !each.mRunner.Empty() && hosts.count(each.mHost) > 0;
-    if (isClosed) {
-      closed.insert(each.mRunner);
-    }
-    if (isClosed && mClosed.count(each.mRunner) == 0 &&
-        mPools.count(each.mPool) > 0) {
-      changed.insert(each.mPool);
+    if (!each.mRunner.Empty() && hosts.count(each.mHost) > 0) {
+      closed[each.mPool].insert(each.mRunner);
     }
   }
-  mClosed = std::move(closed);
-  for (const service_name& each : changed) {
-    Ask(each);
+  mPools->SetClosed(std::move(closed));
+}
+
+// A host that waits for its runner to be closed may go now.
+void
+fleet_duty::OnPoolState()
+{
+  if (!mEmptying.empty()) {
+    Act();
   }
 }
 
@@ -562,29 +444,21 @@
   return found == mHosts.end() ? nullptr : &*found;
 }
 
-void
-fleet_duty::Evict(const std::vector<host_name>& aHosts)
+// As it was listed last; the order may outlast the listing.
+host_entry
+fleet_duty::HostOf(const host_name& aHost) const
 {
-  for (const host_name& each : aHosts) {
-    const host_entry* const host = Find(each);
-    const auto pool = host == nullptr ? mPools.end() : mPools.find(host->mPool);
-    if (pool != mPools.end()) {
-      auto& evict = pool->second.mEvict;
-      if (std::find(evict.begin(), evict.end(), host->mRunner) == evict.end()) {
-        evict.push_back(host->mRunner);
-      }
-    }
-  }
+  const host_entry* const found = Find(aHost);
+  return found == nullptr ? host_entry() : *found;
 }
 
-// Nothing runs there any more: the order has ended the runner's life.
 void
-fleet_duty::TellDead(const host_entry& aHost)
+fleet_duty::Evict(const std::vector<host_name>& aHosts)
 {
-  const auto pool = mPools.find(aHost.mPool);
-  if (pool != mPools.end() && !aHost.mRunner.Empty()) {
-    pool->second.mDead.push_back(aHost.mRunner);
-    Ask(aHost.mPool);
+  for (const host_name& each : aHosts) {
+    if (const host_entry* const host = Find(each)) {
+      mPools->Evict(host->mPool, host->mRunner);
+    }
   }
 }
 
@@ -602,8 +476,7 @@
 void
 fleet_duty::Move(const jobs::move_order& aOrder)
 {
-  const host_entry* const found = Find(aOrder.mHost);
-  const host_entry host = found == nullptr ? host_entry() : *found;
+  const host_entry host = HostOf(aOrder.mHost);
   mDeps.mHosts.Move(
     mFence,
     aOrder.mHost,
@@ -620,7 +493,7 @@
       const time_point now = self->mDeps.mClock.Now();
       if (aOutcome == host_order_outcome::kDone) {
         self->mSizing.OnMoving(aOrder, now);
-        self->TellDead(host);
+        self->mPools->TellDead(host.mPool, host.mRunner);
       } else if (aOutcome != host_order_outcome::kUnknown) {
         self->mSizing.OnNotMoved(aOrder.mHost);
       }
@@ -633,8 +506,7 @@
   if (!mInFlight.insert(aOrder.mHost).second) {
     return;
   }
-  const host_entry* const found = Find(aOrder.mHost);
-  const host_entry host = found == nullptr ? host_entry() : *found;
+  const host_entry host = HostOf(aOrder.mHost);
   mDeps.mHosts.Maintain(
     mFence,
     aOrder.mHost,
@@ -653,8 +525,9 @@
       switch (aOutcome) {
         case host_order_outcome::kDone:
           self->mPlan.OnBegun(aOrder, now);
-          self->TellDead(host);
-          self->KeepRecord(aOrder.mWave);
+          self->mPools->TellDead(host.mPool, host.mRunner);
+          self->mWaves->Keep(aOrder.mWave,
+                             self->mPlan.Maintained(aOrder.mWave));
           break;
         case host_order_outcome::kRefused:
           self->mPlan.OnRefused(aOrder);
@@ -669,64 +542,15 @@
     });
 }
 
-// Tells a later owner which hosts need no second upkeep.
-void
-fleet_duty::KeepRecord(std::uint64_t aWave)
-{
-  json hosts = json::array();
-  for (const host_name& each : mPlan.Maintained(aWave)) {
-    hosts.push_back(each.Str());
-  }
-  platform::transaction change;
-  change.mExpected.push_back({ mTermKey, mTermRevision });
-  change.mWrites.push_back(
-    { WaveRecordKey(aWave), 0, hosts.dump(), std::nullopt });
-  mDeps.mStore.Commit(std::move(change),
-                      kStatusTimeout,
-                      [](const result<platform::commit_outcome>& aResult) {
-                        if (aResult.has_error()) {
-                          LogError("wave.record_failed",
-                                   aResult.assume_error());
-                        }
-                      });
-}
-
 void
 fleet_duty::ReportWaves()
 {
-  if (mIsReporting) {
-    return;
-  }
   for (const std::uint64_t each : mPlan.Waves()) {
     const bool isCompleted = mPlan.IsCompleted(each);
-    const auto reported = mReported.find(each);
-    if (reported != mReported.end() && reported->second == isCompleted) {
-      continue;
+    if (mWaves->IsReportDue(each, isCompleted)) {
+      mWaves->Report(each, isCompleted);
+      return;
     }
-    platform::transaction change;
-    change.mExpected.push_back({ mTermKey, mTermRevision });
-    change.mWrites.push_back(
-      { mDeps.mFormat.WaveStatusKey(each),
-        0,
-        mDeps.mFormat.EncodeWaveStatus(each, isCompleted),
-        std::nullopt });
-    mIsReporting = true;
-    mDeps.mStore.Commit(
-      std::move(change),
-      kStatusTimeout,
-      [self = shared_from_this(), each, isCompleted](
-        const result<platform::commit_outcome>& aResult) {
-        self->mIsReporting = false;
-        if (aResult.has_value() && aResult.assume_value().mCommitted) {
-          self->mReported[each] = isCompleted;
-          LogEvent(log_level::kInfo,
-                   "wave.reported",
-                   { { "wave", each }, { "completed", isCompleted } });
-        } else if (aResult.has_error()) {
-          LogError("wave.status_failed", aResult.assume_error());
-        }
-      });
-    return;
   }
 }
 
--- a/mangospan/node/fleet_duty.h
+++ b/mangospan/node/fleet_duty.h
@@ -15,7 +15,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,15 +25,14 @@
 #include "mangospan/base/time.h"
 #include "mangospan/jobs/sizing.h"
 #include "mangospan/jobs/upkeep.h"
+#include "mangospan/node/election.h"
 #include "mangospan/node/host_orders.h"
 #include "mangospan/node/pool_link.h"
+#include "mangospan/node/pool_watch.h"
 #include "mangospan/node/ports.h"
+#include "mangospan/node/wave_records.h"
 #include "mangospan/platform/store.h"
 
-namespace mangospan::daemon {
-class metrics;
-}
-
 namespace mangospan::node {
 
 struct fleet_settings
@@ -55,7 +53,6 @@
   host_port& mHosts;
   pool_link& mPools;
   const record_format& mFormat;
-  daemon::metrics& mMetrics;
 };
 
 class fleet_duty : public std::enable_shared_from_this<fleet_duty>
@@ -74,36 +71,18 @@
   void SetCatalog(const jobs::catalog& aCatalog);
 
 private:
-  // What is known of one pool, and what its owner has yet to be told.
-  struct pool
-  {
-    std::optional<pool_state> mState;
-    time_point mStateAt{}; // when it was asked for
-    bool mIsAsking = false;
-    bool mIsAskedAgain = false;
-    std::vector<jobs::runner_name> mDead;
-    std::vector<jobs::runner_name> mEvict;
-  };
-
   void Tick();
   void List();
   void Act();
-  void AskPools();
-  void Ask(const service_name& aPool);
-  void OnState(const service_name& aPool,
-               time_point aSentAt,
-               const std::vector<jobs::runner_name>& aDead,
-               const result<pool_state>& aResult);
-  // Null unless its owner has told lately.
-  const pool_state* StateOf(const service_name& aPool) const;
+  void OnPoolState();
   std::map<service_name, jobs::pool_load> Loads() const;
   void AddRunnerState(jobs::host_view& aView, const host_entry& aHost) const;
   void BeginMoves(const std::vector<jobs::move_order>& aMoves);
   std::vector<jobs::move_order> MovesThatMayGo(
     const std::vector<jobs::host_view>& aHosts);
   void SetClosed(const std::set<host_name>& aUpkeep);
-  void TellDead(const host_entry& aHost);
   const host_entry* Find(const host_name& aHost) const;
+  host_entry HostOf(const host_name& aHost) const;
   void Maintain(const jobs::upkeep_order& aOrder);
   void Announce(std::vector<jobs::upkeep_order> aUpkeep,
                 std::vector<jobs::move_order> aMoves);
@@ -117,20 +96,18 @@
   void Move(const jobs::move_order& aOrder);
   void Evict(const std::vector<host_name>& aHosts);
   service_name SparePool() const; // empty: there is none
-  void KeepRecord(std::uint64_t aWave);
   void ReportWaves();
   std::vector<jobs::host_view> HostViews() const;
 
   fleet_dependencies mDeps;
   const fleet_settings mSettings;
   const order_fence mFence;
-  const std::string mTermKey;
-  const platform::revision mTermRevision;
+  const term_fence mTermFence;
   const std::function<bool()> mMayOrder;
   boost::asio::steady_timer mTimer;
   jobs::catalog mCatalog;
-  std::map<service_name, pool> mPools;
-  std::set<jobs::runner_name> mClosed;
+  const std::shared_ptr<pool_watch> mPools;
+  const std::shared_ptr<wave_records> mWaves;
   // Chosen to move, but its runner may still get or hold runs.
   std::map<host_name, jobs::move_order> mEmptying;
   // How each host was ordered last, by this holder or an earlier one.
@@ -141,15 +118,12 @@
   bool mIsAnnouncing = false;
   time_point mStartedAt{};
   time_point mNextList{};
-  time_point mNextAsk{};
   time_point mListedAt{};
   std::vector<host_entry> mHosts;
   std::set<host_name> mInFlight;
   jobs::upkeep_plan mPlan;
   jobs::pool_sizing mSizing;
-  std::map<std::uint64_t, bool> mReported; // wave, completed
   bool mIsListing = false;
-  bool mIsReporting = false;
   bool mIsStopped = false;
 };
 
--- a/mangospan/node/fleet_duty_test.cc
+++ b/mangospan/node/fleet_duty_test.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
-#include "mangospan/daemon/metrics.h"
 #include "mangospan/node/election.h"
 #include "mangospan/node/testing/memory_store.h"
 #include "mangospan/node/testing/runner_records.h"
@@ -135,8 +134,7 @@
       catalog.mServices.emplace(each, jobs::service_policy{ each, false });
     }
     mDuty = std::make_shared<fleet_duty>(
-      fleet_dependencies{
-        mIo, mClock, mStore, mHosts, mPools, mFormat, mMetrics },
+      fleet_dependencies{ mIo, mClock, mStore, mHosts, mPools, mFormat },
       fleet_settings{},
       order_fence{ "n", 1 },
       mFleetRevision,
@@ -154,7 +152,6 @@
 
   boost::asio::io_context mIo;
   const system_clock_source mClock{};
-  daemon::metrics mMetrics;
   testing::memory_store mStore{ mIo };
   testing::runner_records mFormat;
   listed_hosts mHosts{ mIo };
--- a/mangospan/node/job_http.h
+++ b/mangospan/node/job_http.h
@@ -6,6 +6,7 @@
 //   DELETE /mangospan/v1/jobs/JOB     cancel
 //   GET    /mangospan/v1/queues/NAME  {"waiting":12}
 //   POST   /mangospan/v1/pool         the fleet's instructions, see pool_link.h
+//   GET    /mangospan/v1/health       see `kHealthPath`
 //   POST   /mangospan/v1/yield        give the jobs to a host that has more
 //
 // A node that does not own the service's jobs answers 503.
@@ -21,6 +22,9 @@
 
 namespace mangospan::node {
 
+// What services the node owns: {"serves":["survey"]}.
+inline constexpr const char* kHealthPath = "/mangospan/v1/health";
+
 // The HTTP status that tells a caller of the reply.
 int
 StatusOf(reply_kind aKind);
--- a/mangospan/node/job_search_test.cc
+++ b/mangospan/node/job_search_test.cc
@@ -4,23 +4,35 @@
 
 #include <gtest/gtest.h>
 
-#include "mangospan/node/testing/fixed_jobs.h"
+#include "mangospan/node/fixed_jobs.h"
 
 namespace mangospan::node {
 namespace {
 
 using std::chrono::milliseconds;
-using testing::fixed_jobs;
 
 const service_name kPresent{ "present" };
 const service_name kFormer{ "former" };
 
+job_reply
+Reply(reply_kind aKind)
+{
+  job_reply out;
+  out.mKind = aKind;
+  return out;
+}
+
 class job_search_test : public ::testing::Test
 {
 protected:
   job_service_finder Finder()
   {
+    mServices.clear();
+    for (const auto& [service, reply] : mReplies) {
+      mServices.emplace(service, reply);
+    }
     return [this](const service_name& aService) -> job_service& {
+      ++mCalls[aService];
       return mServices.at(aService);
     };
   }
@@ -40,23 +52,25 @@
   }
 
   const system_clock_source mClock{};
-  std::map<service_name, fixed_jobs> mServices{
-    { kPresent, fixed_jobs{ reply_kind::kNoSuchJob } },
-    { kFormer, fixed_jobs{ reply_kind::kNoSuchJob } }
+  std::map<service_name, job_reply> mReplies{
+    { kPresent, Reply(reply_kind::kNoSuchJob) },
+    { kFormer, Reply(reply_kind::kNoSuchJob) }
   };
+  std::map<service_name, fixed_jobs> mServices;
+  std::map<service_name, int> mCalls;
 };
 
 TEST_F(job_search_test, TheQueuesServiceIsAskedFirst)
 {
-  mServices.at(kPresent).mReply.mKind = reply_kind::kOk;
+  mReplies.at(kPresent).mKind = reply_kind::kOk;
   EXPECT_EQ(Read().mKind, reply_kind::kOk);
-  EXPECT_EQ(mServices.at(kFormer).mCalls, 0);
+  EXPECT_EQ(mCalls[kFormer], 0);
 }
 
 TEST_F(job_search_test, AJobIsFoundWhereItWasAccepted)
 {
-  mServices.at(kFormer).mReply.mKind = reply_kind::kOk;
-  mServices.at(kFormer).mReply.mState = jobs::job_state::kRunning;
+  mReplies.at(kFormer).mKind = reply_kind::kOk;
+  mReplies.at(kFormer).mState = jobs::job_state::kRunning;
   const job_reply found = Read();
   EXPECT_EQ(found.mKind, reply_kind::kOk);
   EXPECT_EQ(found.mState, jobs::job_state::kRunning);
@@ -65,22 +79,22 @@
 TEST_F(job_search_test, AJobIsMissingOnlyIfEveryOwnerSaysSo)
 {
   EXPECT_EQ(Read().mKind, reply_kind::kNoSuchJob);
-  mServices.at(kFormer).mReply.mKind = reply_kind::kUnavailable;
+  mReplies.at(kFormer).mKind = reply_kind::kUnavailable;
   EXPECT_EQ(Read().mKind, reply_kind::kUnavailable);
 }
 
 TEST_F(job_search_test, WithoutTheQueuesOwnerTheCallerIsToldAtOnce)
 {
-  mServices.at(kPresent).mReply.mKind = reply_kind::kUnavailable;
+  mReplies.at(kPresent).mKind = reply_kind::kUnavailable;
   EXPECT_EQ(Read().mKind, reply_kind::kUnavailable);
-  EXPECT_EQ(mServices.at(kFormer).mCalls, 0);
+  EXPECT_EQ(mCalls[kFormer], 0);
 }
 
 TEST_F(job_search_test, WaitingJobsAreCountedWhereverTheyWereAccepted)
 {
-  for (auto& [service, each] : mServices) {
-    each.mReply.mKind = reply_kind::kOk;
-    each.mReply.mWaiting = 3;
+  for (auto& [service, each] : mReplies) {
+    each.mKind = reply_kind::kOk;
+    each.mWaiting = 3;
   }
   job_reply sum;
   const auto keep = [&sum](const job_reply& aReply) { sum = aReply; };
@@ -91,7 +105,7 @@
                keep);
   EXPECT_EQ(sum.mKind, reply_kind::kOk);
   EXPECT_EQ(sum.mWaiting, 6U);
-  mServices.at(kFormer).mReply.mKind = reply_kind::kUnavailable;
+  mReplies.at(kFormer).mKind = reply_kind::kUnavailable;
   CountWaiting(Finder(),
                { kPresent, kFormer },
                jobs::queue_name{ "queue" },
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -8,8 +8,7 @@
 
 #include "mangospan/base/log.h"
 #include "mangospan/node/job_http.h"
-#include "mangospan/node/job_search.h"
-#include "mangospan/node/submission.h"
+#include "mangospan/node/state_dump.h"
 
 namespace mangospan::node {
 
@@ -36,7 +35,6 @@
 constexpr milliseconds kStagger{ 60 };
 // Of the orders that the host service takes; the rest is for a predecessor's.
 constexpr double kOrderShare = 0.9;
-constexpr const char* kHealthPath = "/mangospan/v1/health";
 
 fleet_settings
 FleetSettings(const node_settings& aSettings)
@@ -48,6 +46,15 @@
   return out;
 }
 
+election_settings
+ElectionSettings(const node_settings& aSettings)
+{
+  election_settings out;
+  out.mProcessorShare = aSettings.mProcessorShare;
+  out.mLinkMbps = aSettings.mLinkMbps;
+  return out;
+}
+
 // Spreads the first claims: each node begins with another subject.
 std::size_t
 FirstClaimRank(const std::string& aNode, const std::string& aSubject)
@@ -56,63 +63,6 @@
   return std::hash<std::string>()(aNode + "/" + aSubject) % kRanks;
 }
 
-// A job for the state dump, with what its tasks wait for.
-json
-DumpJob(const jobs::job& aJob, time_point aNow)
-{
-  std::size_t live = 0;
-  std::size_t waiting = 0;
-  std::size_t blocked = 0;
-  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
-    const auto& steps = aJob.mOccurrences[k].mSteps;
-    for (std::size_t s = 0; s < steps.size(); ++s) {
-      const bool isReady = aJob.IsStepReady(k, s);
-      for (const jobs::task& each : steps[s].mTasks) {
-        live += each.mLive ? 1 : 0;
-        waiting += !each.mLive && !each.mDone && isReady ? 1 : 0;
-        blocked += !each.mLive && !each.mDone && !isReady ? 1 : 0;
-      }
-    }
-  }
-  return {
-    { "queue", aJob.mSpec.mQueue.Str() },
-    { "state", jobs::Name(aJob.mState) },
-    { "stored", aJob.IsStored() },
-    { "age_ms",
-      std::chrono::duration_cast<milliseconds>(aNow - aJob.mAccepted).count() },
-    { "tasks_live", live },
-    { "tasks_waiting_for_room", waiting },
-    { "tasks_waiting_for_steps", blocked }
-  };
-}
-
-json
-DumpPartition(const partition& aPartition, time_point aNow)
-{
-  json out = json::object();
-  if (const auto known = aPartition.Election().Owner()) {
-    out["owner"] = { { "node", known->mNode }, { "term", known->mTerm } };
-  }
-  if (aPartition.Owner() == nullptr) {
-    return out;
-  }
-  const jobs::scheduler& scheduler = aPartition.Owner()->Scheduler();
-  json runners = json::object();
-  for (const auto& [runnerName, each] : scheduler.Runners()) {
-    runners[runnerName.Str()] = { { "runs", each.Runs().size() },
-                                  { "listed", each.mListed },
-                                  { "closed", each.mClosed },
-                                  { "failed_looks", each.mFailedLooks } };
-  }
-  json jobs = json::object();
-  for (const auto& [jobName, each] : scheduler.Jobs()) {
-    jobs[jobName.Str()] = DumpJob(each, aNow);
-  }
-  out["runners"] = std::move(runners);
-  out["jobs"] = std::move(jobs);
-  return out;
-}
-
 } // namespace
 
 node_process::node_process(boost::asio::io_context& aIo,
@@ -184,8 +134,7 @@
   election_candidate out;
   out.mNode = mSettings.mNode;
   out.mAddress = mSettings.mNodeAddress;
-  out.mSettings.mProcessorShare = mSettings.mProcessorShare;
-  out.mSettings.mLinkMbps = mSettings.mLinkMbps;
+  out.mSettings = ElectionSettings(mSettings);
   out.mSettings.mStagger = kStagger * FirstClaimRank(mSettings.mNode, aSubject);
   out.mBurden = [this] { return Burden(); };
   return out;
@@ -222,18 +171,13 @@
 void
 node_process::OnFleetElected(const owner_record& aTerm)
 {
-  mDuty =
-    std::make_shared<fleet_duty>(fleet_dependencies{ mIo,
-                                                     mClock,
-                                                     mPorts.mStore,
-                                                     mPorts.mHosts,
-                                                     *this,
-                                                     mPorts.mFormat,
-                                                     mMetrics },
-                                 FleetSettings(mSettings),
-                                 order_fence{ mSettings.mNode, aTerm.mTerm },
-                                 aTerm.mRevision,
-                                 [this] { return mFleetElection->IsValid(); });
+  mDuty = std::make_shared<fleet_duty>(
+    fleet_dependencies{
+      mIo, mClock, mPorts.mStore, mPorts.mHosts, *this, mPorts.mFormat },
+    FleetSettings(mSettings),
+    order_fence{ mSettings.mNode, aTerm.mTerm },
+    aTerm.mRevision,
+    [this] { return mFleetElection->IsValid(); });
   if (mCatalog) {
     mDuty->SetCatalog(*mCatalog);
   }
@@ -379,92 +323,6 @@
   PartitionOf(aPool).Exchange(std::move(aInstructions), std::move(aHandler));
 }
 
-job_service&
-node_process::Jobs(const service_name& aService)
-{
-  return PartitionOf(aService).Jobs();
-}
-
-void
-node_process::Submit(const jobs::job_name& aJob,
-                     const jobs::job_spec& aSpec,
-                     milliseconds aPatience,
-                     reply_handler aHandler)
-{
-  // By the newest catalog at each try.
-  const auto finder = [this, queue = aSpec.mQueue]() -> job_service& {
-    const auto* const policy = mCatalog ? mCatalog->FindQueue(queue) : nullptr;
-    return policy == nullptr ? mNobody : Jobs(policy->mService);
-  };
-  std::make_shared<submission>(mIo, mClock, finder, aJob, aSpec)
-    ->Start(aPatience, std::move(aHandler));
-}
-
-std::vector<service_name>
-node_process::SearchOrder(const jobs::queue_policy& aQueue) const
-{
-  std::vector<service_name> out{ aQueue.mService };
-  for (const auto& [service, each] : mPartitions) {
-    if (service != aQueue.mService) {
-      out.push_back(service);
-    }
-  }
-  return out;
-}
-
-void
-node_process::Cancel(const jobs::queue_policy& aQueue,
-                     const jobs::job_name& aJob,
-                     milliseconds aPatience,
-                     reply_handler aHandler)
-{
-  SearchJob(
-    mClock,
-    [this](const service_name& aService) -> job_service& {
-      return Jobs(aService);
-    },
-    SearchOrder(aQueue),
-    [aJob](job_service& aService, milliseconds aLeft, reply_handler aReply) {
-      aService.Cancel(aJob, aLeft, std::move(aReply));
-    },
-    aPatience,
-    std::move(aHandler));
-}
-
-void
-node_process::Read(const jobs::queue_policy& aQueue,
-                   const jobs::job_name& aJob,
-                   milliseconds aPatience,
-                   reply_handler aHandler)
-{
-  SearchJob(
-    mClock,
-    [this](const service_name& aService) -> job_service& {
-      return Jobs(aService);
-    },
-    SearchOrder(aQueue),
-    [aJob](job_service& aService, milliseconds aLeft, reply_handler aReply) {
-      aService.Read(aJob, aLeft, std::move(aReply));
-    },
-    aPatience,
-    std::move(aHandler));
-}
-
-void
-node_process::CountWaiting(const jobs::queue_policy& aQueue,
-                           milliseconds aPatience,
-                           reply_handler aHandler)
-{
-  node::CountWaiting(
-    [this](const service_name& aService) -> job_service& {
-      return Jobs(aService);
-    },
-    SearchOrder(aQueue),
-    aQueue.mName,
-    aPatience,
-    std::move(aHandler));
-}
-
 const jobs::catalog*
 node_process::Catalog() const
 {
@@ -513,7 +371,7 @@
   if (burden > kMaxBurden || mIsStopping || !IsCatalogCurrent()) {
     return;
   }
-  const double lack = LackOf(Candidate(std::string()).mSettings);
+  const double lack = LackOf(ElectionSettings(mSettings));
   const auto patience = kYieldPatience * (burden + 1);
   for (const auto& [service, each] : mPartitions) {
     const auto known = each.Election().Owner();
@@ -589,43 +447,6 @@
   return http::JsonResponse(IsReady() ? 200 : 503, "{}");
 }
 
-void
-node_process::ServeNode(const http::request& aRequest,
-                        const http::responder& aRespond)
-{
-  const std::string_view path = http::Path(aRequest);
-  if (path == kHealthPath) {
-    aRespond(AnswerHealth());
-    return;
-  }
-  const auto found = mPartitions.find(ServiceOf(aRequest));
-  if (IsYield(aRequest)) {
-    if (found != mPartitions.end()) {
-      found->second.Yield();
-    }
-    aRespond(http::JsonResponse(200, "{}"));
-    return;
-  }
-  owner* const local =
-    found == mPartitions.end() ? nullptr : found->second.Owner();
-  if (local == nullptr) {
-    if (IsPoolExchange(aRequest)) {
-      aRespond(http::JsonResponse(503, "{}"));
-    } else {
-      ServeJobs(aRequest, mNobody, aRespond);
-    }
-  } else if (IsPoolExchange(aRequest)) {
-    ServePool(
-      aRequest,
-      [local](const pool_instructions& aInstructions) {
-        return local->Exchange(aInstructions);
-      },
-      aRespond);
-  } else {
-    ServeJobs(aRequest, *local, aRespond);
-  }
-}
-
 std::string
 node_process::DumpState() const
 {
@@ -635,9 +456,7 @@
   for (const auto& [service, each] : mPartitions) {
     out["services"][service.Str()] = DumpPartition(each, mClock.Now());
   }
-  if (const auto known = mFleetElection->Owner()) {
-    out["fleet"] = { { "node", known->mNode }, { "term", known->mTerm } };
-  }
+  AddOwner(*mFleetElection, "fleet", out);
   return out.dump();
 }
 
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -23,6 +23,7 @@
 #include "mangospan/http/server.h"
 #include "mangospan/node/election.h"
 #include "mangospan/node/fleet_duty.h"
+#include "mangospan/node/job_search.h"
 #include "mangospan/node/job_service.h"
 #include "mangospan/node/mirror.h"
 #include "mangospan/node/partition.h"
@@ -97,7 +98,11 @@
   void OnFleetLost();
   // Makes it known, and takes part in its election.
   partition& PartitionOf(const service_name& aService);
-  job_service& Jobs(const service_name& aService);
+  job_service_finder Finder();
+  void Search(const jobs::queue_policy& aQueue,
+              job_question aQuestion,
+              std::chrono::milliseconds aPatience,
+              reply_handler aHandler);
   // The queue's service first.
   std::vector<service_name> SearchOrder(const jobs::queue_policy& aQueue) const;
   election* ElectionOf(const std::string& aKey);
@@ -131,7 +136,7 @@
   std::map<std::string, wave_request> mWaves;
   boost::asio::steady_timer mCheckTimer;
   boost::asio::steady_timer mStopTimer;
-  no_jobs mNobody;
+  fixed_jobs mNobody{ NobodyOwns() };
   bool mIsStopping = false;
 };
 
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -5,7 +5,7 @@
 
 #include "mangospan/base/log.h"
 #include "mangospan/daemon/metrics.h"
-#include "mangospan/jobs/codec.h"
+#include "mangospan/node/wall_clock.h"
 
 namespace mangospan::node {
 
@@ -16,12 +16,6 @@
 
 constexpr milliseconds kUnavailableRetry{ 1'000 };
 
-jobs::wall_time
-WallNow()
-{
-  return std::chrono::system_clock::now();
-}
-
 job_reply
 Reply(reply_kind aKind)
 {
@@ -42,9 +36,8 @@
   : mDeps(aDependencies)
   , mSettings(aSettings)
   , mService(std::move(aService))
-  , mTermKey(election::TermKey(JobsSubject(mService)))
-  , mRosterKey(RosterKey(mService))
   , mTerm(std::move(aTerm))
+  , mFence{ election::TermKey(JobsSubject(mService)), mTerm.mRevision }
   , mMayStart(std::move(aMayStart))
   , mOnSuperseded(std::move(aOnSuperseded))
   , mScheduler(aScheduling, { mTerm.mTerm, mDeps.mClock.Now(), mService })
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -128,7 +128,7 @@
   };
 
   static std::string OwnedPrefix(const service_name& aService);
-  static std::string RosterKey(const service_name& aService);
+  std::string RosterKey() const;
   std::string JobKey(const jobs::job_name& aJob) const;
   bool IsOurs(const jobs::queue_name& aQueue) const;
   pool_state State(time_point aNow);
@@ -166,9 +166,8 @@
   owner_dependencies mDeps;
   const owner_settings mSettings;
   const service_name mService;
-  const std::string mTermKey;
-  const std::string mRosterKey;
   const owner_record mTerm;
+  const term_fence mFence;
   const std::function<bool()> mMayStart;
   std::function<void()> mOnSuperseded;
   jobs::scheduler mScheduler;
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -1,12 +1,12 @@
 #include "mangospan/node/owner.h"
 
-#include <algorithm>
 #include <utility>
 
 #include "mangospan/base/log.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/jobs/codec.h"
 #include "mangospan/node/host_orders.h"
+#include "mangospan/node/wall_clock.h"
 
 namespace mangospan::node {
 
@@ -23,12 +23,6 @@
 constexpr std::size_t kKeysOfJob = 2;
 constexpr std::size_t kJobsPerDelete = 12;
 
-jobs::wall_time
-WallNow()
-{
-  return std::chrono::system_clock::now();
-}
-
 std::string
 HomeKey(const jobs::job_name& aJob)
 {
@@ -44,9 +38,9 @@
 }
 
 std::string
-owner::RosterKey(const service_name& aService)
+owner::RosterKey() const
 {
-  return OwnedPrefix(aService) + kRoster;
+  return OwnedPrefix(mService) + kRoster;
 }
 
 std::string
@@ -63,9 +57,8 @@
   written_roster roster;
   roster.mText =
     jobs::EncodeRoster(mScheduler.Roster(mDeps.mClock.Now(), WallNow()));
-  platform::transaction change;
-  change.mExpected.push_back({ mTermKey, mTerm.mRevision });
-  change.mWrites.push_back({ mRosterKey, 0, roster.mText, std::nullopt });
+  platform::transaction change = mFence.Begin();
+  change.mWrites.push_back({ RosterKey(), roster.mText, std::nullopt });
   mDeps.mStore.Commit(
     std::move(change),
     mSettings.mWriteTimeout,
@@ -147,7 +140,7 @@
   std::vector<jobs::roster_entry> roster;
   const std::string jobPrefix = OwnedPrefix(mService) + kJobs;
   for (const platform::record& each : aRecords) {
-    if (each.mKey == mRosterKey) {
+    if (each.mKey == RosterKey()) {
       mRosterRevision = each.mRevision;
       auto known = jobs::DecodeRoster(each.mValue);
       if (known.has_error()) {
@@ -183,18 +176,13 @@
 bool
 owner::IsWriteDue() const
 {
-  if (mWritesInFlight == 0) {
-    const bool rosterIsDue =
-      mScheduler.RosterVersion() != mScheduler.StoredRosterVersion();
-    const bool progressIsDue = mDeps.mClock.Now() >= mNextProgress;
-    return rosterIsDue || !mScheduler.Unstored(1, !progressIsDue).empty();
+  if (mWritesInFlight > 0) {
+    return mScheduler.AwaitsWrite(mBeingWritten, /*aUrgentOnly=*/true);
   }
-  const auto urgent =
-    mScheduler.Unstored(mBeingWritten.size() + 1, /*aUrgentOnly=*/true);
-  return std::any_of(
-    urgent.begin(), urgent.end(), [this](const jobs::job_name& aJob) {
-      return mBeingWritten.count(aJob) == 0 && mScheduler.IsUrgent(aJob);
-    });
+  const bool rosterIsDue =
+    mScheduler.RosterVersion() != mScheduler.StoredRosterVersion();
+  const bool progressIsDue = mDeps.mClock.Now() >= mNextProgress;
+  return rosterIsDue || mScheduler.AwaitsWrite({}, !progressIsDue);
 }
 
 void
@@ -231,19 +219,18 @@
   roster.mVersion = mScheduler.RosterVersion();
   roster.mRunners = mScheduler.Roster(mDeps.mClock.Now(), WallNow());
   roster.mText = jobs::EncodeRoster(roster.mRunners);
-  aChange.mExpected.push_back({ mRosterKey, mRosterRevision });
-  aChange.mWrites.push_back({ mRosterKey, 0, roster.mText, std::nullopt });
+  aChange.mExpected.push_back({ RosterKey(), mRosterRevision });
+  aChange.mWrites.push_back({ RosterKey(), roster.mText, std::nullopt });
 }
 
 void
 owner::Write()
 {
-  platform::transaction change;
+  platform::transaction change = mFence.Begin();
   written_records written;
-  change.mExpected.push_back({ mTermKey, mTerm.mRevision });
   AddRoster(change, written);
   const auto unstored = mScheduler.Unstored(
-    mBeingWritten.size() + platform::kMaxTransactionKeys / kKeysOfJob, false);
+    mBeingWritten.size() + platform::kMaxTransactionKeys / kKeysOfJob);
   for (const jobs::job_name& each : unstored) {
     if (mBeingWritten.count(each) > 0) {
       continue;
@@ -257,12 +244,11 @@
     }
     if (isNew) {
       change.mExpected.push_back({ HomeKey(each), 0 });
-      change.mWrites.push_back(
-        { HomeKey(each), 0, mService.Str(), std::nullopt });
+      change.mWrites.push_back({ HomeKey(each), mService.Str(), std::nullopt });
     }
     written_job record{ { each, one.mVersion, 0 }, jobs::EncodeRecord(one) };
     change.mExpected.push_back({ JobKey(each), one.mRevision });
-    change.mWrites.push_back({ JobKey(each), 0, record.mText, std::nullopt });
+    change.mWrites.push_back({ JobKey(each), record.mText, std::nullopt });
     mBeingWritten.insert(each);
     written.mJobs.push_back(std::move(record));
   }
@@ -342,7 +328,7 @@
   for (const platform::record& each : aPresent) {
     present.emplace(each.mKey, &each);
   }
-  const auto term = present.find(mTermKey);
+  const auto term = present.find(mFence.mTermKey);
   if (term != present.end() && term->second->mRevision != mTerm.mRevision) {
     LogEvent(
       log_level::kInfo,
@@ -351,7 +337,7 @@
     TellSuperseded();
     return;
   }
-  const auto roster = present.find(mRosterKey);
+  const auto roster = present.find(RosterKey());
   if (roster != present.end()) {
     mRosterRevision = roster->second->mRevision; // written again over it
   }
@@ -415,8 +401,7 @@
   if (expired.empty()) {
     return;
   }
-  platform::transaction change;
-  change.mExpected.push_back({ mTermKey, mTerm.mRevision });
+  platform::transaction change = mFence.Begin();
   for (const jobs::job_name& each : expired) {
     change.mDeletes.push_back(JobKey(each));
     change.mDeletes.push_back(HomeKey(each));
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -16,50 +16,8 @@
 // Less than the scheduler's own bound by the longest time between two plans.
 constexpr milliseconds kUnconfirmedStarts{ 2'300 };
 
-void
-Refuse(const reply_handler& aHandler)
-{
-  job_reply reply;
-  reply.mKind = reply_kind::kUnavailable;
-  reply.mRetryAfter = kTakeoverRetry;
-  aHandler(reply);
-}
-
 } // namespace
 
-void
-no_jobs::Submit(const jobs::job_name& /*aJob*/,
-                const jobs::job_spec& /*aSpec*/,
-                milliseconds /*aPatience*/,
-                reply_handler aHandler)
-{
-  Refuse(aHandler);
-}
-
-void
-no_jobs::Cancel(const jobs::job_name& /*aJob*/,
-                milliseconds /*aPatience*/,
-                reply_handler aHandler)
-{
-  Refuse(aHandler);
-}
-
-void
-no_jobs::Read(const jobs::job_name& /*aJob*/,
-              milliseconds /*aPatience*/,
-              reply_handler aHandler)
-{
-  Refuse(aHandler);
-}
-
-void
-no_jobs::CountWaiting(const jobs::queue_name& /*aQueue*/,
-                      milliseconds /*aPatience*/,
-                      reply_handler aHandler)
-{
-  Refuse(aHandler);
-}
-
 partition::partition(partition_dependencies aDependencies,
                      service_name aService,
                      const election_candidate& aCandidate,
@@ -80,7 +38,7 @@
         [this](const owner_record& aTerm) { OnElected(aTerm); },
         [this] { OnLost(); },
         aCandidate.mBurden }))
-  , mAway(std::make_unique<no_jobs>())
+  , mAway(std::make_unique<fixed_jobs>(NobodyOwns()))
 {
 }
 
@@ -126,7 +84,7 @@
   if (address != mAwayAddress) {
     mAwayAddress = address;
     if (address.empty() || address == mAddress) {
-      mAway = std::make_unique<no_jobs>();
+      mAway = std::make_unique<fixed_jobs>(NobodyOwns());
     } else {
       mAway = std::make_unique<remote_jobs>(mDeps.mClient, address, mService);
     }
--- a/mangospan/node/partition.h
+++ b/mangospan/node/partition.h
@@ -13,31 +13,13 @@
 #include "mangospan/http/client.h"
 #include "mangospan/jobs/spec.h"
 #include "mangospan/node/election.h"
+#include "mangospan/node/fixed_jobs.h"
 #include "mangospan/node/job_service.h"
 #include "mangospan/node/owner.h"
 #include "mangospan/node/pool_link.h"
 
 namespace mangospan::node {
 
-// Answers that nobody can answer now.
-class no_jobs final : public job_service
-{
-public:
-  void Submit(const jobs::job_name& aJob,
-              const jobs::job_spec& aSpec,
-              std::chrono::milliseconds aPatience,
-              reply_handler aHandler) override;
-  void Cancel(const jobs::job_name& aJob,
-              std::chrono::milliseconds aPatience,
-              reply_handler aHandler) override;
-  void Read(const jobs::job_name& aJob,
-            std::chrono::milliseconds aPatience,
-            reply_handler aHandler) override;
-  void CountWaiting(const jobs::queue_name& aQueue,
-                    std::chrono::milliseconds aPatience,
-                    reply_handler aHandler) override;
-};
-
 // What every partition of a node uses. The references must outlive it.
 struct partition_dependencies
 {
--- /dev/null
+++ b/mangospan/node/state_dump.cc
@@ -0,0 +1,79 @@
+#include "mangospan/node/state_dump.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace mangospan::node {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A job, with what its tasks wait for.
+json
+DumpJob(const jobs::job& aJob, time_point aNow)
+{
+  std::size_t live = 0;
+  std::size_t waiting = 0;
+  std::size_t blocked = 0;
+  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
+    const auto& steps = aJob.mOccurrences[k].mSteps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      const bool isReady = aJob.IsStepReady(k, s);
+      for (const jobs::task& each : steps[s].mTasks) {
+        live += each.mLive ? 1 : 0;
+        waiting += !each.mLive && !each.mDone && isReady ? 1 : 0;
+        blocked += !each.mLive && !each.mDone && !isReady ? 1 : 0;
+      }
+    }
+  }
+  return {
+    { "queue", aJob.mSpec.mQueue.Str() },
+    { "state", jobs::Name(aJob.mState) },
+    { "stored", aJob.IsStored() },
+    { "age_ms",
+      std::chrono::duration_cast<milliseconds>(aNow - aJob.mAccepted).count() },
+    { "tasks_live", live },
+    { "tasks_waiting_for_room", waiting },
+    { "tasks_waiting_for_steps", blocked }
+  };
+}
+
+} // namespace
+
+void
+AddOwner(const election& aElection, const char* aKey, json& aInto)
+{
+  if (const auto known = aElection.Owner()) {
+    aInto[aKey] = { { "node", known->mNode }, { "term", known->mTerm } };
+  }
+}
+
+json
+DumpPartition(const partition& aPartition, time_point aNow)
+{
+  json out = json::object();
+  AddOwner(aPartition.Election(), "owner", out);
+  if (aPartition.Owner() == nullptr) {
+    return out;
+  }
+  const jobs::scheduler& scheduler = aPartition.Owner()->Scheduler();
+  json runners = json::object();
+  for (const auto& [runnerName, each] : scheduler.Runners()) {
+    runners[runnerName.Str()] = { { "runs", each.Runs().size() },
+                                  { "listed", each.mListed },
+                                  { "closed", each.mClosed },
+                                  { "failed_looks", each.mFailedLooks } };
+  }
+  json jobs = json::object();
+  for (const auto& [jobName, each] : scheduler.Jobs()) {
+    jobs[jobName.Str()] = DumpJob(each, aNow);
+  }
+  out["runners"] = std::move(runners);
+  out["jobs"] = std::move(jobs);
+  return out;
+}
+
+} // namespace mangospan::node
--- a/mangospan/node/testing/memory_store.cc
+++ b/mangospan/node/testing/memory_store.cc
@@ -81,35 +81,6 @@
   Answer<std::vector<record>>(mIo, std::move(aHandler), Find(aPrefix));
 }
 
-void
-memory_store::CompareAndSwap(platform::swap_request aRequest,
-                             milliseconds /*aTimeout*/,
-                             handler<revision> aHandler)
-{
-  const auto found = mRecords.find(aRequest.mKey);
-  const revision present =
-    found == mRecords.end() ? 0 : found->second.mRevision;
-  if (present != aRequest.mExpected) {
-    Answer<revision>(
-      mIo,
-      std::move(aHandler),
-      error{ error_code::kConflict, "store.cas", aRequest.mKey, "" });
-    return;
-  }
-  Answer<revision>(
-    mIo, std::move(aHandler), Put(aRequest.mKey, std::move(aRequest.mValue)));
-}
-
-void
-memory_store::Delete(std::string aKey,
-                     revision /*aExpected*/,
-                     milliseconds /*aTimeout*/,
-                     handler<revision> aHandler)
-{
-  mRecords.erase(aKey);
-  Answer<revision>(mIo, std::move(aHandler), ++mRevision);
-}
-
 void
 memory_store::GrantLease(milliseconds /*aTtl*/,
                          milliseconds /*aTimeout*/,
@@ -187,7 +158,7 @@
   if (out.mCommitted) {
     out.mPresent.clear();
     out.mRevision = ++mRevision;
-    for (platform::swap_request& each : aTransaction.mWrites) {
+    for (platform::key_write& each : aTransaction.mWrites) {
       if (each.mLease) {
         mLeased[each.mLease->mValue].push_back(each.mKey);
       }
--- a/mangospan/node/testing/memory_store.h
+++ b/mangospan/node/testing/memory_store.h
@@ -37,13 +37,6 @@
   void List(std::string aPrefix,
             std::chrono::milliseconds aTimeout,
             platform::handler<std::vector<platform::record>> aHandler) override;
-  void CompareAndSwap(platform::swap_request aRequest,
-                      std::chrono::milliseconds aTimeout,
-                      platform::handler<platform::revision> aHandler) override;
-  void Delete(std::string aKey,
-              platform::revision aExpected,
-              std::chrono::milliseconds aTimeout,
-              platform::handler<platform::revision> aHandler) override;
   void GrantLease(std::chrono::milliseconds aTtl,
                   std::chrono::milliseconds aTimeout,
                   platform::handler<platform::lease_id> aHandler) override;
--- a/mangospan/platform/store.h
+++ b/mangospan/platform/store.h
@@ -74,10 +74,10 @@
 
 // Errors common to all calls: kUnavailable (certainly not carried out),
 // kUnknownResult (sent, no answer), kInvalidArgument.
-class store
+class record_store
 {
 public:
-  virtual ~store() = default;
+  virtual ~record_store() = default;
 
   // Reads one key; no value if it does not exist.
   virtual void Read(std::string aKey,
@@ -89,17 +89,6 @@
                     std::chrono::milliseconds aTimeout,
                     handler<std::vector<record>> aHandler) = 0;
 
-  // Returns the new revision; kConflict if the key has another revision.
-  virtual void CompareAndSwap(swap_request aRequest,
-                              std::chrono::milliseconds aTimeout,
-                              handler<revision> aHandler) = 0;
-
-  // Deletes the key if its revision is `aExpected`; kConflict otherwise.
-  virtual void Delete(std::string aKey,
-                      revision aExpected,
-                      std::chrono::milliseconds aTimeout,
-                      handler<revision> aHandler) = 0;
-
   // Grants a lease that lasts `aTtl` unless renewed.
   virtual void GrantLease(std::chrono::milliseconds aTtl,
                           std::chrono::milliseconds aTimeout,
@@ -124,6 +113,22 @@
                      handler<change_batch> aHandler) = 0;
 };
 
+// A store that changes one key at a time.
+class store : public record_store
+{
+public:
+  // Returns the new revision; kConflict if the key has another revision.
+  virtual void CompareAndSwap(swap_request aRequest,
+                              std::chrono::milliseconds aTimeout,
+                              handler<revision> aHandler) = 0;
+
+  // Deletes the key if its revision is `aExpected`; kConflict otherwise.
+  virtual void Delete(std::string aKey,
+                      revision aExpected,
+                      std::chrono::milliseconds aTimeout,
+                      handler<revision> aHandler) = 0;
+};
+
 // A key that must have this revision (0: must not exist) when a transaction is
 // carried out.
 struct expectation
@@ -132,12 +137,20 @@
   revision mRevision = 0;
 };
 
+// With a lease, the key is deleted when the lease ends.
+struct key_write
+{
+  std::string mKey;
+  std::string mValue;
+  std::optional<lease_id> mLease;
+};
+
 // All writes of a transaction take effect together, and only if every
 // expectation holds.
 struct transaction
 {
   std::vector<expectation> mExpected;
-  std::vector<swap_request> mWrites; // `mExpected` of each is not looked at
+  std::vector<key_write> mWrites;
   std::vector<std::string> mDeletes;
 };
 
@@ -157,8 +170,8 @@
   revision mRevision = 0;
 };
 
-// A store that also offers transactions over several keys.
-class transactional_store : public store
+// A store that changes several keys in one transaction.
+class transactional_store : public record_store
 {
 public:
   // At most `kMaxTransactionKeys` expectations, writes and deletes together.
