A runner that answers stays in the roster, listed or not

Cause: while a zone is cut, discovery drops its runners. When the zone is back a runner answers before it is listed again. The roster written at that moment named the time by which it would be dead, since it was not listed; being listed again did not write the roster anew. So its leases were not extended and it got no new tasks, though it counted as a host of its pool, until something else changed the roster.

Both new tests fail without the mend.

Conclusion: the roster names every runner whose leases this owner extends, which is what the extension itself asks for.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -318,8 +318,9 @@
       continue;
     }
     roster_entry entry{ each.mInfo, std::nullopt };
+    // Whether discovery lists it or not: a runner that answers runs on.
     const bool isExtended =
-      mMayStart && each.mContacted && each.mListed && each.mFailedLooks == 0;
+      mMayStart && each.mContacted && each.mFailedLooks == 0;
     if (!isExtended) {
       entry.mDeadBy = aWall + std::chrono::duration_cast<wall_time::duration>(
                                 std::max(each.DeadAt(), aNow) - aNow);
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -145,6 +145,49 @@
   EXPECT_TRUE(world.Violations().empty());
 }
 
+// A cut zone is back, and its runners answer before discovery lists them.
+TEST(scheduler_test, ARunnerThatAnswersBeforeItIsListedAgainIsUsedAgain)
+{
+  fake_world world(11, fault_rates{});
+  AddRunners(world, 1);
+  step_spec lasting = Tasks(1, 500, milliseconds(0));
+  lasting.mLasting = true;
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ lasting }));
+  world.RunFor(seconds(1));
+  world.SetReachable("r0", false);
+  world.RunFor(seconds(4));
+  world.Unlist("r0");
+  world.RunFor(seconds(1));
+  world.SetReachable("r0", true);
+  world.RunFor(milliseconds(700));
+  world.ListAgain("r0");
+  world.RunFor(seconds(8));
+  EXPECT_EQ(world.Runner("r0").Runs().size(), 1U);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
+TEST(scheduler_test, ARunnerThatAnswersKeepsItsTasksThoughItIsNotListed)
+{
+  fake_world world(12, fault_rates{});
+  AddRunners(world, 1);
+  step_spec lasting = Tasks(1, 500, milliseconds(0));
+  lasting.mLasting = true;
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ lasting }));
+  world.RunFor(seconds(1));
+  world.SetReachable("r0", false);
+  world.RunFor(seconds(3));
+  world.Unlist("r0");
+  world.SetReachable("r0", true);
+  world.RunFor(seconds(8));
+  world.ListAgain("r0");
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.Runner("r0").Runs().size(), 1U);
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 1U);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
 TEST(scheduler_test, AnInheritedTaskOfAnotherServiceWaitsForNobody)
 {
   fake_world world(7, fault_rates{});
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -386,6 +386,12 @@
   mUnlisted.insert(aRunner);
 }
 
+void
+fake_world::ListAgain(const std::string& aRunner)
+{
+  mUnlisted.erase(aRunner);
+}
+
 void
 fake_world::RunFor(milliseconds aTime)
 {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -49,6 +49,7 @@
   void SetReachable(const std::string& aRunner, bool aIsReachable);
   void Crash(const std::string& aRunner);
   void Unlist(const std::string& aRunner);
+  void ListAgain(const std::string& aRunner);
 
   void RunFor(std::chrono::milliseconds aTime);
 
