Hosts are ordered for the rise of a peak, and for what fits into no gap

Cause: a queue's turn is half a wave of ten seconds. The growth from one window to the next, less what chance may have added, is now taken to go on for two seconds, up to three times the last window.

Besides, a pool was sized by the sum of what its tasks claim. A lasting task of 54 GB may find no gap on hosts that have room for it together: the pool now has one host more than are in use for such tasks, and one for jobs that have had nothing running for a second.

--- a/mangospan/jobs/arrivals.h
+++ b/mangospan/jobs/arrivals.h
@@ -1,9 +1,11 @@
-// What the jobs that now come in will occupy together once as many end as come.
-// Answers the first seconds of a peak: what waits grows for as long as a job
-// takes, while a host takes longer still to come from another pool.
+// What the jobs that come in will occupy together once as many end as come.
+// Answers the first seconds of a peak that rises for as long as a host takes to
+// come from another pool: hosts that are sent for what waits, or for what comes
+// now, are always those that were needed two seconds ago.
 #ifndef MANGOSPAN_JOBS_ARRIVALS_H
 #define MANGOSPAN_JOBS_ARRIVALS_H
 
+#include <chrono>
 #include <deque>
 
 #include "mangospan/base/time.h"
@@ -19,8 +21,9 @@
   void Add(const job_spec& aSpec, time_point aNow);
 
   // By the last moments before `aNow`, less what chance may have added: few
-  // large jobs tell little about those to come.
-  resources Level(time_point aNow);
+  // large jobs tell little about those to come. If more came in them than in
+  // the moments before, the growth is taken to go on for `aAhead`.
+  resources Expected(time_point aNow, std::chrono::milliseconds aAhead);
 
 private:
   struct arrival
@@ -30,6 +33,15 @@
     double mMemory = 0; // megabytes, times seconds
   };
 
+  struct total
+  {
+    double mCpu = 0;
+    double mMemory = 0;
+    double mCpuSquares = 0;
+  };
+
+  total Sum(time_point aFrom, time_point aTo) const;
+
   std::deque<arrival> mRecent;
 };
 
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -428,54 +428,6 @@
            : found->second.mContacted || aNow >= found->second.DeadAt();
 }
 
-std::map<service_name, pool_load>
-scheduler::Loads(time_point aNow, wall_time aWall)
-{
-  std::map<service_name, pool_load> loads;
-  for (const auto& [service, policy] : mCatalog.mServices) {
-    if (!policy.mSpare) {
-      loads[service].mArriving = mArrivals[service].Level(aNow);
-    }
-  }
-  for (const job_name& each : mActive) {
-    const job& one = mJobs.at(each);
-    const queue_policy* const queue = mCatalog.FindQueue(one.mSpec.mQueue);
-    const auto load =
-      queue == nullptr ? loads.end() : loads.find(ServiceOf(*queue));
-    if (load != loads.end()) {
-      AddLoad(one, aWall, load->second);
-    }
-  }
-  return loads;
-}
-
-void
-scheduler::AddLoad(const job& aJob, wall_time aWall, pool_load& aInto) const
-{
-  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
-    if (aJob.mSpec.mRepetitions > 0 && aWall < aJob.mSpec.DueAt(k)) {
-      break;
-    }
-    for (std::size_t s = 0; s < aJob.mSpec.mSteps.size(); ++s) {
-      const step& state = aJob.mOccurrences[k].mSteps[s];
-      const step_spec& spec = aJob.mSpec.mSteps[s];
-      const std::size_t open = state.mTasks.size() - state.mDone;
-      if (open == 0 || !aJob.IsStepReady(k, s)) {
-        continue;
-      }
-      const resources claim = spec.Claim();
-      for (std::size_t i = 0; i < open; ++i) {
-        aInto.mWanted += claim;
-      }
-      if (spec.mLasting && spec.mMaxPerRunner > 0) {
-        aInto.mMinHosts =
-          std::max(aInto.mMinHosts,
-                   (open + spec.mMaxPerRunner - 1) / spec.mMaxPerRunner);
-      }
-    }
-  }
-}
-
 void
 scheduler::Touch(job& aJob)
 {
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -204,6 +204,45 @@
   EXPECT_EQ(world.StateOf("a1"), job_state::kCompleted);
 }
 
+// Three lasting tasks of 9 GB need three hosts of 16 GB, though two hosts have
+// room for 27 GB.
+TEST(scheduler_test, ATaskThatFitsIntoNoGapAsksForAnotherHost)
+{
+  fake_world world(13, fault_rates{});
+  AddRunners(world, 2);
+  step_spec lasting = Tasks(3, 500, milliseconds(0));
+  lasting.mNeed.mMemoryMb = 9'000;
+  lasting.mLasting = true;
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ lasting }));
+  world.RunFor(seconds(1));
+  const auto waits = world.Owner()->Loads(world.Now(), wall_time{});
+  EXPECT_EQ(waits.at(service_name{ "s" }).mMinHosts, 3U);
+  AddRunners(world, 3);
+  world.RunFor(seconds(1));
+  const auto runs = world.Owner()->Loads(world.Now(), wall_time{});
+  EXPECT_LE(runs.at(service_name{ "s" }).mMinHosts, 3U);
+  EXPECT_EQ(world.StartsOf("a1.0.0.2"), 1U);
+}
+
+TEST(scheduler_test, AJobThatFitsIntoNoGapAsksForAnotherHost)
+{
+  fake_world world(14, fault_rates{});
+  AddRunners(world, 1);
+  step_spec lasting = Tasks(1, 500, milliseconds(0));
+  lasting.mNeed.mMemoryMb = 6'000;
+  lasting.mLasting = true;
+  step_spec wide = Tasks(1, 500, milliseconds(300));
+  wide.mNeed.mMemoryMb = 12'000;
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ lasting }));
+  world.RunFor(seconds(1));
+  world.Submit("a2", Job({ wide }));
+  world.RunFor(milliseconds(1'500));
+  const auto waits = world.Owner()->Loads(world.Now(), wall_time{});
+  EXPECT_EQ(waits.at(service_name{ "s" }).mMinHosts, 2U);
+}
+
 TEST(scheduler_test, ACancelledJobStopsAndStartsNoMore)
 {
   fake_world world(8, fault_rates{});
--- a/mangospan/jobs/sizing.h
+++ b/mangospan/jobs/sizing.h
@@ -23,7 +23,9 @@
 {
   resources mWanted;         // live runs and tasks that may start
   resources mArriving;       // what will be, if jobs come as they do now
-  std::size_t mMinHosts = 0; // that its lasting steps need by themselves
+  // By the limits of lasting steps, and for what finds no room on the hosts in
+  // use although there is enough of it on all together.
+  std::size_t mMinHosts = 0;
 };
 
 struct sizing_settings
