--- a/mangospan/jobs/arrivals_test.cc
+++ b/mangospan/jobs/arrivals_test.cc
@@ -57,7 +57,10 @@
   double owed = 0;
   double most = 0;
   for (milliseconds at{ 0 }; at < milliseconds(10'000); at += milliseconds(1)) {
-    for (owed += PeakRate(at) / 1'000; owed >= 1; owed -= 1) {
+    owed += PeakRate(at) / 1'000;
+    const auto due = static_cast<int>(owed);
+    owed -= due;
+    for (int i = 0; i < due; ++i) {
       recent.Add(Job(13, 1'500, milliseconds(800)), kStart + at);
     }
     const auto got =
--- a/mangospan/jobs/runner.cc
+++ b/mangospan/jobs/runner.cc
@@ -16,6 +16,18 @@
 
 } // namespace
 
+run
+RunOf(const step_spec& aStep)
+{
+  run out;
+  out.mClaim = aStep.Claim();
+  out.mLasting = aStep.mLasting;
+  out.mServing = aStep.mLasting && aStep.mTargetLatency.count() > 0;
+  out.mFiller = aStep.mFiller;
+  out.mTargetLatency = aStep.mTargetLatency;
+  return out;
+}
+
 runner::runner(runner_info aInfo)
   : mInfo(std::move(aInfo))
 {
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -48,6 +48,10 @@
   bool mPaceInFlight = false;
 };
 
+// A run of the step that nobody has ordered yet.
+run
+RunOf(const step_spec& aStep);
+
 using run_key = std::pair<std::string, std::uint32_t>; // task text, number
 
 // An end that the owner has seen, until it is stored and acknowledged.
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -35,7 +35,9 @@
 struct scheduler_settings
 {
   // Runs outlive their owner for this long. A runner that is lost is waited for
-  // just as long before its tasks start elsewhere.
+  // just as long before its tasks start elsewhere. Longer than an owner acts
+  // without confirmation, or it would start again what its successor has
+  // reached and keeps alive.
   std::chrono::milliseconds mLease{ 6'000 };
   // An owner that can not confirm its ownership orders starts and extends
   // leases for this long after its successor may have claimed it, so that an
--- a/mangospan/jobs/scheduler_answers.cc
+++ b/mangospan/jobs/scheduler_answers.cc
@@ -405,11 +405,6 @@
                  time_point aNow)
 {
   run made;
-  made.mTask = aTask;
-  made.mNumber = aLive.mRun;
-  made.mPhase = run_phase::kListed;
-  made.mSince = aNow;
-  made.mProgressAt = aNow;
   job* const owner = Mutable(aTask.mJob);
   task* const one =
     owner == nullptr || IsFinal(owner->mState) ? nullptr : owner->Find(aTask);
@@ -418,12 +413,7 @@
     // Nothing is known of its size: the runner counts as full until it ends.
     made.mClaim = aRunner.mInfo.mCapacity;
   } else {
-    const step_spec& spec = owner->mSpec.mSteps[aTask.mStep];
-    made.mClaim = spec.Claim();
-    made.mLasting = spec.mLasting;
-    made.mServing = spec.mLasting && spec.mTargetLatency.count() > 0;
-    made.mFiller = spec.mFiller;
-    made.mTargetLatency = spec.mTargetLatency;
+    made = RunOf(owner->mSpec.mSteps[aTask.mStep]);
     made.mStopWanted = one->mDone || one->mLive;
     if (!made.mStopWanted) {
       one->mLive = true;
@@ -432,6 +422,11 @@
     }
     mRunnersOfJob[aTask.mJob].insert(aRunner.mInfo.mName);
   }
+  made.mTask = aTask;
+  made.mNumber = aLive.mRun;
+  made.mPhase = run_phase::kListed;
+  made.mSince = aNow;
+  made.mProgressAt = aNow;
   LogEvent(log_level::kInfo,
            made.mStopWanted ? "task.surplus" : "task.adopted",
            { { "task", aLive.mTask },
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -329,14 +329,9 @@
   one.mLastRun = aRun;
   one.mRunner = aRunner.mInfo.mName;
 
-  run made;
+  run made = RunOf(spec);
   made.mTask = aCandidate.Id(aIndex);
   made.mNumber = aRun;
-  made.mClaim = spec.Claim();
-  made.mLasting = spec.mLasting;
-  made.mServing = spec.mLasting && spec.mTargetLatency.count() > 0;
-  made.mFiller = spec.mFiller;
-  made.mTargetLatency = spec.mTargetLatency;
   made.mSince = aNow;
   made.mProgressAt = aNow;
   made.mExpiry = aRunner.ClockAt(aNow) + mSettings.mStartValidity;
--- a/mangospan/jobs/sizing.h
+++ b/mangospan/jobs/sizing.h
@@ -21,8 +21,8 @@
 // What a pool's service would use now if it had room for all.
 struct pool_load
 {
-  resources mWanted;         // live runs and tasks that may start
-  resources mArriving;       // what will be, if jobs come as they do now
+  resources mWanted;   // live runs and tasks that may start
+  resources mArriving; // what will be, if jobs come as they do now
   // By the limits of lasting steps, and for what finds no room on the hosts in
   // use although there is enough of it on all together.
   std::size_t mMinHosts = 0;
