The fake fleet in three files: the fleet, its entries, its checks

Cause: fake_fleet.cc had 829 lines with three jobs. Nothing but the place of the functions has changed; the interval of the entries' reports stands in the header, as two of the files use it.

Ruled out: a split by class, which would have to pass the whole state around.

The 57 tests that use it pass, as before (34 s).

Conclusion: 428, 227 and 203 lines.

--- a/mangospan/fleet/testing/fake_fleet.h
+++ b/mangospan/fleet/testing/fake_fleet.h
@@ -129,6 +129,8 @@
   std::size_t mDemandRate = 0; // requests a second at each entry
 
 private:
+  // Of an entry, to the acting process.
+  static constexpr milliseconds kReportEvery{ 400 };
   void AddZone(std::size_t aIndex);
   void Tick(fake_process& aProcess);
   void Input(fake_process& aProcess,
