--- a/testing/platform/service.cc
+++ b/testing/platform/service.cc
@@ -25,6 +25,7 @@
 #include "mangospan/platform/store.h"
 #include "testing/fleet/fleet_file.h"
 #include "testing/http/fault_server.h"
+#include "testing/platform/answers.h"
 #include "testing/platform/call_counter.h"
 #include "testing/platform/faults.h"
 #include "testing/platform/host_directory.h"
@@ -45,18 +46,6 @@
 constexpr int kTooLarge = 413;
 constexpr milliseconds kTickPeriod{ 10 };
 
-http::response
-Failure(int aStatus, std::string_view aMessage)
-{
-  return JsonResponse(aStatus, json{ { "message", aMessage } }.dump());
-}
-
-http::response
-RevisionResponse(int aStatus, platform::revision aRevision)
-{
-  return JsonResponse(aStatus, json{ { "revision", aRevision } }.dump());
-}
-
 std::uint64_t
 Number(std::string_view aText)
 {
@@ -65,58 +54,6 @@
   return value;
 }
 
-json
-ToJson(const platform::record& aRecord)
-{
-  return { { "key", aRecord.mKey },
-           { "value", aRecord.mValue },
-           { "revision", aRecord.mRevision } };
-}
-
-json
-ToJson(const std::vector<platform::change>& aChanges)
-{
-  json changes = json::array();
-  for (const platform::change& each : aChanges) {
-    json change = ToJson(each.mRecord);
-    change["deleted"] = each.mDeleted;
-    changes.push_back(std::move(change));
-  }
-  return changes;
-}
-
-http::response
-BatchResponse(const platform::change_batch& aBatch)
-{
-  return JsonResponse(kOk,
-                      json{ { "revision", aBatch.mRevision },
-                            { "changes", ToJson(aBatch.mChanges) } }
-                        .dump());
-}
-
-const char*
-Name(platform::action_state aState)
-{
-  switch (aState) {
-    case platform::action_state::kPending:
-      return "pending";
-    case platform::action_state::kDone:
-      return "done";
-    case platform::action_state::kFailed:
-      return "failed";
-  }
-  return "failed";
-}
-
-http::response
-ToResponse(const platform::action_status& aStatus)
-{
-  return JsonResponse(
-    kOk,
-    json{ { "state", Name(aStatus.mState) }, { "message", aStatus.mMessage } }
-      .dump());
-}
-
 struct waiting_watch
 {
   std::string mPrefix;
