Which occurrences are due, and which tasks need a run, asked in one place

AddDemand and CollectCandidates had the same loop over the occurrences whose time has come, and four places spelled out that a task is neither done nor live: job::DueOccurrences and task::IsIdle serve them now. Cancel and Read of the node differed by one name: Search takes the call as a member pointer. The sums over a service's jobs need nothing of the scheduler, so they are no members any more; FitsInto returns a count and is called CountFitting. The tests' set-up of one lasting task stands once; their assertions are the same. The comment on mArriving told the rule of before.

Ruled out: one base for the overrides of job_service and of the stores, which are declarations of an interface and share no logic.

--- a/mangospan/jobs/job.cc
+++ b/mangospan/jobs/job.cc
@@ -116,6 +116,19 @@
   });
 }
 
+std::size_t
+job::DueOccurrences(wall_time aWall) const
+{
+  if (mSpec.mRepetitions == 0) {
+    return mOccurrences.size();
+  }
+  std::size_t due = 0;
+  while (due < mOccurrences.size() && aWall >= mSpec.DueAt(due)) {
+    ++due;
+  }
+  return due;
+}
+
 bool
 job::AllDone() const
 {
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -61,6 +61,9 @@
   runner_name mFailedOn;      // where it failed last
   std::string mCheckpoint;
   time_point mIdleSince{}; // since when no run of it is live
+
+  // Whether it needs a run.
+  bool IsIdle() const { return !mDone && !mLive; }
 };
 
 struct step
@@ -95,6 +98,8 @@
   task* Find(const task_id& aTask);
   // Whether every step that `aStep` comes after is done.
   bool IsStepReady(std::size_t aOccurrence, std::size_t aStep) const;
+  // How many occurrences, from the first, have reached their time.
+  std::size_t DueOccurrences(wall_time aWall) const;
   bool AllDone() const;
 };
 
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -179,7 +179,6 @@
 private:
   struct candidate;
   struct collection;
-  struct demand;
 
   bool IsUrgent(const job_name& aJob) const;
   const service_name& ServiceOf(const queue_policy& aQueue) const;
@@ -241,13 +240,6 @@
                       const look_report& aReport,
                       time_point aSentAt,
                       time_point aNow);
-  static void AddDemand(const job& aJob,
-                        time_point aNow,
-                        wall_time aWall,
-                        demand& aInto);
-  static void AddStep(const step_spec& aSpec,
-                      const step& aState,
-                      demand& aInto);
   void Touch(job& aJob);
   void Finish(job& aJob, job_state aState, wall_time aWall);
   void StopRuns(const job_name& aJob);
--- a/mangospan/jobs/scheduler_answers.cc
+++ b/mangospan/jobs/scheduler_answers.cc
@@ -414,7 +414,7 @@
     made.mClaim = aRunner.mInfo.mCapacity;
   } else {
     made = RunOf(owner->mSpec.mSteps[aTask.mStep]);
-    made.mStopWanted = one->mDone || one->mLive;
+    made.mStopWanted = !one->IsIdle();
     if (!made.mStopWanted) {
       one->mLive = true;
       one->mLastRun = std::max(one->mLastRun, aLive.mRun);
--- a/mangospan/jobs/scheduler_loads.cc
+++ b/mangospan/jobs/scheduler_loads.cc
@@ -1,8 +1,8 @@
+#include "mangospan/jobs/scheduler.h"
+
 #include <algorithm>
 #include <limits>
 
-#include "mangospan/jobs/scheduler.h"
-
 namespace mangospan::jobs {
 
 namespace {
@@ -15,8 +15,9 @@
 // be as much of it as it needs: a little on each runner.
 constexpr milliseconds kNoRoomAge{ 1'000 };
 
+// How many claims a host holds; one at least.
 std::size_t
-FitsInto(const resources& aClaim, const resources& aHost)
+CountFitting(const resources& aClaim, const resources& aHost)
 {
   std::int64_t fits = std::numeric_limits<std::int64_t>::max();
   const auto limit = [&fits](std::int64_t aNeed, std::int64_t aHas) {
@@ -48,10 +49,8 @@
   return false;
 }
 
-} // namespace
-
 // What a service's jobs ask for, and what its runners leave them.
-struct scheduler::demand
+struct demand
 {
   pool_load mLoad;
   std::size_t mOccupied = 0; // runners in use
@@ -60,6 +59,50 @@
   bool mIsStuck = false;            // a job has nothing running for too long
 };
 
+void
+AddStep(const step_spec& aSpec, const step& aState, demand& aInto)
+{
+  const std::size_t open = aState.mTasks.size() - aState.mDone;
+  const resources claim = aSpec.Claim();
+  for (std::size_t i = 0; i < open; ++i) {
+    aInto.mLoad.mWanted += claim;
+  }
+  if (!aSpec.mLasting) {
+    return;
+  }
+  if (aSpec.mMaxPerRunner > 0) {
+    aInto.mLoad.mMinHosts =
+      std::max(aInto.mLoad.mMinHosts, DivideUp(open, aSpec.mMaxPerRunner));
+  }
+  const auto waiting =
+    std::count_if(aState.mTasks.begin(),
+                  aState.mTasks.end(),
+                  [](const task& aEach) { return aEach.IsIdle(); });
+  aInto.mHostsForLasting += DivideUp(static_cast<std::size_t>(waiting),
+                                     CountFitting(claim, aInto.mPerHost));
+}
+
+void
+AddDemand(const job& aJob, time_point aNow, wall_time aWall, demand& aInto)
+{
+  bool isDue = false;
+  const std::size_t due = aJob.DueOccurrences(aWall);
+  for (std::size_t k = 0; k < due; ++k) {
+    for (std::size_t s = 0; s < aJob.mSpec.mSteps.size(); ++s) {
+      const step& state = aJob.mOccurrences[k].mSteps[s];
+      if (state.mTasks.size() > state.mDone && aJob.IsStepReady(k, s)) {
+        AddStep(aJob.mSpec.mSteps[s], state, aInto);
+        isDue = true;
+      }
+    }
+  }
+  const bool isOld =
+    aJob.mSpec.mRepetitions == 0 && aNow - aJob.mAccepted > kNoRoomAge;
+  aInto.mIsStuck = aInto.mIsStuck || (isDue && isOld && !HasLiveTask(aJob));
+}
+
+} // namespace
+
 std::map<service_name, pool_load>
 scheduler::Loads(time_point aNow, wall_time aWall)
 {
@@ -99,51 +142,4 @@
   return loads;
 }
 
-void
-scheduler::AddDemand(const job& aJob,
-                     time_point aNow,
-                     wall_time aWall,
-                     demand& aInto)
-{
-  bool isDue = false;
-  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
-    if (aJob.mSpec.mRepetitions > 0 && aWall < aJob.mSpec.DueAt(k)) {
-      break;
-    }
-    for (std::size_t s = 0; s < aJob.mSpec.mSteps.size(); ++s) {
-      const step& state = aJob.mOccurrences[k].mSteps[s];
-      if (state.mTasks.size() > state.mDone && aJob.IsStepReady(k, s)) {
-        AddStep(aJob.mSpec.mSteps[s], state, aInto);
-        isDue = true;
-      }
-    }
-  }
-  const bool isOld =
-    aJob.mSpec.mRepetitions == 0 && aNow - aJob.mAccepted > kNoRoomAge;
-  aInto.mIsStuck = aInto.mIsStuck || (isDue && isOld && !HasLiveTask(aJob));
-}
-
-void
-scheduler::AddStep(const step_spec& aSpec, const step& aState, demand& aInto)
-{
-  const std::size_t open = aState.mTasks.size() - aState.mDone;
-  const resources claim = aSpec.Claim();
-  for (std::size_t i = 0; i < open; ++i) {
-    aInto.mLoad.mWanted += claim;
-  }
-  if (!aSpec.mLasting) {
-    return;
-  }
-  if (aSpec.mMaxPerRunner > 0) {
-    aInto.mLoad.mMinHosts =
-      std::max(aInto.mLoad.mMinHosts, DivideUp(open, aSpec.mMaxPerRunner));
-  }
-  const auto waiting = std::count_if(
-    aState.mTasks.begin(), aState.mTasks.end(), [](const task& aEach) {
-      return !aEach.mDone && !aEach.mLive;
-    });
-  aInto.mHostsForLasting += DivideUp(static_cast<std::size_t>(waiting),
-                                     FitsInto(claim, aInto.mPerHost));
-}
-
 } // namespace mangospan::jobs
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -203,16 +203,14 @@
       return;
     }
   }
-  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
-    if (aJob.mSpec.mRepetitions > 0 && aWall < aJob.mSpec.DueAt(k)) {
-      break;
-    }
+  const std::size_t due = aJob.DueOccurrences(aWall);
+  for (std::size_t k = 0; k < due; ++k) {
     const auto& steps = aJob.mOccurrences[k].mSteps;
     for (std::size_t s = 0; s < steps.size(); ++s) {
       const auto& tasks = steps[s].mTasks;
       const bool hasIdle =
         std::any_of(tasks.begin(), tasks.end(), [](const task& aTask) {
-          return !aTask.mDone && !aTask.mLive;
+          return aTask.IsIdle();
         });
       if (hasIdle && aJob.IsStepReady(k, s)) {
         aInto.mCandidates[service].push_back(
@@ -233,7 +231,7 @@
   std::uint64_t placed = 0;
   std::uint64_t left = 0;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    if (tasks[i].mDone || tasks[i].mLive) {
+    if (!tasks[i].IsIdle()) {
       continue;
     }
     const placement_request request{
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -24,6 +24,14 @@
   return out;
 }
 
+step_spec
+Lasting(std::size_t aCount)
+{
+  step_spec out = Tasks(aCount, 500, milliseconds(0));
+  out.mLasting = true;
+  return out;
+}
+
 job_spec
 Job(std::vector<step_spec> aSteps)
 {
@@ -42,6 +50,16 @@
   }
 }
 
+// "a1", on the world's only runner "r0".
+void
+RunOneLastingTask(fake_world& aWorld)
+{
+  AddRunners(aWorld, 1);
+  aWorld.RunFor(milliseconds(200));
+  aWorld.Submit("a1", Job({ Lasting(1) }));
+  aWorld.RunFor(seconds(1));
+}
+
 TEST(scheduler_test, RunsStepsInOrderAndCompletes)
 {
   fake_world world(1, fault_rates{});
@@ -131,12 +149,7 @@
 TEST(scheduler_test, ARunnerThatWasSilentIsUsedAgain)
 {
   fake_world world(6, fault_rates{});
-  AddRunners(world, 1);
-  step_spec lasting = Tasks(1, 500, milliseconds(0));
-  lasting.mLasting = true;
-  world.RunFor(milliseconds(200));
-  world.Submit("a1", Job({ lasting }));
-  world.RunFor(seconds(1));
+  RunOneLastingTask(world);
   world.SetReachable("r0", false);
   world.RunFor(seconds(12));
   world.SetReachable("r0", true);
@@ -149,12 +162,7 @@
 TEST(scheduler_test, ARunnerThatAnswersBeforeItIsListedAgainIsUsedAgain)
 {
   fake_world world(11, fault_rates{});
-  AddRunners(world, 1);
-  step_spec lasting = Tasks(1, 500, milliseconds(0));
-  lasting.mLasting = true;
-  world.RunFor(milliseconds(200));
-  world.Submit("a1", Job({ lasting }));
-  world.RunFor(seconds(1));
+  RunOneLastingTask(world);
   world.SetReachable("r0", false);
   world.RunFor(seconds(4));
   world.Unlist("r0");
@@ -170,12 +178,7 @@
 TEST(scheduler_test, ARunnerThatAnswersKeepsItsTasksThoughItIsNotListed)
 {
   fake_world world(12, fault_rates{});
-  AddRunners(world, 1);
-  step_spec lasting = Tasks(1, 500, milliseconds(0));
-  lasting.mLasting = true;
-  world.RunFor(milliseconds(200));
-  world.Submit("a1", Job({ lasting }));
-  world.RunFor(seconds(1));
+  RunOneLastingTask(world);
   world.SetReachable("r0", false);
   world.RunFor(seconds(3));
   world.Unlist("r0");
@@ -210,9 +213,8 @@
 {
   fake_world world(13, fault_rates{});
   AddRunners(world, 2);
-  step_spec lasting = Tasks(3, 500, milliseconds(0));
+  step_spec lasting = Lasting(3);
   lasting.mNeed.mMemoryMb = 9'000;
-  lasting.mLasting = true;
   world.RunFor(milliseconds(200));
   world.Submit("a1", Job({ lasting }));
   world.RunFor(seconds(1));
@@ -229,9 +231,8 @@
 {
   fake_world world(14, fault_rates{});
   AddRunners(world, 1);
-  step_spec lasting = Tasks(1, 500, milliseconds(0));
+  step_spec lasting = Lasting(1);
   lasting.mNeed.mMemoryMb = 6'000;
-  lasting.mLasting = true;
   step_spec wide = Tasks(1, 500, milliseconds(300));
   wide.mNeed.mMemoryMb = 12'000;
   world.RunFor(milliseconds(200));
@@ -261,8 +262,7 @@
 {
   fake_world world(9, fault_rates{});
   AddRunners(world, 3);
-  step_spec lasting = Tasks(3, 500, milliseconds(0));
-  lasting.mLasting = true;
+  step_spec lasting = Lasting(3);
   lasting.mMaxPerRunner = 1;
   lasting.mMaxAway = 1;
   world.RunFor(milliseconds(200));
--- a/mangospan/jobs/sizing.h
+++ b/mangospan/jobs/sizing.h
@@ -22,7 +22,7 @@
 struct pool_load
 {
   resources mWanted;   // live runs and tasks that may start
-  resources mArriving; // what will be, if jobs come as they do now
+  resources mArriving; // by the time a host ordered now is there
   // By the limits of lasting steps, and for what finds no room on the hosts in
   // use although there is enough of it on all together.
   std::size_t mMinHosts = 0;
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -99,8 +99,12 @@
   // Makes it known, and takes part in its election.
   partition& PartitionOf(const service_name& aService);
   job_service_finder Finder();
+  using job_call = void (job_service::*)(const jobs::job_name&,
+                                         std::chrono::milliseconds,
+                                         reply_handler);
   void Search(const jobs::queue_policy& aQueue,
-              job_question aQuestion,
+              job_call aCall,
+              const jobs::job_name& aJob,
               std::chrono::milliseconds aPatience,
               reply_handler aHandler);
   // The queue's service first.
--- a/mangospan/node/node_process_requests.cc
+++ b/mangospan/node/node_process_requests.cc
@@ -46,16 +46,21 @@
 
 void
 node_process::Search(const jobs::queue_policy& aQueue,
-                     job_question aQuestion,
+                     job_call aCall,
+                     const jobs::job_name& aJob,
                      milliseconds aPatience,
                      reply_handler aHandler)
 {
-  SearchJob(mClock,
-            Finder(),
-            SearchOrder(aQueue),
-            std::move(aQuestion),
-            aPatience,
-            std::move(aHandler));
+  SearchJob(
+    mClock,
+    Finder(),
+    SearchOrder(aQueue),
+    [aCall,
+     aJob](job_service& aService, milliseconds aLeft, reply_handler aReply) {
+      (aService.*aCall)(aJob, aLeft, std::move(aReply));
+    },
+    aPatience,
+    std::move(aHandler));
 }
 
 void
@@ -64,11 +69,7 @@
                      milliseconds aPatience,
                      reply_handler aHandler)
 {
-  const auto cancel =
-    [aJob](job_service& aService, milliseconds aLeft, reply_handler aReply) {
-      aService.Cancel(aJob, aLeft, std::move(aReply));
-    };
-  Search(aQueue, cancel, aPatience, std::move(aHandler));
+  Search(aQueue, &job_service::Cancel, aJob, aPatience, std::move(aHandler));
 }
 
 void
@@ -77,11 +78,7 @@
                    milliseconds aPatience,
                    reply_handler aHandler)
 {
-  const auto read =
-    [aJob](job_service& aService, milliseconds aLeft, reply_handler aReply) {
-      aService.Read(aJob, aLeft, std::move(aReply));
-    };
-  Search(aQueue, read, aPatience, std::move(aHandler));
+  Search(aQueue, &job_service::Read, aJob, aPatience, std::move(aHandler));
 }
 
 void
