Say why a caller is turned away, and how long a service lacks an owner

What callers saw: 503 with no word of the cause; the logs of a node did not tell an owner that is cut off from one that can not write.

- owner.missing and owner.serves_again, with the time in between, and mangospan_node_owner_missing_seconds_total: per service, as seen by each node.
- pool.told_again ends what pool.not_told begins on the fleet's owner.

No decision changes.

--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -50,7 +50,8 @@
     StatusOf(aReply.mKind),
     json{ { "state", jobs::Name(aReply.mJobState) },
           { "waiting", aReply.mWaitingCount },
-          { "retry_after_ms", aReply.mRetryAfter.count() } }
+          { "retry_after_ms", aReply.mRetryAfter.count() },
+          { "reason", Name(aReply.mReason) } }
       .dump());
 }
 
@@ -71,6 +72,7 @@
   out.mWaitingCount = body.value("waiting", std::size_t{ 0 });
   out.mRetryAfter =
     milliseconds(body.value("retry_after_ms", std::int64_t{ 0 }));
+  out.mReason = ParseRefusalReason(body.value("reason", std::string()));
   return out;
 }
 
@@ -151,10 +153,11 @@
                  }
                  LogError("forward.failed", aResult.assume_error());
                  job_reply reply;
-                 reply.mKind =
-                   aResult.assume_error().mCode == error_code::kUnavailable
-                     ? reply_kind::kUnavailable
-                     : reply_kind::kUnknown;
+                 reply.mKind = reply_kind::kUnknown;
+                 if (aResult.assume_error().mCode == error_code::kUnavailable) {
+                   reply.mKind = reply_kind::kUnavailable;
+                   reply.mReason = refusal_reason::kOwnerUnreachable;
+                 }
                  handler(reply);
                });
 }
--- a/mangospan/node/job_service.h
+++ b/mangospan/node/job_service.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include "mangospan/jobs/job.h"
 #include "mangospan/jobs/spec.h"
@@ -23,6 +24,26 @@
   kUnknown,     // the result is not known; the request may have an effect
 };
 
+// Why a request was turned away.
+enum class refusal_reason
+{
+  kNone,             // it was not, or the reason is not known
+  kNoOwner,          // no node owns the jobs
+  kOwnerUnreachable, // the owner's node does not answer
+  kNotLoaded,        // the owner has not read its jobs yet
+  kHandover,         // the owner hands its jobs over
+  kStoreUnavailable, // the owner's last write to the store failed
+  kOtherService,     // the queue belongs to the jobs of another service
+  kNoSuchQueue,      // the catalog of the owner has no such queue
+};
+
+// The reason in one word, as logs, metrics and other nodes spell it.
+const char*
+Name(refusal_reason aReason);
+// The inverse of `Name()`. Returns kNone for any other word.
+refusal_reason
+ParseRefusalReason(std::string_view aName);
+
 // `job_reply::mRetryAfter` of a reply kUnavailable while the jobs are handed
 // over from one owner to the next.
 inline constexpr std::chrono::milliseconds kHandoverRetryAfter{ 150 };
@@ -38,6 +59,8 @@
   // Delay before the next attempt; 0 if none is advised. May be set if `mKind`
   // is kRefused or kUnavailable.
   std::chrono::milliseconds mRetryAfter{ 0 };
+  // Set if `mKind` is kRefused or kUnavailable.
+  refusal_reason mReason = refusal_reason::kNone;
 };
 
 using reply_handler = std::function<void(job_reply)>;
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -20,8 +20,6 @@
 // Interval at which a node asks the owners on other nodes whether they serve.
 constexpr milliseconds kOwnerCheckInterval{ 400 };
 constexpr milliseconds kOwnerCheckTimeout{ 350 };
-// An owner that has not been seen serving for longer counts as unreachable.
-constexpr milliseconds kOwnerUnreachableAfter{ 1'000 };
 // A catalog that was confirmed longer ago may lack queues that an operator has
 // added since.
 constexpr milliseconds kMaxCatalogAge{ 2'200 };
@@ -359,6 +357,7 @@
     } else if (known && known->mAddress != mSettings.mNodeAddress) {
       addresses.insert(known->mAddress);
     }
+    each.ReportOwnerServing(mClock.Now());
   }
   for (const std::string& each : addresses) {
     CheckOwnersAt(each);
@@ -444,8 +443,7 @@
   const time_point now = mClock.Now();
   bool isAnyOwnerServing = false;
   for (const auto& [service, each] : mPartitions) {
-    const bool isOwnerServing =
-      now - each.OwnerServingAt() < kOwnerUnreachableAfter;
+    const bool isOwnerServing = each.IsOwnerServing(now);
     if (!isOwnerServing && each.Election().CurrentOwner()) {
       return false;
     }
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -314,10 +314,10 @@
 {
   const time_point now = mDeps.mClock.Now();
   const bool isKnown = mScheduler.Find(aJob) != nullptr;
-  if (!IsLoaded() || mIsHandingOver ||
-      (!isKnown &&
-       (mFailedWrites > 0 || !IsQueueOfThisService(aSpec.mQueue)))) {
+  const refusal_reason reason = ReasonToRefuse(aSpec.mQueue, isKnown);
+  if (reason != refusal_reason::kNone) {
     job_reply unavailable = Reply(reply_kind::kUnavailable);
+    unavailable.mReason = reason;
     unavailable.mRetryAfter =
       mFailedWrites > 0 ? kUnavailableRetry : kHandoverRetryAfter;
     aHandler(unavailable);
@@ -334,9 +334,34 @@
                             ? reply_kind::kOk
                             : reply_kind::kRefused);
   reply.mRetryAfter = answer.mRetryAfter;
+  if (reply.mKind == reply_kind::kRefused) {
+    reply.mReason = refusal_reason::kNoSuchQueue;
+  }
   aHandler(reply);
 }
 
+// Returns why this owner can not take a job of the queue now, or kNone.
+// `aIsKnown` says that it has a job of that name already, which is only
+// reported.
+refusal_reason
+owner::ReasonToRefuse(const jobs::queue_name& aQueue, bool aIsKnown) const
+{
+  if (!IsLoaded()) {
+    return refusal_reason::kNotLoaded;
+  }
+  if (mIsHandingOver) {
+    return refusal_reason::kHandover;
+  }
+  if (aIsKnown) {
+    return refusal_reason::kNone;
+  }
+  if (mFailedWrites > 0) {
+    return refusal_reason::kStoreUnavailable;
+  }
+  return IsQueueOfThisService(aQueue) ? refusal_reason::kNone
+                                      : refusal_reason::kOtherService;
+}
+
 // Returns whether the catalog of this node assigns new jobs of the queue to
 // this service. A node that forwarded a job may have a different catalog
 // version for a short time.
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -150,6 +150,8 @@
   std::string RosterKey() const;
   std::string JobKey(const jobs::job_name& aJob) const;
   bool IsQueueOfThisService(const jobs::queue_name& aQueue) const;
+  refusal_reason ReasonToRefuse(const jobs::queue_name& aQueue,
+                                bool aIsKnown) const;
   pool_state BuildPoolState(time_point aNow);
   void Load();
   void RetryLoad(const error& aError);
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -1,10 +1,12 @@
 #include "mangospan/node/partition.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
 #include "mangospan/base/log.h"
+#include "mangospan/daemon/metrics.h"
 #include "mangospan/node/job_http.h"
 
 namespace mangospan::node {
@@ -17,6 +19,14 @@
 // valid. Shorter than the scheduler's own bound by the longest time between two
 // plans.
 constexpr milliseconds kStartGracePeriod{ 2'300 };
+// An owner that has not been seen serving for longer counts as missing.
+constexpr milliseconds kOwnerMissingAfter{ 1'000 };
+
+std::int64_t
+CountMilliseconds(time_point::duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
 
 } // namespace
 
@@ -28,6 +38,7 @@
   , mService(std::move(aService))
   , mAddress(aCandidate.mAddress)
   , mCatalog(std::move(aCatalog))
+  , mStartedAt(mDeps.mOwner.mClock.Now())
   , mElection(std::make_shared<election>(
       mDeps.mOwner.mIo,
       mDeps.mOwner.mClock,
@@ -75,6 +86,41 @@
          mElection->IsLeaseValid();
 }
 
+bool
+partition::IsOwnerServing(time_point aNow) const
+{
+  return aNow - mOwnerServingAt < kOwnerMissingAfter;
+}
+
+void
+partition::ReportOwnerServing(time_point aNow)
+{
+  const auto known = mElection->CurrentOwner();
+  if (!IsOwnerServing(aNow)) {
+    if (!mOwnerMissingSince) {
+      mOwnerMissingSince = std::max(mOwnerServingAt, mStartedAt);
+      mMissingCountedUntil = *mOwnerMissingSince;
+      LogEvent(log_level::kWarning,
+               "owner.missing",
+               { { "service", mService.Str() },
+                 { "owner", known ? known->mNode : "" } });
+    }
+    mDeps.mOwner.mMetrics.Add(
+      "mangospan_node_owner_missing_seconds_total",
+      { { "service", mService.Str() } },
+      std::chrono::duration<double>(aNow - mMissingCountedUntil).count());
+    mMissingCountedUntil = aNow;
+  } else if (mOwnerMissingSince) {
+    LogEvent(log_level::kInfo,
+             "owner.serves_again",
+             { { "service", mService.Str() },
+               { "owner", known ? known->mNode : "" },
+               { "missing_ms",
+                 CountMilliseconds(mOwnerServingAt - *mOwnerMissingSince) } });
+    mOwnerMissingSince.reset();
+  }
+}
+
 job_service&
 partition::Jobs()
 {
--- a/mangospan/node/partition.h
+++ b/mangospan/node/partition.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -70,7 +71,12 @@
   bool IsServing() const;
   // Records that the owner, local or remote, was serving at `aAt`.
   void OnOwnerServing(time_point aAt) { mOwnerServingAt = aAt; }
-  time_point OwnerServingAt() const { return mOwnerServingAt; }
+  // Returns whether the owner, local or remote, has served within the last
+  // second, as far as this node knows.
+  bool IsOwnerServing(time_point aNow) const;
+  // Logs and counts the time for which this node knew of no owner that serves.
+  // Call it at regular intervals.
+  void ReportOwnerServing(time_point aNow);
 
   // Hands the jobs over to another node if this one owns them. This node stays
   // a candidate and may be elected again later.
@@ -87,6 +93,7 @@
   const service_name mService;
   const std::string mAddress;
   const std::function<const jobs::catalog*()> mCatalog;
+  const time_point mStartedAt;
   std::shared_ptr<election> mElection;
   std::shared_ptr<owner> mOwner;
   // Forwards requests to the owner at `mForwardAddress`, or replies
@@ -94,6 +101,8 @@
   std::unique_ptr<job_service> mForwarder;
   std::string mForwardAddress;
   time_point mOwnerServingAt{};
+  std::optional<time_point> mOwnerMissingSince; // set while none serves
+  time_point mMissingCountedUntil{};
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/pool_watch.cc
+++ b/mangospan/node/pool_watch.cc
@@ -160,9 +160,21 @@
     if (wasKnown) { // logs only the first of consecutive failures
       LogError("pool.not_told", aResult.assume_error());
       target.mState.reset();
+      target.mIsSilent = true;
     }
     return;
   }
+  if (target.mIsSilent) {
+    target.mIsSilent = false;
+    const auto silence = mClock.Now() - target.mRequestedAt;
+    LogEvent(
+      log_level::kInfo,
+      "pool.told_again",
+      { { "service", aPool.Str() },
+        { "silent_ms",
+          static_cast<std::int64_t>(
+            std::chrono::duration_cast<milliseconds>(silence).count()) } });
+  }
   target.mState = aResult.assume_value();
   target.mRequestedAt = aSentAt;
   for (const jobs::runner_name& each : aDeadRunners) {
--- a/mangospan/node/pool_watch.h
+++ b/mangospan/node/pool_watch.h
@@ -65,6 +65,7 @@
   {
     std::optional<pool_state> mState;
     time_point mRequestedAt{}; // when the exchange that returned `mState` began
+    bool mIsSilent = false;    // a failure was logged, and no success since
     bool mIsExchanging = false;
     bool mIsExchangeRequested = false; // another one follows the current one
     std::vector<jobs::runner_name> mDeadRunners;
--- a/mangospan/node/unavailable_job_service.cc
+++ b/mangospan/node/unavailable_job_service.cc
@@ -10,6 +10,7 @@
   job_reply out;
   out.mKind = reply_kind::kUnavailable;
   out.mRetryAfter = kHandoverRetryAfter;
+  out.mReason = refusal_reason::kNoOwner;
   return out;
 }
 
