Nodes can be run in virtual time: timers by a clock, peers by an interface

It replaces Asio's steady_timer in mangospan/node, and wall_clock.h. - peer_link is what one node asks of another; http_peer_link speaks the interface of job_http.h as before. node_process answers the same calls by methods, and Join() enters the elections without opening servers.

No decision changes.

--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -21,10 +21,10 @@
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
+#include "mangospan/base/timer.h"
 #include "mangospan/platform/store.h"
 
 namespace mangospan::node {
@@ -184,8 +184,8 @@
   void LoseOwnership(const char* aReason);
   void ReleaseLease();
 
-  boost::asio::steady_timer mClaimTimer;
-  boost::asio::steady_timer mRenewTimer;
+  timer mClaimTimer;
+  timer mRenewTimer;
   const clock_source& mClock;
   platform::transactional_store& mStore;
   const std::string mSubject;
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -21,9 +21,9 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mangospan/base/time.h"
+#include "mangospan/base/timer.h"
 #include "mangospan/jobs/maintenance_planner.h"
 #include "mangospan/jobs/pool_autoscaler.h"
 #include "mangospan/node/election.h"
@@ -120,7 +120,7 @@
   const order_fence mFence;
   const term_fence mTermFence;
   const std::function<bool()> mIsOwner;
-  boost::asio::steady_timer mTimer;
+  timer mTimer;
   jobs::catalog mCatalog;
   const std::shared_ptr<pool_watch> mPoolWatch;
   const std::shared_ptr<wave_records> mWaveRecords;
--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -102,6 +102,30 @@
 
 } // namespace
 
+std::string
+Encode(const health_report& aHealth)
+{
+  json serves = json::array();
+  for (const service_name& each : aHealth.mServes) {
+    serves.push_back(each.Str());
+  }
+  return json{ { "serves", serves } }.dump();
+}
+
+health_report
+DecodeHealth(std::string_view aText)
+{
+  health_report out;
+  const json body = json::parse(aText, nullptr, false);
+  const json serves = body.is_object() ? body.value("serves", json()) : json();
+  for (const json& each : serves) {
+    if (each.is_string()) {
+      out.mServes.emplace_back(each.get<std::string>());
+    }
+  }
+  return out;
+}
+
 int
 StatusOf(reply_kind aKind)
 {
--- a/mangospan/node/job_http.h
+++ b/mangospan/node/job_http.h
@@ -17,17 +17,26 @@
 #define MANGOSPAN_NODE_JOB_HTTP_H
 
 #include <string>
+#include <string_view>
 
 #include "mangospan/http/client.h"
 #include "mangospan/http/server.h"
 #include "mangospan/node/job_service.h"
+#include "mangospan/node/peer_link.h"
 #include "mangospan/node/pool_link.h"
 
 namespace mangospan::node {
 
-// Path of the services that the node owns and serves: {"serves":["survey"]}.
+// Path of the node's health: {"serves":["survey"]}.
 inline constexpr const char* kHealthPath = "/mangospan/v1/health";
 
+// Encode and decode the health of a node as JSON text. A field that is missing
+// or malformed reads as empty.
+std::string
+Encode(const health_report& aHealth);
+health_report
+DecodeHealth(std::string_view aText);
+
 // Returns the HTTP status that stands for the reply.
 int
 StatusOf(reply_kind aKind);
--- a/mangospan/node/mirror.h
+++ b/mangospan/node/mirror.h
@@ -17,9 +17,9 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mangospan/base/time.h"
+#include "mangospan/base/timer.h"
 #include "mangospan/platform/store.h"
 
 namespace mangospan::node {
@@ -72,7 +72,7 @@
   void OnListing(const platform::listing& aListing);
   void OnChange(const platform::change& aChange);
 
-  boost::asio::steady_timer mTimer;
+  timer mTimer;
   const clock_source& mClock;
   platform::transactional_store& mStore;
   const std::string mPrefix;
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -71,13 +71,13 @@
 
 node_process::node_process(boost::asio::io_context& aIo,
                            const clock_source& aClock,
-                           http::client& aClient,
+                           peer_link& aPeers,
                            node_settings aSettings,
                            node_ports aPorts,
                            daemon::metrics& aMetrics)
   : mIo(aIo)
   , mClock(aClock)
-  , mClient(aClient)
+  , mPeers(aPeers)
   , mSettings(std::move(aSettings))
   , mPorts(aPorts)
   , mMetrics(aMetrics)
@@ -105,6 +105,13 @@
     });
   BOOST_OUTCOME_TRY(mReadinessServer->Listen(mSettings.mReadinessAddress));
   BOOST_OUTCOME_TRY(mNodeServer->Listen(mSettings.mNodeAddress));
+  Join();
+  return boost::outcome_v2::success();
+}
+
+void
+node_process::Join()
+{
   mOperatorMirror = std::make_shared<mirror>(
     mIo,
     mClock,
@@ -129,7 +136,6 @@
   StartFleetElection();
   mElectionMirror->Start();
   CheckOwners();
-  return boost::outcome_v2::success();
 }
 
 election_candidate
@@ -212,7 +218,7 @@
   }
   const partition_dependencies dependencies{
     { mIo, mClock, mPorts.mStore, mPorts.mRunners, mPorts.mFormat, mMetrics },
-    mClient
+    mPeers
   };
   partition& added = mPartitions
                        .try_emplace(aService,
@@ -389,7 +395,7 @@
       known->mCapacityShortfall - shortfall >= kMinShortfallDifference &&
       mClock.Now() - each.Election().TermObservedAt() > delay;
     if (isBetter) {
-      RequestYield(mClient, known->mAddress, service);
+      mPeers.RequestYield(known->mAddress, service);
       return; // requests one hand-over at a time
     }
   }
@@ -398,23 +404,15 @@
 void
 node_process::CheckOwnersAt(const std::string& aAddress)
 {
-  http::request call;
-  call.mTarget = kHealthPath;
-  mClient.Send(
+  mPeers.CheckHealth(
     aAddress,
-    std::move(call),
     kOwnerCheckTimeout,
-    [this, sentAt = mClock.Now()](const result<http::response>& aResult) {
-      if (aResult.has_error() || aResult.assume_value().mStatus != 200) {
+    [this, sentAt = mClock.Now()](const result<health_report>& aResult) {
+      if (aResult.has_error()) {
         return; // the owner is unreachable once its last answer is too old
       }
-      const json body =
-        json::parse(aResult.assume_value().mBody, nullptr, false);
-      const json serves =
-        body.is_object() ? body.value("serves", json()) : json();
-      for (const json& each : serves) {
-        const auto found = mPartitions.find(
-          service_name{ each.is_string() ? each.get<std::string>() : "" });
+      for (const service_name& each : aResult.assume_value().mServes) {
+        const auto found = mPartitions.find(each);
         if (found != mPartitions.end()) {
           found->second.OnOwnerServing(sentAt);
         }
@@ -422,16 +420,16 @@
     });
 }
 
-http::response
-node_process::AnswerHealth() const
+health_report
+node_process::Health() const
 {
-  json serves = json::array();
+  health_report out;
   for (const auto& [service, each] : mPartitions) {
     if (each.IsServing()) {
-      serves.push_back(service.Str());
+      out.mServes.push_back(service);
     }
   }
-  return http::JsonResponse(200, json{ { "serves", serves } }.dump());
+  return out;
 }
 
 // An owner that is known but not seen serving is unreachable from this node,
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -15,11 +15,10 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mangospan/base/time.h"
+#include "mangospan/base/timer.h"
 #include "mangospan/daemon/metrics.h"
-#include "mangospan/http/client.h"
 #include "mangospan/http/server.h"
 #include "mangospan/node/election.h"
 #include "mangospan/node/fleet_controller.h"
@@ -27,6 +26,7 @@
 #include "mangospan/node/job_service.h"
 #include "mangospan/node/mirror.h"
 #include "mangospan/node/partition.h"
+#include "mangospan/node/peer_link.h"
 #include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
 #include "mangospan/node/settings.h"
@@ -49,7 +49,7 @@
 public:
   node_process(boost::asio::io_context& aIo,
                const clock_source& aClock,
-               http::client& aClient,
+               peer_link& aPeers,
                node_settings aSettings,
                node_ports aPorts,
                daemon::metrics& aMetrics);
@@ -58,6 +58,8 @@
   // Opens the servers and joins the elections. Errors: those of
   // `http::server::Listen`.
   status Start();
+  // Joins the elections. Called by `Start()`.
+  void Join();
   // Stops gracefully: reports not ready, hands over everything that this node
   // owns, answers the requests in flight, then calls `aDone`.
   void Stop(std::function<void()> aDone);
@@ -80,6 +82,16 @@
   void CountWaiting(const jobs::queue_policy& aQueue,
                     std::chrono::milliseconds aTimeout,
                     reply_handler aHandler);
+
+  // Answers another node's calls; see `peer_link`. `LocalJobs()` returns the
+  // owner of the service's jobs on this node, or a job service that replies
+  // kUnavailable.
+  job_service& LocalJobs(const service_name& aService);
+  result<pool_state> ExchangeLocally(const service_name& aPool,
+                                     const pool_instructions& aInstructions);
+  health_report Health() const;
+  void YieldLocally(const service_name& aService);
+
   // Returns the newest catalog (queues and services), or null before the first
   // is known.
   const jobs::catalog* Catalog() const;
@@ -128,14 +140,13 @@
   void CheckOwners();
   void RequestYieldOfSmallerHost();
   void CheckOwnersAt(const std::string& aAddress);
-  http::response AnswerHealth() const;
   http::response AnswerReadiness() const;
   void ServeNode(const http::request& aRequest,
                  const http::responder& aRespond);
 
   boost::asio::io_context& mIo;
   const clock_source& mClock;
-  http::client& mClient;
+  peer_link& mPeers;
   const node_settings mSettings;
   const node_ports mPorts;
   daemon::metrics& mMetrics;
@@ -148,8 +159,8 @@
   std::unique_ptr<http::server> mNodeServer;
   std::unique_ptr<jobs::catalog> mCatalog;
   std::map<std::string, wave_request> mWaves;
-  boost::asio::steady_timer mCheckTimer;
-  boost::asio::steady_timer mStopTimer;
+  timer mCheckTimer;
+  timer mStopTimer;
   unavailable_job_service mUnavailableJobs{ UnavailableReply() };
   bool mIsStopping = false;
 };
--- a/mangospan/node/node_process_requests.cc
+++ b/mangospan/node/node_process_requests.cc
@@ -91,40 +91,60 @@
     Finder(), SearchOrder(aQueue), aQueue.mName, aTimeout, std::move(aHandler));
 }
 
+job_service&
+node_process::LocalJobs(const service_name& aService)
+{
+  const auto found = mPartitions.find(aService);
+  owner* const local =
+    found == mPartitions.end() ? nullptr : found->second.LocalOwner();
+  return local == nullptr ? static_cast<job_service&>(mUnavailableJobs)
+                          : *local;
+}
+
+result<pool_state>
+node_process::ExchangeLocally(const service_name& aPool,
+                              const pool_instructions& aInstructions)
+{
+  const auto found = mPartitions.find(aPool);
+  owner* const local =
+    found == mPartitions.end() ? nullptr : found->second.LocalOwner();
+  if (local == nullptr) {
+    return error{ error_code::kUnavailable,
+                  "pool.exchange",
+                  aPool.Str(),
+                  "this node does not own the pool's jobs" };
+  }
+  return local->Exchange(aInstructions);
+}
+
+void
+node_process::YieldLocally(const service_name& aService)
+{
+  const auto found = mPartitions.find(aService);
+  if (found != mPartitions.end()) {
+    found->second.Yield();
+  }
+}
+
 void
 node_process::ServeNode(const http::request& aRequest,
                         const http::responder& aRespond)
 {
-  const std::string_view path = http::Path(aRequest);
-  if (path == kHealthPath) {
-    aRespond(AnswerHealth());
-    return;
-  }
-  const auto found = mPartitions.find(ServiceOfRequest(aRequest));
-  if (IsYieldRequest(aRequest)) {
-    if (found != mPartitions.end()) {
-      found->second.Yield();
-    }
+  const service_name service = ServiceOfRequest(aRequest);
+  if (http::Path(aRequest) == kHealthPath) {
+    aRespond(http::JsonResponse(200, Encode(Health())));
+  } else if (IsYieldRequest(aRequest)) {
+    YieldLocally(service);
     aRespond(http::JsonResponse(200, "{}"));
-    return;
-  }
-  owner* const local =
-    found == mPartitions.end() ? nullptr : found->second.LocalOwner();
-  if (local == nullptr) {
-    if (IsPoolExchange(aRequest)) {
-      aRespond(http::JsonResponse(503, "{}"));
-    } else {
-      ServeJobs(aRequest, mUnavailableJobs, aRespond);
-    }
   } else if (IsPoolExchange(aRequest)) {
     ServePool(
       aRequest,
-      [local](const pool_instructions& aInstructions) {
-        return local->Exchange(aInstructions);
+      [this, &service](const pool_instructions& aInstructions) {
+        return ExchangeLocally(service, aInstructions);
       },
       aRespond);
   } else {
-    ServeJobs(aRequest, *local, aRespond);
+    ServeJobs(aRequest, LocalJobs(service), aRespond);
   }
 }
 
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "mangospan/base/log.h"
+#include "mangospan/base/timer.h"
 #include "mangospan/daemon/metrics.h"
-#include "mangospan/node/wall_clock.h"
 
 namespace mangospan::node {
 
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -13,9 +13,9 @@
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mangospan/base/time.h"
+#include "mangospan/base/timer.h"
 #include "mangospan/jobs/scheduler.h"
 #include "mangospan/node/election.h"
 #include "mangospan/node/job_service.h"
@@ -195,10 +195,10 @@
   std::function<void()> mOnSuperseded;
   jobs::scheduler mScheduler;
   std::shared_ptr<mirror> mRunnerMirror;
-  boost::asio::steady_timer mTickTimer;
-  boost::asio::steady_timer mPlanTimer;
-  boost::asio::steady_timer mWriteTimer;
-  boost::asio::steady_timer mLoadTimer;
+  timer mTickTimer;
+  timer mPlanTimer;
+  timer mWriteTimer;
+  timer mLoadTimer;
   std::multimap<jobs::job_name, waiter> mWaiters;
   time_point mNextProgressWriteAt{};
   time_point mLastPlanAt{};
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -3,10 +3,10 @@
 #include <utility>
 
 #include "mangospan/base/log.h"
+#include "mangospan/base/timer.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/jobs/codec.h"
 #include "mangospan/node/host_orders.h"
-#include "mangospan/node/wall_clock.h"
 
 namespace mangospan::node {
 
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -7,7 +7,6 @@
 
 #include "mangospan/base/log.h"
 #include "mangospan/daemon/metrics.h"
-#include "mangospan/node/job_http.h"
 
 namespace mangospan::node {
 
@@ -135,8 +134,7 @@
       mForwarder =
         std::make_unique<unavailable_job_service>(UnavailableReply());
     } else {
-      mForwarder =
-        std::make_unique<remote_job_service>(mDeps.mClient, address, mService);
+      mForwarder = mDeps.mPeers.JobsAt(address, mService);
     }
   }
   return *mForwarder;
@@ -165,11 +163,8 @@
                       });
     return;
   }
-  ExchangePool(mDeps.mClient,
-               known->mAddress,
-               mService,
-               aInstructions,
-               std::move(aHandler));
+  mDeps.mPeers.Exchange(
+    known->mAddress, mService, aInstructions, std::move(aHandler));
 }
 
 void
--- a/mangospan/node/partition.h
+++ b/mangospan/node/partition.h
@@ -12,11 +12,11 @@
 #include <boost/asio/io_context.hpp>
 
 #include "mangospan/base/time.h"
-#include "mangospan/http/client.h"
 #include "mangospan/jobs/spec.h"
 #include "mangospan/node/election.h"
 #include "mangospan/node/job_service.h"
 #include "mangospan/node/owner.h"
+#include "mangospan/node/peer_link.h"
 #include "mangospan/node/pool_link.h"
 #include "mangospan/node/unavailable_job_service.h"
 
@@ -27,7 +27,7 @@
 struct partition_dependencies
 {
   owner_dependencies mOwner;
-  http::client& mClient;
+  peer_link& mPeers;
 };
 
 // This node as a candidate in an election.
--- a/mangospan/node/submission.h
+++ b/mangospan/node/submission.h
@@ -12,9 +12,9 @@
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "mangospan/base/time.h"
+#include "mangospan/base/timer.h"
 #include "mangospan/node/job_service.h"
 
 namespace mangospan::node {
@@ -37,7 +37,7 @@
   void TrySubmit();
   void OnReply(const job_reply& aReply);
 
-  boost::asio::steady_timer mTimer;
+  timer mTimer;
   const clock_source& mClock;
   const std::function<job_service&()> mService;
   const jobs::job_name mJob;
--- a/mangospan/node/testing/memory_store.cc
+++ b/mangospan/node/testing/memory_store.cc
@@ -4,7 +4,8 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
+
+#include "mangospan/base/timer.h"
 
 namespace mangospan::node::testing {
 
@@ -126,9 +127,9 @@
                     milliseconds aWait,
                     handler<platform::change_batch> aHandler)
 {
-  auto timer = std::make_shared<boost::asio::steady_timer>(mIo, aWait);
-  timer->async_wait([timer, aAfter, handler = std::move(aHandler)](
-                      const boost::system::error_code& aAbort) {
+  auto waiting = std::make_shared<timer>(mIo, aWait);
+  waiting->async_wait([waiting, aAfter, handler = std::move(aHandler)](
+                        const boost::system::error_code& aAbort) {
     if (!aAbort) {
       handler(platform::change_batch{ {}, aAfter });
     }
