--- a/mangospan/node/testing/runner_records.h
+++ b/mangospan/node/testing/runner_records.h
@@ -3,24 +3,29 @@
 #define MANGOSPAN_NODE_TESTING_RUNNER_RECORDS_H
 
 #include <map>
+#include <optional>
 #include <string>
 
 #include "mangospan/node/ports.h"
 
 namespace mangospan::node::testing {
 
-// A record format with runner records only. Ignores the text of a record: the
-// content comes from `mInfos`.
+// A record format with runner records and, if `mCatalog` is set, the catalog.
+// Ignores the text of a record: the content comes from `mInfos` and `mCatalog`.
 class runner_records final : public record_format
 {
 public:
   std::string OperatorPrefix() const override { return "operators/"; }
   std::string RunnerPrefix() const override { return "runners/"; }
-  bool IsCatalog(std::string_view /*aKey*/) const override { return false; }
+  bool IsCatalog(std::string_view aKey) const override
+  {
+    return mCatalog && aKey == CatalogKey();
+  }
+  std::string CatalogKey() const { return OperatorPrefix() + "catalog"; }
   bool IsWave(std::string_view /*aKey*/) const override { return false; }
   result<jobs::catalog> DecodeCatalog(std::string_view /*aText*/) const override
   {
-    return jobs::catalog{};
+    return mCatalog.value_or(jobs::catalog{});
   }
   result<wave_request> DecodeWave(std::string_view /*aText*/) const override
   {
@@ -50,6 +55,7 @@
   }
 
   std::map<jobs::runner_name, jobs::runner_info> mInfos;
+  std::optional<jobs::catalog> mCatalog;
 };
 
 } // namespace mangospan::node::testing
