A late report of an ended lease no longer ends the term that followed it

What callers saw: after an outage of the store a service got an owner and lost it again 0.3 s later; none stood until the nodes' next claims.

Cause: the last owner learns from its renewal that its lease has ended and claims at once. Its watch, which the outage had broken, reports the end of the former lease afterwards, and the election took any deletion of the lease key for the end of its own lease (owner.lost reason=lease_gone).

Fix: the mirror passes on the revision of a deletion, and an election ignores one from before its latest claim, as it does with old records.

--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -176,10 +176,10 @@
 }
 
 void
-election::OnDeleted(const std::string& aKey)
+election::OnDeleted(const std::string& aKey, platform::revision aRevision)
 {
-  if (aKey != mLeaseKey) {
-    return;
+  if (aKey != mLeaseKey || aRevision < mLatestOwner.mRevision) {
+    return; // a deletion before the latest claim is that of an earlier lease
   }
   mLeaseHolder.clear();
   if (mIsOwner) {
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -136,8 +136,9 @@
 
   // Takes a new or changed record of either key of the subject.
   void OnRecord(const platform::record& aRecord);
-  // Takes the deletion of a key. If it is the lease, schedules a claim.
-  void OnDeleted(const std::string& aKey);
+  // Takes the deletion of a key, which took place at or before `aRevision`. If
+  // it is the lease, schedules a claim.
+  void OnDeleted(const std::string& aKey, platform::revision aRevision);
   // Takes note that all records have been listed. Schedules a claim if no node
   // holds the lease.
   void OnSynced();
--- a/mangospan/node/election_test.cc
+++ b/mangospan/node/election_test.cc
@@ -98,7 +98,7 @@
   EXPECT_EQ(mLossCount, 1);
   EXPECT_FALSE(first->IsOwner());
   const std::string lease = "mangospan/own/jobs/survey/lease";
-  first->OnDeleted(lease);
+  first->OnDeleted(lease, mTerm.mRevision + 1);
   second->OnSynced();
   RunUntilElected("second");
   EXPECT_EQ(mTerm.mTerm, 2U);
--- a/mangospan/node/mirror.cc
+++ b/mangospan/node/mirror.cc
@@ -74,7 +74,7 @@
   }
   for (const std::string& each : missing) {
     mKnownRevisions.erase(each);
-    mHandlers.mOnDeleted(each);
+    mHandlers.mOnDeleted(each, mRevision);
   }
   mIsSynced = true;
   if (mHandlers.mOnSynced) {
@@ -88,7 +88,7 @@
   const platform::record& changed = aChange.mRecord;
   if (aChange.mDeleted) {
     if (mKnownRevisions.erase(changed.mKey) > 0) {
-      mHandlers.mOnDeleted(changed.mKey);
+      mHandlers.mOnDeleted(changed.mKey, changed.mRevision);
     }
     return;
   }
--- a/mangospan/node/mirror.h
+++ b/mangospan/node/mirror.h
@@ -38,7 +38,10 @@
 {
   // Called for each record that is new or has changed.
   std::function<void(const platform::record&)> mOnRecord;
-  std::function<void(const std::string& aKey)> mOnDeleted;
+  // Called for each record that has been deleted. The deletion took place at or
+  // before `aRevision`.
+  std::function<void(const std::string& aKey, platform::revision aRevision)>
+    mOnDeleted;
   std::function<void()> mOnSynced; // called after each listing; may be empty
 };
 
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -120,7 +120,9 @@
     mirror_settings{},
     mirror_handlers{
       [this](const platform::record& aRecord) { OnOperatorRecord(aRecord); },
-      [this](const std::string& aKey) { mWaves.erase(aKey); },
+      [this](const std::string& aKey, platform::revision /*aRevision*/) {
+        mWaves.erase(aKey);
+      },
       nullptr });
   mOperatorMirror->Start();
   mElectionMirror = std::make_shared<mirror>(
@@ -131,7 +133,9 @@
     mirror_settings{},
     mirror_handlers{
       [this](const platform::record& aRecord) { OnElectionRecord(aRecord); },
-      [this](const std::string& aKey) { OnElectionDeleted(aKey); },
+      [this](const std::string& aKey, platform::revision aRevision) {
+        OnElectionDeleted(aKey, aRevision);
+      },
       [this] { OnElectionsSynced(); } });
   StartFleetElection();
   mElectionMirror->Start();
@@ -253,10 +257,11 @@
 }
 
 void
-node_process::OnElectionDeleted(const std::string& aKey)
+node_process::OnElectionDeleted(const std::string& aKey,
+                                platform::revision aRevision)
 {
   if (election* const found = ElectionOf(aKey)) {
-    found->OnDeleted(aKey);
+    found->OnDeleted(aKey, aRevision);
   }
 }
 
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -133,7 +133,7 @@
   std::vector<service_name> SearchOrder(const jobs::queue_policy& aQueue) const;
   election* ElectionOf(const std::string& aKey);
   void OnElectionRecord(const platform::record& aRecord);
-  void OnElectionDeleted(const std::string& aKey);
+  void OnElectionDeleted(const std::string& aKey, platform::revision aRevision);
   void OnElectionsSynced();
   void OnOperatorRecord(const platform::record& aRecord);
   void OnCatalog(const platform::record& aRecord);
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -106,14 +106,16 @@
       self->mScheduler.OnRunnerUnlisted(info.assume_value().mName, now);
     }
   };
-  const auto onDeleted = [weak = weak_from_this()](const std::string& aKey) {
-    if (const auto self = weak.lock()) {
-      const auto prefix = self->mDeps.mFormat.RunnerPrefix().size();
-      self->mScheduler.OnRunnerUnlisted(
-        jobs::runner_name{ aKey.substr(prefix) }, self->mDeps.mClock.Now());
-      self->Wake();
-    }
-  };
+  const auto onDeleted =
+    [weak = weak_from_this()](const std::string& aKey,
+                              platform::revision /*aRevision*/) {
+      if (const auto self = weak.lock()) {
+        const auto prefix = self->mDeps.mFormat.RunnerPrefix().size();
+        self->mScheduler.OnRunnerUnlisted(
+          jobs::runner_name{ aKey.substr(prefix) }, self->mDeps.mClock.Now());
+        self->Wake();
+      }
+    };
   mRunnerMirror =
     std::make_shared<mirror>(mDeps.mIo,
                              mDeps.mClock,
