An owner that no other node reaches is replaced once the store is back

Cause: ownership hangs on a lease that only time ends. The store pauses leases while it is silent, so an owner whose zone is cut off meanwhile keeps its subject for a whole lease after the store's return, and other nodes then wait a claim delay of 0.4 s. Until then its jobs have no owner, and the fleet gets no word of its pool, whose idle hosts other classes need. The same holds for the lease of a process that was killed and has started again at the same address.

Fix: nodes exchange with the health checks which owners they have not reached for 1.5 s. One that no owner in reach has reached, as seen by a node that most nodes are in touch with, loses its lease and is replaced; its writes fail by the term, and the successor allows for the rest of the former lease before it starts inherited tasks of runners that it does not reach. A node refuses jobs for such an owner at once. A new process ends the lease of the one before it.

--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -76,7 +76,7 @@
 {
   // Higher than the term of every earlier owner.
   std::uint64_t mTerm = 0;
-  // When this owner took over from its predecessor.
+  // When the predecessor's lease was over at the latest.
   time_point mSince{};
   // The service on whose runners all jobs of this owner run, including jobs
   // whose queue has since moved to another service. If empty, each job runs on
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -24,10 +24,9 @@
 Encode(const owner_record& aRecord)
 {
   return json{
-    { "term", aRecord.mTerm },
-    { "node", aRecord.mNode },
-    { "address", aRecord.mAddress },
-    { "lack", aRecord.mCapacityShortfall }
+    { "term", aRecord.mTerm },        { "node", aRecord.mNode },
+    { "address", aRecord.mAddress },  { "lack", aRecord.mCapacityShortfall },
+    { "boot", aRecord.mBoot.mValue }, { "lease", aRecord.mLease.mValue }
   }.dump();
 }
 
@@ -42,7 +41,11 @@
                        body.value("node", std::string()),
                        body.value("address", std::string()),
                        body.value("lack", 0.0),
-                       aRecord.mRevision };
+                       aRecord.mRevision,
+                       boot_id{ body.value("boot", std::uint64_t{ 0 }) },
+                       platform::lease_id{
+                         body.value("lease", std::uint64_t{ 0 }) },
+                       milliseconds(0) };
 }
 
 } // namespace
@@ -164,6 +167,7 @@
                  { "node", record->mNode },
                  { "revision", record->mRevision } });
       mTermObservedAt = mClock.Now();
+      mPredecessorLeaseRest = milliseconds(0);
     }
     mLatestOwner = *record;
   } else if (aRecord.mKey == mLeaseKey) {
@@ -193,9 +197,105 @@
 {
   if (mLeaseHolder.empty()) {
     ScheduleClaim();
+  } else if (IsLeaseOfEarlierProcess()) {
+    EndLeaseAfter(milliseconds(0));
   }
 }
 
+// The earlier process has ended, since this one listens at its address.
+bool
+election::IsLeaseOfEarlierProcess() const
+{
+  return !mIsOwner && mLatestOwner.mNode == mNode &&
+         mLatestOwner.mAddress == mAddress && mLatestOwner.mBoot.mValue != 0 &&
+         mLatestOwner.mBoot != mBoot;
+}
+
+void
+election::ReplaceOwner()
+{
+  if (mLeaseHolder.empty() || mIsClaimPending) {
+    return;
+  }
+  const auto baseDelay = mSettings.mClaimDelay.count();
+  std::uniform_int_distribution<std::int64_t> jitter(0, baseDelay);
+  mOwnedSubjectsAtSchedule = mHandlers.mCountOwnedSubjects();
+  EndLeaseAfter(
+    milliseconds(jitter(mRandom)) +
+    PreferenceDelay(std::max(
+      0.0, CapacityShortfall(mSettings) - mLatestOwner.mCapacityShortfall)));
+}
+
+void
+election::EndLeaseAfter(milliseconds aDelay)
+{
+  if (mIsRetired || mIsClaimPending || mIsOwner ||
+      mLatestOwner.mLease.mValue == 0) {
+    return;
+  }
+  mIsClaimPending = true;
+  mClaimTimer.expires_after(aDelay);
+  mClaimTimer.async_wait(
+    [self = shared_from_this(), replaced = mLatestOwner.mRevision](
+      const boost::system::error_code& aError) {
+      if (!aError) {
+        self->EndLease(replaced);
+      }
+    });
+}
+
+// Ends the lease of the owner whose claim has the revision `aReplaced`.
+void
+election::EndLease(platform::revision aReplaced)
+{
+  if (mIsRetired || mLeaseHolder.empty() ||
+      mLatestOwner.mRevision != aReplaced) {
+    mIsClaimPending = false;
+    if (mLeaseHolder.empty()) {
+      ScheduleClaim();
+    }
+    return;
+  }
+  LogEvent(log_level::kInfo,
+           "owner.replacing",
+           { { "subject", mSubject },
+             { "term", mLatestOwner.mTerm },
+             { "node", mLatestOwner.mNode } });
+  mStore.RevokeLease(mLatestOwner.mLease,
+                     mSettings.mCallTimeout,
+                     [self = shared_from_this(), replaced = mLatestOwner](
+                       const result<platform::lease_id>& aResult) {
+                       self->OnLeaseEnded(replaced, aResult);
+                     });
+}
+
+// If the result is unknown and the lease was ended, the mirror reports that.
+void
+election::OnLeaseEnded(const owner_record& aReplaced,
+                       const result<platform::lease_id>& aResult)
+{
+  mIsClaimPending = false;
+  const bool isEnded = aResult.has_value() ||
+                       aResult.assume_error().mCode == error_code::kNotFound;
+  if (!isEnded) {
+    LogError("election.lease_not_ended", aResult.assume_error());
+    if (IsLeaseOfEarlierProcess()) {
+      EndLeaseAfter(mSettings.mClaimDelay);
+    }
+    return;
+  }
+  if (mIsRetired || aReplaced.mRevision != mLatestOwner.mRevision) {
+    return; // another node has been faster
+  }
+  if (!IsLeaseOfEarlierProcess()) {
+    mPredecessorLeaseRest = mSettings.mTtl - mSettings.mExpiryMargin;
+  }
+  mLeaseHolder.clear();
+  mIsClaimPending = true;
+  mOwnedSubjectsAtSchedule = mHandlers.mCountOwnedSubjects();
+  StartClaim();
+}
+
 void
 election::ScheduleClaim()
 {
@@ -226,10 +326,7 @@
   const auto yieldDelay = std::chrono::duration_cast<milliseconds>(
     std::max(time_point::duration(0), mNoClaimBefore - mClock.Now()));
   const milliseconds preferenceDelay =
-    milliseconds(static_cast<std::int64_t>(
-      CapacityShortfall(mSettings) *
-      static_cast<double>(mSettings.mShortfallDelay.count()))) +
-    mSettings.mOwnedSubjectDelay * mOwnedSubjectsAtSchedule + yieldDelay;
+    PreferenceDelay(CapacityShortfall(mSettings)) + yieldDelay;
   if (mLatestOwner.mTerm == 0) {
     return preferenceDelay +
            mSettings
@@ -243,6 +340,17 @@
          (isRecent ? milliseconds(0) : mSettings.mClaimDelay) + preferenceDelay;
 }
 
+// Returns the part of the delay of a claim that depends on how well this node
+// is suited.
+milliseconds
+election::PreferenceDelay(double aShortfall) const
+{
+  return milliseconds(static_cast<std::int64_t>(
+           aShortfall *
+           static_cast<double>(mSettings.mShortfallDelay.count()))) +
+         mSettings.mOwnedSubjectDelay * mOwnedSubjectsAtSchedule;
+}
+
 void
 election::StartClaim()
 {
@@ -274,9 +382,15 @@
 void
 election::Claim(platform::lease_id aLease)
 {
-  const owner_record claim{
-    mLatestOwner.mTerm + 1, mNode, mAddress, CapacityShortfall(mSettings), 0
-  };
+  const owner_record claim{ mLatestOwner.mTerm + 1,
+                            mNode,
+                            mAddress,
+                            CapacityShortfall(mSettings),
+                            0,
+                            mBoot,
+                            aLease,
+                            mPredecessorLeaseRest };
+  mPredecessorLeaseRest = milliseconds(0);
   platform::transaction change;
   change.mExpectations = { { mLeaseKey, 0 },
                            { mTermKey, mLatestOwner.mRevision } };
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -72,6 +72,11 @@
   std::string mAddress;          // of the interface for other nodes
   double mCapacityShortfall = 0; // see `CapacityShortfall()`
   platform::revision mRevision = 0;
+  boot_id mBoot{};             // of the process
+  platform::lease_id mLease{}; // that the owner renews
+  // For how long after the election the previous owner may still consider its
+  // lease valid. Not stored: above 0 only if this node has ended that lease.
+  std::chrono::milliseconds mPredecessorLeaseRest{ 0 };
 };
 
 // Guards writes of an owner: they fail once another node owns the subject.
@@ -143,6 +148,11 @@
   // holds the lease.
   void OnSynced();
 
+  // Ends the lease of the present owner and claims the subject. For an owner
+  // that the other nodes can not reach; repeat the call while that is so. The
+  // claim is delayed like one for a subject without an owner.
+  void ReplaceOwner();
+
   // Gives up the ownership for good: no further claims are made. Calls `aDone`
   // once the lease is revoked or its revocation has failed.
   void Retire(std::function<void()> aDone);
@@ -174,6 +184,13 @@
 private:
   void ScheduleClaim();
   std::chrono::milliseconds ClaimDelay();
+  std::chrono::milliseconds PreferenceDelay(double aShortfall) const;
+  // Returns whether the lease is that of an earlier process of this node.
+  bool IsLeaseOfEarlierProcess() const;
+  void EndLeaseAfter(std::chrono::milliseconds aDelay);
+  void EndLease(platform::revision aReplaced);
+  void OnLeaseEnded(const owner_record& aReplaced,
+                    const result<platform::lease_id>& aResult);
   void StartClaim();
   void Claim(platform::lease_id aLease);
   void OnClaimed(const owner_record& aClaim,
@@ -199,6 +216,7 @@
   std::minstd_rand mRandom;
   owner_record mLatestOwner; // of the highest term seen
   std::string mLeaseHolder;  // empty if no node holds the lease
+  boot_id mBoot = DrawBootId();
   std::optional<platform::lease_id> mLease;
   time_point mRenewedAt{};
   const time_point mStartedAt;
@@ -206,6 +224,8 @@
   time_point mNoClaimBefore{}; // set by `Yield()`
   bool mIsClaiming = false;
   std::size_t mOwnedSubjectsAtSchedule = 0;
+  // Set from when this node has ended another node's lease until its claim.
+  std::chrono::milliseconds mPredecessorLeaseRest{ 0 };
   bool mIsOwner = false;
   bool mIsClaimPending = false;
   bool mIsRetired = false;
--- a/mangospan/node/http_peer_link.cc
+++ b/mangospan/node/http_peer_link.cc
@@ -8,8 +8,9 @@
 
 using std::chrono::milliseconds;
 
-http_peer_link::http_peer_link(http::client& aClient)
+http_peer_link::http_peer_link(http::client& aClient, std::string aOwnAddress)
   : mClient(aClient)
+  , mOwnAddress(std::move(aOwnAddress))
 {
 }
 
@@ -36,6 +37,7 @@
 {
   http::request call;
   call.mTarget = kHealthPath;
+  call.Set(kNodeHeader, mOwnAddress);
   mClient.Send(
     aAddress,
     std::move(call),
--- a/mangospan/node/http_peer_link.h
+++ b/mangospan/node/http_peer_link.h
@@ -13,8 +13,9 @@
 class http_peer_link final : public peer_link
 {
 public:
-  // `aClient` must outlive this object and the job services that it returns.
-  explicit http_peer_link(http::client& aClient);
+  // `aOwnAddress` is the address at which other nodes reach this one. `aClient`
+  // must outlive this object and the job services that it returns.
+  http_peer_link(http::client& aClient, std::string aOwnAddress);
 
   std::unique_ptr<job_service> JobsAt(const std::string& aAddress,
                                       const service_name& aService) override;
@@ -30,6 +31,7 @@
 
 private:
   http::client& mClient;
+  const std::string mOwnAddress;
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -109,7 +109,11 @@
   for (const service_name& each : aHealth.mServes) {
     serves.push_back(each.Str());
   }
-  return json{ { "serves", serves } }.dump();
+  return json{
+    { "serves", serves },
+    { "unreachable", aHealth.mUnreachable },
+    { "majority", aHealth.mIsInMajority }
+  }.dump();
 }
 
 health_report
@@ -117,12 +121,21 @@
 {
   health_report out;
   const json body = json::parse(aText, nullptr, false);
-  const json serves = body.is_object() ? body.value("serves", json()) : json();
-  for (const json& each : serves) {
+  if (!body.is_object()) {
+    return out;
+  }
+  for (const json& each : body.value("serves", json())) {
     if (each.is_string()) {
       out.mServes.emplace_back(each.get<std::string>());
     }
   }
+  for (const json& each : body.value("unreachable", json())) {
+    if (each.is_string()) {
+      out.mUnreachable.insert(each.get<std::string>());
+    }
+  }
+  const json majority = body.value("majority", json());
+  out.mIsInMajority = majority.is_boolean() && majority.get<bool>();
   return out;
 }
 
--- a/mangospan/node/job_http.h
+++ b/mangospan/node/job_http.h
@@ -7,7 +7,8 @@
 //   DELETE /mangospan/v1/jobs/JOB     cancel
 //   GET    /mangospan/v1/queues/NAME  {"waiting":12}
 //   POST   /mangospan/v1/pool         fleet's instructions, see pool_link.h
-//   GET    /mangospan/v1/health       see `kHealthPath`
+//   GET    /mangospan/v1/health       see `kHealthPath`; the header
+//                                     `Mangospan-Node` names who asks
 //   POST   /mangospan/v1/yield        hand over to a host with more capacity
 //
 // Statuses of job and queue requests: 200 kOk, 410 kNoSuchJob, 429 kRefused,
@@ -27,8 +28,11 @@
 
 namespace mangospan::node {
 
-// Path of the node's health: {"serves":["survey"]}.
+// Path of the node's health:
+// {"serves":["survey"],"unreachable":["10.1.0.2:7000"],"majority":true}.
 inline constexpr const char* kHealthPath = "/mangospan/v1/health";
+// Header with the address of the node that asks for the health.
+inline constexpr const char* kNodeHeader = "Mangospan-Node";
 
 // Encode and decode the health of a node as JSON text. A field that is missing
 // or malformed reads as empty.
--- a/mangospan/node/job_service.h
+++ b/mangospan/node/job_service.h
@@ -48,6 +48,10 @@
 // over from one owner to the next.
 inline constexpr std::chrono::milliseconds kHandoverRetryAfter{ 150 };
 
+// `job_reply::mRetryAfter` of a reply kUnavailable while the store or the owner
+// can not be reached.
+inline constexpr std::chrono::milliseconds kUnavailableRetryAfter{ 1'000 };
+
 // The reply to a request.
 struct job_reply
 {
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -17,19 +17,9 @@
 
 namespace {
 
-// Interval at which a node asks the owners on other nodes whether they serve.
-constexpr milliseconds kOwnerCheckInterval{ 400 };
-constexpr milliseconds kOwnerCheckTimeout{ 350 };
 // A catalog that was confirmed longer ago may lack queues that an operator has
 // added since.
 constexpr milliseconds kMaxCatalogAge{ 2'200 };
-// This node asks an owner to yield if the owner's host has a capacity shortfall
-// that is greater by at least this much, once the owner has owned the jobs for
-// `kYieldDelay` times one more than the number of subjects that this node owns.
-// A shortfall is the sum of up to 1 each for processor and network link.
-constexpr double kMinShortfallDifference = 0.5;
-constexpr milliseconds kYieldDelay{ 2'000 };
-constexpr std::size_t kMaxOwnedSubjects = 2;
 // Time until the load balancer sends no more callers: it stops after two failed
 // readiness checks, a second apart.
 constexpr milliseconds kDrainTime{ 2'500 };
@@ -49,15 +39,6 @@
   return out;
 }
 
-election_settings
-ElectionSettings(const node_settings& aSettings)
-{
-  election_settings out;
-  out.mProcessorCores = aSettings.mProcessorCores;
-  out.mLinkMbps = aSettings.mLinkMbps;
-  return out;
-}
-
 // Returns the position of a subject in the order of a node's first claims. Each
 // node begins with a different subject, so that the first claims are spread.
 std::size_t
@@ -142,13 +123,22 @@
   CheckOwners();
 }
 
+election_settings
+node_process::ElectionSettings() const
+{
+  election_settings out;
+  out.mProcessorCores = mSettings.mProcessorCores;
+  out.mLinkMbps = mSettings.mLinkMbps;
+  return out;
+}
+
 election_candidate
 node_process::MakeCandidate(const std::string& aSubject)
 {
   election_candidate out;
   out.mNode = mSettings.mNode;
   out.mAddress = mSettings.mNodeAddress;
-  out.mSettings = ElectionSettings(mSettings);
+  out.mSettings = ElectionSettings();
   out.mSettings.mFirstClaimDelay =
     kFirstClaimStagger * FirstClaimRank(mSettings.mNode, aSubject);
   out.mCountOwnedSubjects = [this] { return CountOwnedSubjects(); };
@@ -355,112 +345,6 @@
          mClock.Now() - mOperatorMirror->ConfirmedAt() < kMaxCatalogAge;
 }
 
-// Asks the owners on other nodes whether they serve. Readiness depends on their
-// answers.
-void
-node_process::CheckOwners()
-{
-  std::set<std::string> addresses;
-  for (auto& [service, each] : mPartitions) {
-    const auto known = each.Election().CurrentOwner();
-    if (each.IsServing()) {
-      each.OnOwnerServing(mClock.Now());
-    } else if (known && known->mAddress != mSettings.mNodeAddress) {
-      addresses.insert(known->mAddress);
-    }
-    each.ReportOwnerServing(mClock.Now());
-  }
-  for (const std::string& each : addresses) {
-    CheckOwnersAt(each);
-  }
-  RequestYieldOfSmallerHost();
-  mCheckTimer.expires_after(kOwnerCheckInterval);
-  mCheckTimer.async_wait([this](const boost::system::error_code& aAbort) {
-    if (!aAbort) {
-      CheckOwners();
-    }
-  });
-}
-
-// Asks an owner on a host with much less capacity than this one to hand its
-// jobs over, since that host would delay them under peak load.
-void
-node_process::RequestYieldOfSmallerHost()
-{
-  const std::size_t ownedCount = CountOwnedSubjects();
-  if (ownedCount > kMaxOwnedSubjects || mIsStopping || !IsCatalogCurrent()) {
-    return;
-  }
-  const double shortfall = CapacityShortfall(ElectionSettings(mSettings));
-  const auto delay = kYieldDelay * (ownedCount + 1);
-  for (const auto& [service, each] : mPartitions) {
-    const auto known = each.Election().CurrentOwner();
-    const bool isBetter =
-      known &&
-      known->mCapacityShortfall - shortfall >= kMinShortfallDifference &&
-      mClock.Now() - each.Election().TermObservedAt() > delay;
-    if (isBetter) {
-      mPeers.RequestYield(known->mAddress, service);
-      return; // requests one hand-over at a time
-    }
-  }
-}
-
-void
-node_process::CheckOwnersAt(const std::string& aAddress)
-{
-  mPeers.CheckHealth(
-    aAddress,
-    kOwnerCheckTimeout,
-    [this, sentAt = mClock.Now()](const result<health_report>& aResult) {
-      if (aResult.has_error()) {
-        return; // the owner is unreachable once its last answer is too old
-      }
-      for (const service_name& each : aResult.assume_value().mServes) {
-        const auto found = mPartitions.find(each);
-        if (found != mPartitions.end()) {
-          found->second.OnOwnerServing(sentAt);
-        }
-      }
-    });
-}
-
-health_report
-node_process::Health() const
-{
-  health_report out;
-  for (const auto& [service, each] : mPartitions) {
-    if (each.IsServing()) {
-      out.mServes.push_back(service);
-    }
-  }
-  return out;
-}
-
-// An owner that is known but not seen serving is unreachable from this node,
-// and other nodes may reach it. While an owner is being elected, no other node
-// could serve its jobs either, so that does not make this node unready.
-bool
-node_process::IsReady() const
-{
-  const time_point now = mClock.Now();
-  bool isAnyOwnerServing = false;
-  for (const auto& [service, each] : mPartitions) {
-    const bool isOwnerServing = each.IsOwnerServing(now);
-    if (!isOwnerServing && each.Election().CurrentOwner()) {
-      return false;
-    }
-    isAnyOwnerServing = isAnyOwnerServing || isOwnerServing;
-  }
-  return !mIsStopping && IsCatalogCurrent() && isAnyOwnerServing;
-}
-
-http::response
-node_process::AnswerReadiness() const
-{
-  return http::JsonResponse(IsReady() ? 200 : 503, "{}");
-}
-
 std::string
 node_process::DumpState() const
 {
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -27,6 +27,7 @@
 #include "mangospan/node/mirror.h"
 #include "mangospan/node/partition.h"
 #include "mangospan/node/peer_link.h"
+#include "mangospan/node/peer_reachability.h"
 #include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
 #include "mangospan/node/settings.h"
@@ -89,7 +90,8 @@
   job_service& LocalJobs(const service_name& aService);
   result<pool_state> ExchangeLocally(const service_name& aPool,
                                      const pool_instructions& aInstructions);
-  health_report Health() const;
+  // `aAsker` is the address of the node that asks.
+  health_report Health(const std::string& aAsker);
   void YieldLocally(const service_name& aService);
 
   // Returns the newest catalog (queues and services), or null before the first
@@ -112,6 +114,7 @@
                 pool_instructions aInstructions,
                 pool_state_handler aHandler) override;
 
+  election_settings ElectionSettings() const;
   election_candidate MakeCandidate(const std::string& aSubject);
   std::size_t CountOwnedSubjects() const;
   void StartFleetElection();
@@ -140,6 +143,7 @@
   void CheckOwners();
   void RequestYieldOfSmallerHost();
   void CheckOwnersAt(const std::string& aAddress);
+  void ReplaceCutOffOwners();
   http::response AnswerReadiness() const;
   void ServeNode(const http::request& aRequest,
                  const http::responder& aRespond);
@@ -155,6 +159,7 @@
   std::map<service_name, partition> mPartitions;
   std::shared_ptr<election> mFleetElection;
   std::shared_ptr<fleet_controller> mFleetController;
+  peer_reachability mPeerReachability;
   std::unique_ptr<http::server> mReadinessServer;
   std::unique_ptr<http::server> mNodeServer;
   std::unique_ptr<jobs::catalog> mCatalog;
--- a/mangospan/node/node_process_requests.cc
+++ b/mangospan/node/node_process_requests.cc
@@ -132,7 +132,8 @@
 {
   const service_name service = ServiceOfRequest(aRequest);
   if (http::Path(aRequest) == kHealthPath) {
-    aRespond(http::JsonResponse(200, Encode(Health())));
+    aRespond(http::JsonResponse(
+      200, Encode(Health(std::string(aRequest.Get(kNodeHeader))))));
   } else if (IsYieldRequest(aRequest)) {
     YieldLocally(service);
     aRespond(http::JsonResponse(200, "{}"));
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -14,8 +14,6 @@
 
 namespace {
 
-constexpr milliseconds kUnavailableRetry{ 1'000 };
-
 job_reply
 Reply(reply_kind aKind)
 {
@@ -41,7 +39,9 @@
   , mMayStartRuns(std::move(aMayStartRuns))
   , mOnSuperseded(std::move(aOnSuperseded))
   , mScheduler(aScheduling,
-               { mOwnerRecord.mTerm, mDeps.mClock.Now(), mService })
+               { mOwnerRecord.mTerm,
+                 mDeps.mClock.Now() + mOwnerRecord.mPredecessorLeaseRest,
+                 mService })
   , mTickTimer(mDeps.mIo)
   , mPlanTimer(mDeps.mIo)
   , mWriteTimer(mDeps.mIo)
@@ -321,7 +321,7 @@
     job_reply unavailable = Reply(reply_kind::kUnavailable);
     unavailable.mReason = reason;
     unavailable.mRetryAfter =
-      mFailedWrites > 0 ? kUnavailableRetry : kHandoverRetryAfter;
+      mFailedWrites > 0 ? kUnavailableRetryAfter : kHandoverRetryAfter;
     aHandler(unavailable);
     return;
   }
--- a/mangospan/node/owner_outage_test.cc
+++ b/mangospan/node/owner_outage_test.cc
@@ -140,5 +140,45 @@
   EXPECT_EQ(mCluster.TermOf(kPeak), 2U);
 }
 
+// The zone of the fleet's owner is cut off while the store is away.
+TEST_F(owner_outage_test, CutOffFleetOwnerIsReplacedOnceTheStoreIsBack)
+{
+  const std::string before = mCluster.FleetLeaseHolder();
+  mCluster.SetStoreSilent(true);
+  mCluster.RunFor(outage{}.mZoneCutAt);
+  mCluster.SetCut(virtual_cluster::ZoneOf(before), true);
+  mCluster.RunFor(outage{}.mStoreBackAt - outage{}.mZoneCutAt);
+  mCluster.SetStoreSilent(false);
+  mCluster.RunFor(kPromisedReturn);
+  EXPECT_NE(mCluster.FleetLeaseHolder(), before);
+  EXPECT_NE(mCluster.FleetLeaseHolder(), "");
+}
+
+// The other nodes reach the owner, which has only lost the store. It keeps its
+// lease while the store is away from all.
+TEST_F(owner_outage_test, OwnerThatOthersReachIsNotReplaced)
+{
+  mCluster.SetStoreSilent(true);
+  mCluster.RunFor(outage{}.mStoreBackAt);
+  mCluster.SetStoreSilent(false);
+  mCluster.RunFor(milliseconds(3'000));
+  for (const std::string& each : kServices) {
+    EXPECT_EQ(mCluster.TermOf(each), 1U) << each;
+  }
+}
+
+// A process that starts again at the address of an owner is not held up by the
+// lease of the process before it.
+TEST_F(owner_outage_test, RestartedOwnerDoesNotWaitForItsFormerLease)
+{
+  const std::string owner = mCluster.LeaseHolder(kPeak);
+  mCluster.Restart(owner);
+  mCluster.RunFor(kPromisedReturn);
+  EXPECT_TRUE(mCluster.IsServed(kPeak));
+  EXPECT_EQ(mCluster.LeaseHolder(kPeak), owner);
+  EXPECT_EQ(mCluster.TermOf(kPeak), 2U);
+  EXPECT_EQ(mCluster.Violations(), std::vector<std::string>());
+}
+
 } // namespace
 } // namespace mangospan::node
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -27,6 +27,18 @@
   return std::chrono::duration_cast<milliseconds>(aTime).count();
 }
 
+// The reply while the owner is known and can not be reached: nothing has been
+// sent, and another owner is elected within a second or so.
+job_reply
+UnreachableOwnerReply()
+{
+  job_reply out;
+  out.mKind = reply_kind::kUnavailable;
+  out.mReason = refusal_reason::kOwnerUnreachable;
+  out.mRetryAfter = kUnavailableRetryAfter;
+  return out;
+}
+
 } // namespace
 
 partition::partition(partition_dependencies aDependencies,
@@ -51,6 +63,7 @@
         [this] { OnLost(); },
         aCandidate.mCountOwnedSubjects }))
   , mForwarder(std::make_unique<unavailable_job_service>(UnavailableReply()))
+  , mUnreachableOwner(UnreachableOwnerReply())
 {
 }
 
@@ -126,6 +139,9 @@
   if (mOwner) {
     return *mOwner;
   }
+  if (!mIsOwnerReachable) {
+    return mUnreachableOwner;
+  }
   const auto known = mElection->CurrentOwner();
   const std::string address = known ? known->mAddress : std::string();
   if (address != mForwardAddress) {
--- a/mangospan/node/partition.h
+++ b/mangospan/node/partition.h
@@ -78,6 +78,13 @@
   // Call it at regular intervals.
   void ReportOwnerServing(time_point aNow);
 
+  // Tells whether this node reaches the owner's node. Jobs for an owner that it
+  // does not reach are refused at once.
+  void SetOwnerReachable(bool aIsReachable)
+  {
+    mIsOwnerReachable = aIsReachable;
+  }
+
   // Hands the jobs over to another node if this one owns them. This node stays
   // a candidate and may be elected again later.
   void Yield();
@@ -100,6 +107,8 @@
   // kUnavailable.
   std::unique_ptr<job_service> mForwarder;
   std::string mForwardAddress;
+  unavailable_job_service mUnreachableOwner;
+  bool mIsOwnerReachable = true;
   time_point mOwnerServingAt{};
   std::optional<time_point> mOwnerMissingSince; // set while none serves
   time_point mMissingCountedUntil{};
--- a/mangospan/node/peer_link.h
+++ b/mangospan/node/peer_link.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,11 @@
 {
   // The services whose jobs the node owns and serves.
   std::vector<service_name> mServes;
+  // The addresses of the owners that the node has not reached for a while.
+  std::set<std::string> mUnreachable;
+  // Whether most nodes still check the node's health; see
+  // `peer_reachability::IsInMajority`.
+  bool mIsInMajority = false;
 };
 
 using health_handler = std::function<void(result<health_report>)>;
@@ -42,7 +48,8 @@
                         const service_name& aPool,
                         const pool_instructions& aInstructions,
                         pool_state_handler aHandler) = 0;
-  // Asks the node for its health. Errors: those of the connection.
+  // Asks the node for its health, and tells it who asks. Errors: those of the
+  // connection.
   virtual void CheckHealth(const std::string& aAddress,
                            std::chrono::milliseconds aTimeout,
                            health_handler aHandler) = 0;
--- a/mangospan/node/testing/virtual_cluster.cc
+++ b/mangospan/node/testing/virtual_cluster.cc
@@ -190,9 +190,11 @@
 public:
   // `aIsEnded` tells whether the node's process has ended.
   virtual_peers(virtual_cluster& aCluster,
+                std::string aAddress,
                 std::string aZone,
                 const bool& aIsEnded)
     : mCluster(aCluster)
+    , mAddress(std::move(aAddress))
     , mZone(std::move(aZone))
     , mIsEnded(aIsEnded)
   {
@@ -220,6 +222,7 @@
 
 private:
   virtual_cluster& mCluster;
+  const std::string mAddress;
   const std::string mZone;
   const bool& mIsEnded;
 };
@@ -234,7 +237,7 @@
     : mZone(aZone)
     , mStore(aCluster.mStore)
     , mRunners(aCluster, aZone, mIsEnded)
-    , mPeers(aCluster, aZone, mIsEnded)
+    , mPeers(aCluster, aName, aZone, mIsEnded)
     , mHosts(aCluster.mIo)
     , mProcess(aCluster.mIo,
                aCluster.mClock,
@@ -380,7 +383,7 @@
       });
       return;
     }
-    aHandler(peer->Process().Health());
+    aHandler(peer->Process().Health(mAddress));
   });
 }
 
@@ -694,7 +697,7 @@
 virtual_cluster::IsServed(const std::string& aService) const
 {
   return std::any_of(mNodes.begin(), mNodes.end(), [&](const auto& aEntry) {
-    const auto serves = aEntry.second->Process().Health().mServes;
+    const auto serves = aEntry.second->Process().Health("").mServes;
     return mCutZones.count(aEntry.second->mZone) == 0 &&
            std::find(serves.begin(), serves.end(), service_name{ aService }) !=
              serves.end();
