Hosts that were idle during an outage are not released at its end

What callers saw: jobs accepted right after an outage of the store ended late, since the hosts that could have run them had just been sent to the spare pool and came back over three seconds later.

Cause: a host is released once it has been idle for 0.8 s. While the store is away no owner accepts jobs, so every host becomes idle, and with the first pass after the outage the fleet controller releases them.

Fix: the owner reports whether it can accept jobs, and idle time counts only while it can. Such hosts still go to a pool that lacks some.

Test: pool_autoscaler_test.HostsIdleDuringAnOutageAreNotReleasedAtItsEnd, which fails without the new condition.

--- a/mangospan/jobs/pool_autoscaler.cc
+++ b/mangospan/jobs/pool_autoscaler.cc
@@ -57,14 +57,22 @@
 }
 
 void
-pool_autoscaler::UpdateIdleTimes(const std::vector<host_view>& aHosts,
-                                 time_point aNow)
+pool_autoscaler::UpdateIdleTimes(
+  const std::map<service_name, pool_load>& aLoads,
+  const std::vector<host_view>& aHosts,
+  time_point aNow)
 {
   for (const host_view& each : aHosts) {
     if (each.mRunCount > 0 || !each.mIsUp || !each.mCanGetRuns) {
       mIdleSince.erase(each.mHost);
-    } else {
-      mIdleSince.emplace(each.mHost, aNow);
+      continue;
+    }
+    const auto load = aLoads.find(each.mPool);
+    const bool isDemandKnown =
+      load == aLoads.end() || load->second.mIsAcceptingJobs;
+    const auto [idle, isNew] = mIdleSince.emplace(each.mHost, aNow);
+    if (!isDemandKnown) {
+      idle->second = aNow;
     }
   }
 }
@@ -78,7 +86,7 @@
                         time_point aNow)
 {
   EraseCompletedMoves(aHosts, aListedAt);
-  UpdateIdleTimes(aHosts, aNow);
+  UpdateIdleTimes(aLoads, aHosts, aNow);
   autoscaling_state state = AssessPools(aLoads, aHosts, aReservedHosts);
   ComputeRequiredHosts(aLoads, state);
   FillDeficits(state);
--- a/mangospan/jobs/pool_autoscaler.h
+++ b/mangospan/jobs/pool_autoscaler.h
@@ -34,6 +34,9 @@
   // capacity of these hosts would suffice. The largest of these requirements
   // counts.
   std::size_t mMinHosts = 0;
+  // Whether the pool's owner can accept jobs. If it can not, the other figures
+  // lack those that callers keep back, and idle hosts may be needed at once.
+  bool mIsAcceptingJobs = true;
 };
 
 // Limits and delays of a `pool_autoscaler`.
@@ -42,7 +45,8 @@
   // A pool is sized for its requested resources multiplied by this factor.
   double mHeadroomFactor = 1.15;
   std::size_t mMinHosts = 2; // in each pool
-  // A host moves to the spare pool only after it has been idle for this long.
+  // A host moves to the spare pool only after it has been idle for this long,
+  // while the pool's owner could accept jobs.
   std::chrono::milliseconds mMinIdleTime{ 800 };
   std::size_t mMaxConcurrentMoves = 240; // pending moves in all pools
 };
@@ -94,7 +98,9 @@
 
   void EraseCompletedMoves(const std::vector<host_view>& aHosts,
                            time_point aListedAt);
-  void UpdateIdleTimes(const std::vector<host_view>& aHosts, time_point aNow);
+  void UpdateIdleTimes(const std::map<service_name, pool_load>& aLoads,
+                       const std::vector<host_view>& aHosts,
+                       time_point aNow);
   struct autoscaling_state
   {
     std::map<service_name, pool> mPools;
--- a/mangospan/jobs/pool_autoscaler_test.cc
+++ b/mangospan/jobs/pool_autoscaler_test.cc
@@ -34,8 +34,8 @@
 std::map<service_name, pool_load>
 Loads(std::int64_t aHotCpu, std::int64_t aColdCpu)
 {
-  return { { kHot, { { aHotCpu, 0, 0 }, {}, 0 } },
-           { kCold, { { aColdCpu, 0, 0 }, {}, 0 } } };
+  return { { kHot, { { aHotCpu, 0, 0 }, {}, 0, true } },
+           { kCold, { { aColdCpu, 0, 0 }, {}, 0, true } } };
 }
 
 // The result of a simulation of 40 seconds with two pools of eight hosts and
@@ -209,5 +209,27 @@
   EXPECT_EQ(toHot, 6); // 120 cores need eight hosts of 16 cores; two are there
 }
 
+// While a pool's owner can not accept jobs, its hosts are idle for want of jobs
+// that callers keep back. They are not released as soon as it can again.
+TEST(pool_autoscaler_test, HostsIdleDuringAnOutageAreNotReleasedAtItsEnd)
+{
+  pool_autoscaler autoscaler{ autoscaler_settings{} };
+  std::vector<host_view> hosts;
+  for (int i = 0; i < 8; ++i) {
+    hosts.push_back(Host("h" + std::to_string(i), kHot, 0));
+    hosts.push_back(Host("c" + std::to_string(i), kCold, 1));
+  }
+  auto loads = Loads(0, 0);
+  loads[kHot].mIsAcceptingJobs = false;
+  time_point now = kStart;
+  for (; now < kStart + seconds(6); now += milliseconds(100)) {
+    EXPECT_TRUE(autoscaler.Decide(loads, kSpare, hosts, {}, now, now).empty());
+  }
+  loads[kHot].mIsAcceptingJobs = true;
+  EXPECT_TRUE(autoscaler.Decide(loads, kSpare, hosts, {}, now, now).empty());
+  now += autoscaler_settings{}.mMinIdleTime;
+  EXPECT_FALSE(autoscaler.Decide(loads, kSpare, hosts, {}, now, now).empty());
+}
+
 } // namespace
 } // namespace mangospan::jobs
--- a/mangospan/node/node_process_requests.cc
+++ b/mangospan/node/node_process_requests.cc
@@ -106,15 +106,13 @@
                               const pool_instructions& aInstructions)
 {
   const auto found = mPartitions.find(aPool);
-  owner* const local =
-    found == mPartitions.end() ? nullptr : found->second.LocalOwner();
-  if (local == nullptr) {
+  if (found == mPartitions.end()) {
     return error{ error_code::kUnavailable,
                   "pool.exchange",
                   aPool.Str(),
-                  "this node does not own the pool's jobs" };
+                  "this node does not know the pool" };
   }
-  return local->Exchange(aInstructions);
+  return found->second.ExchangeLocally(aInstructions);
 }
 
 void
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -163,19 +163,10 @@
   const auto known = mElection->CurrentOwner();
   if (mOwner || !known || known->mAddress == mAddress) {
     boost::asio::post(mDeps.mOwner.mIo,
-                      [local = mOwner,
-                       pool = mService,
+                      [this,
                        instructions = std::move(aInstructions),
                        handler = std::move(aHandler)] {
-                        if (local) {
-                          handler(local->Exchange(instructions));
-                        } else {
-                          handler(
-                            error{ error_code::kUnavailable,
-                                   "pool.exchange",
-                                   pool.Str(),
-                                   "no owner of the pool's jobs is known" });
-                        }
+                        handler(ExchangeLocally(instructions));
                       });
     return;
   }
@@ -183,6 +174,22 @@
     known->mAddress, mService, aInstructions, std::move(aHandler));
 }
 
+result<pool_state>
+partition::ExchangeLocally(const pool_instructions& aInstructions)
+{
+  if (!mOwner) {
+    return error{ error_code::kUnavailable,
+                  "pool.exchange",
+                  mService.Str(),
+                  "this node does not own the pool's jobs" };
+  }
+  auto state = mOwner->Exchange(aInstructions);
+  if (state.has_value()) {
+    state.assume_value().mLoad.mIsAcceptingJobs = IsServing();
+  }
+  return state;
+}
+
 void
 partition::Yield()
 {
--- a/mangospan/node/partition.h
+++ b/mangospan/node/partition.h
@@ -66,6 +66,10 @@
   // of `pool_link::Exchange`.
   void Exchange(pool_instructions aInstructions, pool_state_handler aHandler);
 
+  // Applies the instructions at the owner on this node. Errors: those of
+  // `owner::Exchange`, and kUnavailable if this node does not own the jobs.
+  result<pool_state> ExchangeLocally(const pool_instructions& aInstructions);
+
   // Returns whether this node owns the jobs and has loaded them, its last write
   // succeeded, and its lease is certainly valid.
   bool IsServing() const;
--- a/mangospan/node/pool_link.cc
+++ b/mangospan/node/pool_link.cc
@@ -96,6 +96,7 @@
     { "wanted", { requested.mCpu, requested.mMemoryMb, requested.mGpus } },
     { "arriving", { forecast.mCpu, forecast.mMemoryMb } },
     { "min_hosts", aState.mLoad.mMinHosts },
+    { "accepting", aState.mLoad.mIsAcceptingJobs },
     { "knows_others", aState.mAreUnlistedRunnersIdle },
     { "runners", std::move(runners) }
   }.dump();
@@ -116,6 +117,7 @@
     out.mLoad.mForecast.mMemoryMb =
       body.at("arriving").at(1).get<std::int64_t>();
     out.mLoad.mMinHosts = body.at("min_hosts").get<std::size_t>();
+    out.mLoad.mIsAcceptingJobs = body.value("accepting", true);
     out.mAreUnlistedRunnersIdle = body.at("knows_others").get<bool>();
     for (const auto& [runnerName, each] : body.at("runners").items()) {
       const auto flags = each.at(0).get<unsigned>();
--- a/mangospan/node/pool_link_test.cc
+++ b/mangospan/node/pool_link_test.cc
@@ -29,7 +29,7 @@
 {
   pool_state sent;
   sent.mTermRevision = 42;
-  sent.mLoad = { { 1'500, 2'048, 1 }, { 9'000, 4'096, 0 }, 3 };
+  sent.mLoad = { { 1'500, 2'048, 1 }, { 9'000, 4'096, 0 }, 3, false };
   sent.mAreUnlistedRunnersIdle = true;
   sent.mRunners[runner_name{ "a" }] = { true, false, true, true, 5, 2 };
   sent.mRunners[runner_name{ "b" }] = { false, true, false, false, 0, 0 };
@@ -40,6 +40,7 @@
   EXPECT_EQ(got.mLoad.mRequested.mMemoryMb, 2'048);
   EXPECT_EQ(got.mLoad.mForecast.mCpu, 9'000);
   EXPECT_EQ(got.mLoad.mMinHosts, 3U);
+  EXPECT_FALSE(got.mLoad.mIsAcceptingJobs);
   EXPECT_TRUE(got.mAreUnlistedRunnersIdle);
   const runner_state& first = got.mRunners.at(runner_name{ "a" });
   EXPECT_TRUE(first.mAreRunsKnown && first.mCanGetRuns && first.mIsCordoned);
