Jobs turned away during an outage count as demand of their pool

What callers saw: jobs accepted right after an outage of the store waited for hosts, which were ordered in two or three portions over two seconds.

Cause: the forecast counts accepted jobs only. While the store is away the owner accepts none, so the fleet orders hosts first for what has come by then, although the owner has just told the callers of a whole peak to come back within a second.

Fix: an owner that turns a job away for the store's sake, or because it still loads, adds it to its forecast, once in three seconds per job.

Test: scheduler_test.JobsTurnedAwayCountAsDemandOnce.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -18,6 +18,9 @@
 // The time that a caller is told to wait if the queue of its job does not
 // exist.
 constexpr milliseconds kUnknownQueueRetryAfter{ 8'000 };
+// A job that was turned away is the same demand when it returns within this
+// time.
+constexpr milliseconds kTurnedAwayMemory{ 3'000 };
 // The clocks of two hosts differ by less than this in their time of day.
 constexpr milliseconds kMaxWallClockSkew{ 500 };
 
@@ -186,13 +189,41 @@
              { "objective_ms",
                static_cast<std::int64_t>(queue->Objective(aSpec).count()) },
              { "steps", Summary(aSpec) } });
-  mArrivalForecasts[ServiceOf(*queue)].Add(aSpec, aNow);
+  ForgetTurnedAwayJobs(aNow);
+  if (mTurnedAwayJobs.count(aJob) == 0) {
+    mArrivalForecasts[ServiceOf(*queue)].Add(aSpec, aNow);
+  }
   mJobs.emplace(aJob, std::move(newJob));
   mActiveJobs.insert(aJob);
   mUnstoredJobs.insert(aJob);
   return { submit_outcome::kPending, milliseconds(0) };
 }
 
+void
+scheduler::OnTurnedAway(const job_name& aJob,
+                        const job_spec& aSpec,
+                        time_point aNow)
+{
+  ForgetTurnedAwayJobs(aNow);
+  const queue_policy* const queue = mCatalog.FindQueue(aSpec.mQueue);
+  if (queue == nullptr || mJobs.count(aJob) > 0 ||
+      !mTurnedAwayJobs.insert(aJob).second) {
+    return;
+  }
+  mTurnedAway.emplace_back(aNow, aJob);
+  mArrivalForecasts[ServiceOf(*queue)].Add(aSpec, aNow);
+}
+
+void
+scheduler::ForgetTurnedAwayJobs(time_point aNow)
+{
+  while (!mTurnedAway.empty() &&
+         aNow - mTurnedAway.front().first >= kTurnedAwayMemory) {
+    mTurnedAwayJobs.erase(mTurnedAway.front().second);
+    mTurnedAway.pop_front();
+  }
+}
+
 void
 scheduler::RemoveUnstored(const job_name& aJob)
 {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -19,10 +19,12 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "mangospan/base/time.h"
@@ -150,6 +152,12 @@
                        const job_spec& aSpec,
                        time_point aNow,
                        wall_time aWall);
+  // Notes that a caller was told to come back with a job that could not be
+  // accepted. The job counts as demand, since it is expected again; its further
+  // submissions within a few seconds don't count anew.
+  void OnTurnedAway(const job_name& aJob,
+                    const job_spec& aSpec,
+                    time_point aNow);
   // Removes a job that is not stored yet, because another owner has accepted a
   // job of this name. Does nothing to a stored job.
   void RemoveUnstored(const job_name& aJob);
@@ -245,6 +253,7 @@
 
   bool IsWriteUrgent(const job_name& aJob) const;
   const service_name& ServiceOf(const queue_policy& aQueue) const;
+  void ForgetTurnedAwayJobs(time_point aNow);
   time_point InheritedLeasesEnd() const;
   bool MayStartInheritedJobs(const service_name& aService,
                              time_point aNow) const;
@@ -327,6 +336,9 @@
   // The time of each job's latest failure on each runner, for recent failures.
   std::map<runner_name, std::map<job_name, time_point>> mFailuresByRunner;
   std::map<service_name, arrival_forecast> mArrivalForecasts;
+  // Jobs that were turned away lately, and the same with the times, in order.
+  std::set<job_name> mTurnedAwayJobs;
+  std::deque<std::pair<time_point, job_name>> mTurnedAway;
   std::set<runner_name> mCordonedRunners;
   std::uint64_t mRosterVersion = 0;
   std::uint64_t mStoredRosterVersion = 0;
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -392,5 +392,48 @@
                          scheduler_schedules_test,
                          ::testing::Range(0, 20));
 
+// Hosts are ordered for the load that an owner reports. Callers that it turns
+// away during an outage come back at its end, so they have to show before.
+TEST(scheduler_test, JobsTurnedAwayCountAsDemandOnce)
+{
+  const queue_name queueName{ "q" };
+  const service_name service{ "s" };
+  catalog known;
+  queue_policy queue;
+  queue.mName = queueName;
+  queue.mService = service;
+  known.mQueues.emplace(queueName, queue);
+  known.mServices.emplace(service, service_policy{ service, false });
+  step_spec step;
+  step.mTaskCount = 8;
+  step.mTaskResources = { 1'000, 1'000, 0 };
+  step.mEstimate = milliseconds(1'000);
+  job_spec spec;
+  spec.mQueue = queueName;
+  spec.mSteps = { step };
+
+  scheduler turningAway(scheduler_settings{}, { 1, time_point{}, service });
+  scheduler accepting(scheduler_settings{}, { 1, time_point{}, service });
+  turningAway.SetCatalog(known);
+  accepting.SetCatalog(known);
+  const wall_time wall{};
+  time_point now{ std::chrono::hours(1) };
+  for (int i = 0; i < 40; ++i) {
+    const job_name job{ "j" + std::to_string(i) };
+    turningAway.OnTurnedAway(job, spec, now);
+    turningAway.OnTurnedAway(job, spec, now);
+    accepting.Submit(job, spec, now, wall);
+    now += milliseconds(10);
+  }
+  const auto expected = accepting.ComputeLoads(now, wall).at(service);
+  const auto reported = turningAway.ComputeLoads(now, wall).at(service);
+  EXPECT_GT(reported.mForecast.mCpu, 0);
+  EXPECT_EQ(reported.mForecast.mCpu, expected.mForecast.mCpu);
+  EXPECT_EQ(reported.mRequested.mCpu, 0); // nothing was accepted
+  turningAway.Submit(job_name{ "j39" }, spec, now, wall);
+  EXPECT_EQ(turningAway.ComputeLoads(now, wall).at(service).mForecast.mCpu,
+            expected.mForecast.mCpu);
+}
+
 } // namespace
 } // namespace mangospan::jobs
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -318,6 +318,10 @@
   const bool isKnown = mScheduler.Find(aJob) != nullptr;
   const refusal_reason reason = ReasonToRefuse(aSpec.mQueue, isKnown);
   if (reason != refusal_reason::kNone) {
+    if (reason == refusal_reason::kStoreUnavailable ||
+        reason == refusal_reason::kNotLoaded) {
+      mScheduler.OnTurnedAway(aJob, aSpec, now);
+    }
     job_reply unavailable = Reply(reply_kind::kUnavailable);
     unavailable.mReason = reason;
     unavailable.mRetryAfter =
