Every part of a node learns at once that the store answers again

What callers saw: after an outage of the store an owner that all nodes reach went on turning callers away for up to half a second, and the fleet ordered hosts 0.6 to 0.9 s after the store's return.

Cause: each user of the store finds out by itself. A write, a renewal or a watch that was sent before the return is lost and is repeated only after its timeout (0.4 to 1.7 s) and a delay. Besides, the fleet's exchange with the former owner of a pool, which no longer answers, held up the exchange with its successor for its timeout of 0.6 s, and the note that an owner is unreachable was held for up to 0.4 s against its successor.

Fix: monitored_store stands before the platform's store, probes it every 100 ms while calls stay without an answer, and reports the first answer; owners then write, elections renew and mirrors watch at once, and what is under way counts as failed. Whether an owner is reachable is asked for its address at each call, also for the exchange with its pool.

Tests: monitored_store_test; owner_outage_test passes as before.

--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -463,6 +463,14 @@
     });
 }
 
+void
+election::OnStoreAnswersAgain()
+{
+  if (mIsOwner && mHasRenewalFailed) {
+    Renew();
+  }
+}
+
 void
 election::Renew()
 {
@@ -476,13 +484,15 @@
         return;
       }
       if (aResult.has_value()) {
-        self->mRenewedAt = sentAt;
+        self->mRenewedAt = std::max(self->mRenewedAt, sentAt);
+        self->mHasRenewalFailed = false;
       } else if (aResult.assume_error().mCode == error_code::kNotFound) {
         self->LoseOwnership("lease_ended");
         self->mLeaseHolder.clear();
         self->ScheduleClaim();
         return;
       } else {
+        self->mHasRenewalFailed = true;
         LogError("election.renewal_failed", aResult.assume_error());
       }
       self->ScheduleRenewal();
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -153,6 +153,10 @@
   // claim is delayed like one for a subject without an owner.
   void ReplaceOwner();
 
+  // Renews the lease at once if the last renewal has failed. For use when the
+  // store answers again.
+  void OnStoreAnswersAgain();
+
   // Gives up the ownership for good: no further claims are made. Calls `aDone`
   // once the lease is revoked or its revocation has failed.
   void Retire(std::function<void()> aDone);
@@ -227,6 +231,7 @@
   // Set from when this node has ended another node's lease until its claim.
   std::chrono::milliseconds mPredecessorLeaseRest{ 0 };
   bool mIsOwner = false;
+  bool mHasRenewalFailed = false; // the last one
   bool mIsClaimPending = false;
   bool mIsRetired = false;
 };
--- a/mangospan/node/mirror.cc
+++ b/mangospan/node/mirror.cc
@@ -36,25 +36,46 @@
   mTimer.cancel();
 }
 
+void
+mirror::OnStoreAnswersAgain()
+{
+  if (mIsFailing && !mIsStopped) {
+    mTimer.cancel();
+    Resume(mMustList);
+  }
+}
+
+void
+mirror::Resume(bool aMustList)
+{
+  if (aMustList || !mIsSynced) {
+    List();
+  } else {
+    Watch();
+  }
+}
+
 void
 mirror::List()
 {
   const time_point sentAt = mClock.Now();
-  mStore.ListForWatch(
-    mPrefix,
-    mSettings.mListTimeout,
-    [self = shared_from_this(), sentAt](result<platform::listing> aResult) {
-      if (self->mIsStopped) {
-        return;
-      }
-      if (aResult.has_error()) {
-        self->Retry(true, aResult.assume_error());
-        return;
-      }
-      self->mConfirmedAt = sentAt;
-      self->OnListing(aResult.assume_value());
-      self->Watch();
-    });
+  const std::uint64_t attempt = ++mAttempt;
+  mMustList = true;
+  mStore.ListForWatch(mPrefix,
+                      mSettings.mListTimeout,
+                      [self = shared_from_this(), sentAt, attempt](
+                        result<platform::listing> aResult) {
+                        if (self->mIsStopped || attempt != self->mAttempt) {
+                          return;
+                        }
+                        if (aResult.has_error()) {
+                          self->Retry(true, aResult.assume_error());
+                          return;
+                        }
+                        self->mConfirmedAt = sentAt;
+                        self->OnListing(aResult.assume_value());
+                        self->Watch();
+                      });
 }
 
 void
@@ -103,13 +124,15 @@
 mirror::Watch()
 {
   const time_point sentAt = mClock.Now();
+  const std::uint64_t attempt = ++mAttempt;
+  mMustList = false;
   mStore.Watch(
     mPrefix,
     mRevision,
     mSettings.mWatchWait,
-    [self = shared_from_this(),
-     sentAt](result<platform::change_batch> aResult) {
-      if (self->mIsStopped) {
+    [self = shared_from_this(), sentAt, attempt](
+      result<platform::change_batch> aResult) {
+      if (self->mIsStopped || attempt != self->mAttempt) {
         return;
       }
       if (aResult.has_error()) {
@@ -148,17 +171,14 @@
                { "peer", aError.mPeer },
                { "message", aError.mMessage } });
   }
+  mMustList = aMustList;
   mTimer.expires_after(mSettings.mRetryDelay);
   mTimer.async_wait([self = shared_from_this(),
                      aMustList](const boost::system::error_code& aTimerError) {
     if (aTimerError || self->mIsStopped) {
       return;
     }
-    if (aMustList || !self->mIsSynced) {
-      self->List();
-    } else {
-      self->Watch();
-    }
+    self->Resume(aMustList);
   });
 }
 
--- a/mangospan/node/mirror.h
+++ b/mangospan/node/mirror.h
@@ -11,6 +11,7 @@
 #define MANGOSPAN_NODE_MIRROR_H
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -61,6 +62,9 @@
   void Start();
   // After this call, no handler is called.
   void Stop();
+  // Repeats a call at once if the last one has failed, without waiting for the
+  // one that may be under way. For use when the store answers again.
+  void OnStoreAnswersAgain();
 
   // Returns whether the copy has been complete at least once.
   bool IsSynced() const { return mIsSynced; }
@@ -69,6 +73,7 @@
   time_point ConfirmedAt() const { return mConfirmedAt; }
 
 private:
+  void Resume(bool aMustList);
   void List();
   void Watch();
   void Retry(bool aMustList, const error& aError);
@@ -87,6 +92,8 @@
   bool mIsSynced = false;
   bool mIsStopped = false;
   bool mIsFailing = false;
+  bool mMustList = true;      // before the next watch
+  std::uint64_t mAttempt = 0; // the last call; results of others are ignored
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -62,6 +62,7 @@
   , mSettings(std::move(aSettings))
   , mPorts(aPorts)
   , mMetrics(aMetrics)
+  , mStore(aIo, aPorts.mStore, [this] { OnStoreAnswersAgain(); })
   , mCheckTimer(aIo)
   , mStopTimer(aIo)
 {
@@ -96,7 +97,7 @@
   mOperatorMirror = std::make_shared<mirror>(
     mIo,
     mClock,
-    mPorts.mStore,
+    mStore,
     mPorts.mFormat.OperatorPrefix(),
     mirror_settings{},
     mirror_handlers{
@@ -109,7 +110,7 @@
   mElectionMirror = std::make_shared<mirror>(
     mIo,
     mClock,
-    mPorts.mStore,
+    mStore,
     election::kPrefix,
     mirror_settings{},
     mirror_handlers{
@@ -163,7 +164,7 @@
   mFleetElection = std::make_shared<election>(
     mIo,
     mClock,
-    mPorts.mStore,
+    mStore,
     FleetSubject(),
     self.mNode,
     self.mAddress,
@@ -180,7 +181,7 @@
 {
   mFleetController = std::make_shared<fleet_controller>(
     fleet_controller_dependencies{
-      mIo, mClock, mPorts.mStore, mPorts.mHosts, *this, mPorts.mFormat },
+      mIo, mClock, mStore, mPorts.mHosts, *this, mPorts.mFormat },
     FleetSettings(mSettings),
     order_fence{ mSettings.mNode, aOwnerRecord.mTerm },
     aOwnerRecord.mRevision,
@@ -211,8 +212,11 @@
     return found->second;
   }
   const partition_dependencies dependencies{
-    { mIo, mClock, mPorts.mStore, mPorts.mRunners, mPorts.mFormat, mMetrics },
-    mPeers
+    { mIo, mClock, mStore, mPorts.mRunners, mPorts.mFormat, mMetrics },
+    mPeers,
+    [this](const std::string& aAddress) {
+      return mPeerReachability.IsUnreachable(aAddress, mClock.Now());
+    }
   };
   partition& added = mPartitions
                        .try_emplace(aService,
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -25,6 +25,7 @@
 #include "mangospan/node/job_search.h"
 #include "mangospan/node/job_service.h"
 #include "mangospan/node/mirror.h"
+#include "mangospan/node/monitored_store.h"
 #include "mangospan/node/partition.h"
 #include "mangospan/node/peer_link.h"
 #include "mangospan/node/peer_reachability.h"
@@ -144,6 +145,7 @@
   void RequestYieldOfSmallerHost();
   void CheckOwnersAt(const std::string& aAddress);
   void ReplaceCutOffOwners();
+  void OnStoreAnswersAgain();
   http::response AnswerReadiness() const;
   void ServeNode(const http::request& aRequest,
                  const http::responder& aRespond);
@@ -154,6 +156,7 @@
   const node_settings mSettings;
   const node_ports mPorts;
   daemon::metrics& mMetrics;
+  monitored_store mStore; // all parts of the node use it
   std::shared_ptr<mirror> mOperatorMirror;
   std::shared_ptr<mirror> mElectionMirror;
   std::map<service_name, partition> mPartitions;
--- a/mangospan/node/node_process_owners.cc
+++ b/mangospan/node/node_process_owners.cc
@@ -122,14 +122,23 @@
     }
   };
   for (auto& [service, each] : mPartitions) {
-    const auto known = each.Election().CurrentOwner();
-    each.SetOwnerReachable(
-      !known || !mPeerReachability.IsUnreachable(known->mAddress, now));
     replace(each.Election());
   }
   replace(*mFleetElection);
 }
 
+void
+node_process::OnStoreAnswersAgain()
+{
+  mFleetElection->OnStoreAnswersAgain();
+  for (auto& [service, each] : mPartitions) {
+    each.OnStoreAnswersAgain();
+  }
+  mElectionMirror->OnStoreAnswersAgain();
+  mOperatorMirror->OnStoreAnswersAgain();
+  ReplaceCutOffOwners();
+}
+
 health_report
 node_process::Health(const std::string& aAsker)
 {
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -5,6 +5,7 @@
 #define MANGOSPAN_NODE_OWNER_H
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -92,6 +93,10 @@
   void Stop();
   void SetCatalog(const jobs::catalog& aCatalog);
 
+  // Writes at once if the last write has failed. For use when the store answers
+  // again.
+  void OnStoreAnswersAgain();
+
   // Returns whether the jobs and the runners have been read from the store.
   bool IsLoaded() const { return mIsLoaded && mRunnerMirror->IsSynced(); }
   // Returns whether the last write succeeded; true if there was none yet.
@@ -173,6 +178,8 @@
   bool IsWriteNeeded() const;
   void ScheduleWrite();
   void Write();
+  void OnWriteAnswered(std::uint64_t aNumber,
+                       const result<platform::commit_outcome>& aResult);
   void ClearInFlight(const written_records& aWritten);
   void OnCommitResult(const written_records& aWritten,
                       const result<platform::commit_outcome>& aResult);
@@ -210,7 +217,8 @@
   bool mIsStopped = false;
   bool mIsPlanScheduled = false;
   bool mIsWriteScheduled = false;
-  std::size_t mWritesInFlight = 0;
+  std::map<std::uint64_t, written_records> mWritesInFlight; // by number
+  std::uint64_t mWriteCount = 0;
   std::set<jobs::job_name> mJobsBeingWritten;
   bool mIsRosterInFlight = false;
   int mFailedWrites = 0; // consecutive failures
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -181,7 +181,7 @@
 bool
 owner::IsWriteNeeded() const
 {
-  if (mWritesInFlight > 0) {
+  if (!mWritesInFlight.empty()) {
     return mScheduler.HasUnstoredJobs(mJobsBeingWritten, /*aUrgentOnly=*/true);
   }
   const bool isRosterUnstored =
@@ -194,8 +194,8 @@
 owner::ScheduleWrite()
 {
   const bool isAtWriteLimit =
-    mWritesInFlight >= mSettings.mMaxConcurrentWrites ||
-    (mFailedWrites > 0 && mWritesInFlight > 0);
+    mWritesInFlight.size() >= mSettings.mMaxConcurrentWrites ||
+    (mFailedWrites > 0 && !mWritesInFlight.empty());
   if (mIsWriteScheduled || isAtWriteLimit || mIsStopped || !mIsLoaded ||
       !IsWriteNeeded()) {
     return;
@@ -262,24 +262,54 @@
   if (change.mWrites.empty()) {
     return;
   }
-  ++mWritesInFlight;
+  const std::uint64_t number = ++mWriteCount;
+  mWritesInFlight.emplace(number, written);
   mNextProgressWriteAt = mDeps.mClock.Now() + mSettings.mMinProgressInterval;
   mDeps.mMetrics.Add("mangospan_node_store_writes_total", {});
   mDeps.mStore.Commit(std::move(change),
                       mSettings.mWriteTimeout,
-                      [self = shared_from_this(), written](
+                      [self = shared_from_this(), number](
                         const result<platform::commit_outcome>& aResult) {
-                        self->ClearInFlight(written);
-                        if (!self->mIsStopped) {
-                          self->OnCommitResult(written, aResult);
-                        }
+                        self->OnWriteAnswered(number, aResult);
                       });
 }
 
+void
+owner::OnWriteAnswered(std::uint64_t aNumber,
+                       const result<platform::commit_outcome>& aResult)
+{
+  const auto found = mWritesInFlight.find(aNumber);
+  if (found == mWritesInFlight.end()) {
+    return; // the write was given up, and its records written again
+  }
+  const written_records written = std::move(found->second);
+  mWritesInFlight.erase(found);
+  ClearInFlight(written);
+  if (!mIsStopped) {
+    OnCommitResult(written, aResult);
+  }
+}
+
+// Writes that are under way were sent while the store did not answer. They are
+// given up, as after their timeout: if one has an effect all the same, the next
+// write of its records is in conflict and finds that out.
+void
+owner::OnStoreAnswersAgain()
+{
+  mRunnerMirror->OnStoreAnswersAgain();
+  if (mFailedWrites == 0 || mIsStopped || !mIsLoaded) {
+    return;
+  }
+  for (const auto& [number, each] : mWritesInFlight) {
+    ClearInFlight(each);
+  }
+  mWritesInFlight.clear();
+  Write();
+}
+
 void
 owner::ClearInFlight(const written_records& aWritten)
 {
-  --mWritesInFlight;
   for (const written_job& each : aWritten.mJobs) {
     mJobsBeingWritten.erase(each.mStored.mJob);
   }
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -139,11 +139,11 @@
   if (mOwner) {
     return *mOwner;
   }
-  if (!mIsOwnerReachable) {
-    return mUnreachableOwner;
-  }
   const auto known = mElection->CurrentOwner();
   const std::string address = known ? known->mAddress : std::string();
+  if (known && mDeps.mIsUnreachable(address)) {
+    return mUnreachableOwner;
+  }
   if (address != mForwardAddress) {
     mForwardAddress = address;
     if (address.empty() || address == mAddress) {
@@ -161,17 +161,18 @@
                     pool_state_handler aHandler)
 {
   const auto known = mElection->CurrentOwner();
-  if (mOwner || !known || known->mAddress == mAddress) {
-    boost::asio::post(mDeps.mOwner.mIo,
-                      [this,
-                       instructions = std::move(aInstructions),
-                       handler = std::move(aHandler)] {
-                        handler(ExchangeLocally(instructions));
-                      });
+  const bool isRemote = !mOwner && known && known->mAddress != mAddress;
+  if (isRemote && !mDeps.mIsUnreachable(known->mAddress)) {
+    mDeps.mPeers.Exchange(
+      known->mAddress, mService, aInstructions, std::move(aHandler));
     return;
   }
-  mDeps.mPeers.Exchange(
-    known->mAddress, mService, aInstructions, std::move(aHandler));
+  boost::asio::post(mDeps.mOwner.mIo,
+                    [this,
+                     instructions = std::move(aInstructions),
+                     handler = std::move(aHandler)] {
+                      handler(ExchangeLocally(instructions));
+                    });
 }
 
 result<pool_state>
@@ -190,6 +191,15 @@
   return state;
 }
 
+void
+partition::OnStoreAnswersAgain()
+{
+  mElection->OnStoreAnswersAgain();
+  if (mOwner) {
+    mOwner->OnStoreAnswersAgain();
+  }
+}
+
 void
 partition::Yield()
 {
--- a/mangospan/node/partition.h
+++ b/mangospan/node/partition.h
@@ -28,6 +28,8 @@
 {
   owner_dependencies mOwner;
   peer_link& mPeers;
+  // Returns whether the node at the address is known not to answer.
+  std::function<bool(const std::string& aAddress)> mIsUnreachable;
 };
 
 // This node as a candidate in an election.
@@ -59,11 +61,13 @@
 
   // Returns the service that currently takes requests for the jobs: the local
   // owner, a client of the remote owner, or one that replies kUnavailable while
-  // no owner is known. The reference is valid until the owner changes.
+  // no owner is known or the owner does not answer. The reference is valid
+  // until the owner changes.
   job_service& Jobs();
   // Sends the fleet controller's instructions to the owner, local or remote.
   // Calls `aHandler` once, never before this call has returned. Errors: those
-  // of `pool_link::Exchange`.
+  // of `pool_link::Exchange`; kUnavailable at once if the owner does not
+  // answer.
   void Exchange(pool_instructions aInstructions, pool_state_handler aHandler);
 
   // Applies the instructions at the owner on this node. Errors: those of
@@ -82,12 +86,8 @@
   // Call it at regular intervals.
   void ReportOwnerServing(time_point aNow);
 
-  // Tells whether this node reaches the owner's node. Jobs for an owner that it
-  // does not reach are refused at once.
-  void SetOwnerReachable(bool aIsReachable)
-  {
-    mIsOwnerReachable = aIsReachable;
-  }
+  // Repeats what has failed while the store did not answer.
+  void OnStoreAnswersAgain();
 
   // Hands the jobs over to another node if this one owns them. This node stays
   // a candidate and may be elected again later.
@@ -112,7 +112,6 @@
   std::unique_ptr<job_service> mForwarder;
   std::string mForwardAddress;
   unavailable_job_service mUnreachableOwner;
-  bool mIsOwnerReachable = true;
   time_point mOwnerServingAt{};
   std::optional<time_point> mOwnerMissingSince; // set while none serves
   time_point mMissingCountedUntil{};
