A returning caller's objective counts from its first try

What callers saw: after an outage of the store, jobs that came then ended late although there was time, behind those of callers that had been turned away for up to three seconds and could not be in time any more.

Cause: the owner counted the objective from acceptance. A job whose caller had waited looked as fresh as one that had just come, so it was taken to be able to meet an objective that was over, and its tasks went first.

Fix: a node takes the longest time that callers of a queue have said lately that they still wait for as that of a first try, and passes on with a job how long its caller has been trying. The owner counts the objective from there, and keeps it over a takeover. It decides the order only.

--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -94,6 +94,7 @@
   }
   json out{ { "queue", aSpec.mQueue.Str() },
             { "payload", aSpec.mPayload },
+            { "elapsed_ms", aSpec.mElapsed.count() },
             { "steps", std::move(steps) } };
   if (aSpec.mRepetitions > 0) {
     out["repetitions"] = aSpec.mRepetitions;
@@ -109,6 +110,8 @@
   job_spec out;
   out.mQueue = queue_name{ aValue.at("queue").get<std::string>() };
   out.mPayload = aValue.value("payload", std::string());
+  out.mElapsed =
+    std::chrono::milliseconds(aValue.value("elapsed_ms", std::int64_t{ 0 }));
   for (const json& each : aValue.at("steps")) {
     out.mSteps.push_back(StepFromJson(each));
   }
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -99,6 +99,7 @@
   // When the job was accepted, on the owner's monotonic clock. After a takeover
   // it is the time of the takeover less the age of the job by the wall clock.
   time_point mAcceptedAt{};
+  time_point mFirstTryAt{}; // of the caller's submission; not later
   wall_time mAcceptedWallTime;
   wall_time mEndedWallTime; // When the job reached a final state.
   // The end of the objective: until then the job is worth its full value.
--- a/mangospan/jobs/ranking.cc
+++ b/mangospan/jobs/ranking.cc
@@ -38,8 +38,8 @@
   if (end <= aJob.mObjectiveDeadline) {
     return lateness::kOnTime;
   }
-  const auto objective = aJob.mObjectiveDeadline - aJob.mAcceptedAt;
-  return end <= aJob.mAcceptedAt + kMaxUsefulObjectives * objective
+  const auto objective = aJob.mObjectiveDeadline - aJob.mFirstTryAt;
+  return end <= aJob.mFirstTryAt + kMaxUsefulObjectives * objective
            ? lateness::kLate
            : lateness::kTooLate;
 }
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -78,8 +78,9 @@
     // in which jobs are scheduled.
     each.mAcceptedAt =
       aNow - std::max(aWall - each.mAcceptedWallTime, wall_time::duration(0));
+    each.mFirstTryAt = each.mAcceptedAt - each.mSpec.mElapsed;
     each.mStoredVersion = each.mVersion;
-    each.mObjectiveDeadline = each.mAcceptedAt;
+    each.mObjectiveDeadline = each.mFirstTryAt;
     if (!IsFinal(each.mState)) {
       mActiveJobs.insert(each.mName);
       const queue_policy* const queue = mCatalog.FindQueue(each.mSpec.mQueue);
@@ -180,15 +181,18 @@
   job newJob = MakeJob(aJob, aSpec);
   newJob.mAcceptedAt = aNow;
   newJob.mAcceptedWallTime = aWall;
-  newJob.mObjectiveDeadline = aNow + queue->Objective(aSpec);
-  LogEvent(log_level::kInfo,
-           "job.submitted",
-           { { "job", aJob.Str() },
-             { "queue", aSpec.mQueue.Str() },
-             { "catalog", mCatalog.mVersion },
-             { "objective_ms",
-               static_cast<std::int64_t>(queue->Objective(aSpec).count()) },
-             { "steps", Summary(aSpec) } });
+  newJob.mFirstTryAt = aNow - aSpec.mElapsed;
+  newJob.mObjectiveDeadline = newJob.mFirstTryAt + queue->Objective(aSpec);
+  LogEvent(
+    log_level::kInfo,
+    "job.submitted",
+    { { "job", aJob.Str() },
+      { "queue", aSpec.mQueue.Str() },
+      { "catalog", mCatalog.mVersion },
+      { "objective_ms",
+        static_cast<std::int64_t>(queue->Objective(aSpec).count()) },
+      { "elapsed_ms", static_cast<std::int64_t>(aSpec.mElapsed.count()) },
+      { "steps", Summary(aSpec) } });
   ForgetTurnedAwayJobs(aNow);
   if (mTurnedAwayJobs.count(aJob) == 0) {
     mArrivalForecasts[ServiceOf(*queue)].Add(aSpec, aNow);
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "mangospan/jobs/ranking.h"
 #include "mangospan/jobs/testing/fake_world.h"
 
 namespace mangospan::jobs {
@@ -435,5 +436,24 @@
             expected.mForecast.mCpu);
 }
 
+// The caller of the first job was turned away for two seconds, so the job can
+// not be in time any more. It must not take the capacity of one that can.
+TEST(scheduler_test, JobOfReturningCallerIsLateFromItsFirstTry)
+{
+  job returning =
+    MakeJob(job_name{ "a" }, Job({ Tasks(1, 1'000, seconds(1)) }));
+  returning.mAcceptedAt = time_point{ std::chrono::hours(1) };
+  job fresh = returning;
+  returning.mSpec.mElapsed = seconds(2);
+  for (job* const each : { &returning, &fresh }) {
+    each->mFirstTryAt = each->mAcceptedAt - each->mSpec.mElapsed;
+    each->mObjectiveDeadline = each->mFirstTryAt + milliseconds(2'500);
+  }
+  EXPECT_EQ(LatenessOf(returning, returning.mAcceptedAt), lateness::kLate);
+  EXPECT_EQ(LatenessOf(fresh, fresh.mAcceptedAt), lateness::kOnTime);
+  EXPECT_LT(RankOf(fresh, 0, 0, fresh.mAcceptedAt),
+            RankOf(returning, 0, 0, returning.mAcceptedAt));
+}
+
 } // namespace
 } // namespace mangospan::jobs
--- a/mangospan/jobs/spec.h
+++ b/mangospan/jobs/spec.h
@@ -80,6 +80,9 @@
   queue_name mQueue;
   std::string mPayload; // Passed to every task unchanged.
   std::vector<step_spec> mSteps;
+  // For how long the caller had been trying to submit the job when it was
+  // submitted; 0 for the first try. The objective counts from the first try.
+  std::chrono::milliseconds mElapsed{ 0 };
   // The number of occurrences of a job that runs at set times; 0 for a job that
   // runs once, as soon as it is submitted.
   std::size_t mRepetitions = 0;
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,7 @@
 #include "mangospan/base/timer.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/http/server.h"
+#include "mangospan/node/caller_patience.h"
 #include "mangospan/node/election.h"
 #include "mangospan/node/fleet_controller.h"
 #include "mangospan/node/job_search.h"
@@ -67,8 +69,10 @@
   void Stop(std::function<void()> aDone);
 
   // Submits a job, and again while the result is unknown; see submission.h.
+  // `aCallerWaits` is the time for which the caller still waits, if it says so.
   void Submit(const jobs::job_name& aJob,
-              const jobs::job_spec& aSpec,
+              jobs::job_spec aSpec,
+              std::optional<std::chrono::milliseconds> aCallerWaits,
               std::chrono::milliseconds aTimeout,
               reply_handler aHandler);
   // Cancels or reads a job, or counts the waiting jobs of a queue. `aQueue` is
@@ -163,6 +167,7 @@
   std::shared_ptr<election> mFleetElection;
   std::shared_ptr<fleet_controller> mFleetController;
   peer_reachability mPeerReachability;
+  caller_patience mCallerPatience;
   std::unique_ptr<http::server> mReadinessServer;
   std::unique_ptr<http::server> mNodeServer;
   std::unique_ptr<jobs::catalog> mCatalog;
--- a/mangospan/node/node_process_requests.cc
+++ b/mangospan/node/node_process_requests.cc
@@ -31,17 +31,22 @@
 
 void
 node_process::Submit(const jobs::job_name& aJob,
-                     const jobs::job_spec& aSpec,
+                     jobs::job_spec aSpec,
+                     std::optional<milliseconds> aCallerWaits,
                      milliseconds aTimeout,
                      reply_handler aHandler)
 {
+  if (aCallerWaits) {
+    aSpec.mElapsed = mCallerPatience.ElapsedSinceFirstTry(
+      aSpec.mQueue, *aCallerWaits, mClock.Now());
+  }
   // Each attempt uses the newest catalog.
   const auto finder = [this, queue = aSpec.mQueue]() -> job_service& {
     const auto* const policy = mCatalog ? mCatalog->FindQueue(queue) : nullptr;
     return policy == nullptr ? mUnavailableJobs
                              : FindOrAddPartition(policy->mService).Jobs();
   };
-  std::make_shared<submission>(mIo, mClock, finder, aJob, aSpec)
+  std::make_shared<submission>(mIo, mClock, finder, aJob, std::move(aSpec))
     ->Start(aTimeout, std::move(aHandler));
 }
 
--- a/mangospan/node/testing/virtual_cluster.cc
+++ b/mangospan/node/testing/virtual_cluster.cc
@@ -616,6 +616,7 @@
     aCaller->mFirstTryAt + kCallerPatience - Now());
   node.Process().Submit(jobs::job_name{ aJob },
                         OneTask(aCaller->mService),
+                        remaining,
                         std::min(kCallerTimeout, remaining),
                         [this, aJob, aCaller, &node](const job_reply& aReply) {
                           // A process that has ended answers nothing.
