A stopping server answers requests that were on their way when it closed

Cause: at the end of a stop the server closed its acceptor and every idle connection. A connection that the kernel had completed and the server not accepted yet was reset, and one that was accepted and whose first request was on its way was closed; one whose accept had just completed was dropped. Besides, an entry let callers keep their connections during the second for which it announces its stop, so that many were idle at its end.

Evidence: http_server.RequestOnConnectionMadeJustBeforeStopIsAnswered makes the first two kinds of connection and fails on the former session.cc.

Fix: responses say Connection: close from the begin of an entry's stop; what the kernel has completed is admitted before the acceptor closes; a connection without a request so far is closed 0.12 s later.

What is left is the race that every server has which closes a connection that was idle after a response.

--- a/mangospan/entry/entry_process.cc
+++ b/mangospan/entry/entry_process.cc
@@ -401,6 +401,7 @@
   mIsStopping = true;
   mOnStopped = std::move(aDone);
   mStopBegan = mClock.Now();
+  mServer.AnnounceStop();
   mPipeline.SetAccepting(false);
   mPipe.Stop();
   StopWhenIdle();
--- a/mangospan/http/internal/session.cc
+++ b/mangospan/http/internal/session.cc
@@ -30,6 +30,9 @@
 // see `CloseGracefully`.
 constexpr std::size_t kDiscardBytes = std::size_t{ 1024 } * 1024;
 constexpr std::chrono::milliseconds kDiscardTimeout{ 1'000 };
+// The time for which a new connection may take to send its first request while
+// the server stops. Shorter than the time that stopping processes still wait.
+constexpr std::chrono::milliseconds kFirstRequestGrace{ 120 };
 
 // Returns the error response to a request that was never passed to the handler.
 // Its outcome is "not-run", because the request can not have been executed.
@@ -133,6 +136,10 @@
   if (mPhase != phase::kIdle) {
     return;
   }
+  if (!mHasHadRequest) {
+    StartTimer(kFirstRequestGrace); // the first request may be on its way
+    return;
+  }
   error_type failure;
   if (mSocket.available(failure) == 0) { // otherwise, a request has arrived
     Close();
@@ -338,6 +345,7 @@
 {
   mTimer.cancel();
   mPhase = phase::kHandling;
+  mHasHadRequest = true;
   mKeepAlive = mParser->get().keep_alive();
   mRequest.mBody = std::move(mParser->get().body());
   mDispatched = true;
@@ -355,6 +363,7 @@
     return;
   }
   mKeepAlive = mKeepAlive && !mContext->mStopping &&
+               !mContext->mIsStopAnnounced &&
                !ListContains(aResponse.Get("Connection"), "close");
   Write(std::move(aResponse));
 }
--- a/mangospan/http/internal/session.h
+++ b/mangospan/http/internal/session.h
@@ -31,6 +31,7 @@
   // Number of requests passed to the handler whose response has not been
   // written completely.
   std::size_t mActiveRequests = 0;
+  bool mIsStopAnnounced = false;
   bool mStopping = false;
   bool mDestroyed = false;
   std::function<void(session*)> mOnClosed; // called when a session closes
@@ -49,7 +50,7 @@
   // Responds with 503 without reading a request, then closes the connection.
   void RejectConnection();
   // Closes the connection if it is waiting for the first byte of a request and
-  // none has arrived.
+  // none has arrived. If there was no request yet, waits for one a little.
   void CloseIfIdle();
   // Closes the connection immediately, also while a request is in progress.
   void Close();
@@ -99,6 +100,7 @@
   bool mKeepAlive = false;
   bool mTimedOut = false;
   bool mDispatched = false;
+  bool mHasHadRequest = false;
 };
 
 } // namespace mangospan::http::internal
--- a/mangospan/http/server.cc
+++ b/mangospan/http/server.cc
@@ -60,11 +60,14 @@
     return mAcceptor ? mAcceptor->local_endpoint().port() : 0;
   }
 
+  void AnnounceStop() { mContext->mIsStopAnnounced = true; }
+
   void StopAccepting()
   {
     mContext->mStopping = true;
     mRetryTimer.cancel();
-    if (mAcceptor) {
+    if (mAcceptor && mAcceptor->is_open()) {
+      AdmitPendingConnections();
       boost::system::error_code ignored;
       mAcceptor->close(ignored);
     }
@@ -110,7 +113,13 @@
 
   void OnAccept(const boost::system::error_code& aError, tcp::socket aSocket)
   {
-    if (mContext->mStopping || aError == asio::error::operation_aborted) {
+    if (aError == asio::error::operation_aborted || mContext->mDestroyed) {
+      return;
+    }
+    if (mContext->mStopping) {
+      if (!aError) { // accepted before the acceptor was closed
+        AdmitConnection(std::move(aSocket));
+      }
       return;
     }
     if (aError) { // for example, no free file descriptors
@@ -130,6 +139,21 @@
     Accept();
   }
 
+  // Admits the connections that the kernel has completed: closing the acceptor
+  // would reset them, although their callers may have sent a request.
+  void AdmitPendingConnections()
+  {
+    boost::system::error_code failure;
+    mAcceptor->non_blocking(true, failure);
+    while (!failure) {
+      tcp::socket pending(mIo);
+      mAcceptor->accept(pending, failure);
+      if (!failure) {
+        AdmitConnection(std::move(pending));
+      }
+    }
+  }
+
   void AdmitConnection(tcp::socket aSocket)
   {
     const std::size_t limit = mContext->mOptions.mMaxConnections;
@@ -145,6 +169,9 @@
     } else {
       session->Start();
     }
+    if (mContext->mStopping) {
+      session->CloseIfIdle();
+    }
   }
 
   asio::io_context& mIo;
@@ -179,6 +206,12 @@
   return mImpl->Port();
 }
 
+void
+server::AnnounceStop()
+{
+  mImpl->AnnounceStop();
+}
+
 void
 server::StopAccepting()
 {
--- a/mangospan/http/server.h
+++ b/mangospan/http/server.h
@@ -65,8 +65,12 @@
   // Returns the bound port, or 0 before `Listen` has succeeded.
   unsigned short Port() const;
 
-  // Stops accepting connections and closes the idle ones. Responses to requests
-  // in progress are still sent, with "Connection: close".
+  // Sends "Connection: close" with each response from now on, so that callers
+  // leave before `StopAccepting()`.
+  void AnnounceStop();
+  // Stops accepting connections and closes the idle ones; those without a
+  // request so far only a little later, since one may be on its way. Responses
+  // to requests in progress are still sent, with "Connection: close".
   void StopAccepting();
 
   // Returns the number of requests passed to the handler whose response has not
--- a/mangospan/http/server_test.cc
+++ b/mangospan/http/server_test.cc
@@ -368,6 +368,34 @@
   EXPECT_THROW(raw_caller refused(mPort), boost::system::system_error);
 }
 
+// The caller has connected and its first request is on its way.
+TEST_F(http_server, RequestOnConnectionMadeJustBeforeStopIsAnswered)
+{
+  Start();
+  raw_caller accepted(mPort);
+  ASSERT_TRUE(Eventually([this] { return mServer->OpenConnections() == 1; }));
+  std::unique_ptr<raw_caller> pending;
+  Run([&] { // the server's thread can not accept the connection meanwhile
+    pending = std::make_unique<raw_caller>(mPort);
+    mServer->StopAccepting();
+  });
+  for (raw_caller* const each : { &accepted, pending.get() }) {
+    each->Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const std::string answer = each->ReadToEnd();
+    EXPECT_TRUE(StartsWith(answer, "HTTP/1.1 200 ")) << answer;
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+  }
+}
+
+TEST_F(http_server, AnnouncedStopClosesEachConnectionAfterItsResponse)
+{
+  Start();
+  Run([this] { mServer->AnnounceStop(); });
+  raw_caller caller(mPort);
+  caller.Write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_NE(caller.ReadToEnd().find("Connection: close"), std::string::npos);
+}
+
 TEST_F(http_server, ListenFailsForMalformedAndBoundAddresses)
 {
   Start();
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -167,6 +167,17 @@
       known->mAddress, mService, aInstructions, std::move(aHandler));
     return;
   }
+  if (isRemote) {
+    boost::asio::post(
+      mDeps.mOwner.mIo,
+      [address = known->mAddress, handler = std::move(aHandler)] {
+        handler(error{ error_code::kUnavailable,
+                       "pool.exchange",
+                       address,
+                       "the owner of the pool's jobs does not answer" });
+      });
+    return;
+  }
   boost::asio::post(mDeps.mOwner.mIo,
                     [this,
                      instructions = std::move(aInstructions),
