--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -45,7 +45,7 @@
                      service_name aService,
                      const election_candidate& aCandidate,
                      std::function<const jobs::catalog*()> aCatalog)
-  : mDeps(aDependencies)
+  : mDeps(std::move(aDependencies))
   , mService(std::move(aService))
   , mAddress(aCandidate.mAddress)
   , mCatalog(std::move(aCatalog))
--- a/mangospan/node/testing/virtual_cluster.cc
+++ b/mangospan/node/testing/virtual_cluster.cc
@@ -422,7 +422,7 @@
 } // namespace
 
 virtual_cluster::virtual_cluster(std::vector<std::string> aZones,
-                                 std::vector<std::string> aServices)
+                                 const std::vector<std::string>& aServices)
   : mZones(std::move(aZones))
 {
   mFormat.mCatalog = MakeCatalog(aServices);
--- a/mangospan/node/testing/virtual_cluster.h
+++ b/mangospan/node/testing/virtual_cluster.h
@@ -56,7 +56,7 @@
 
   // Each service has one queue of the same name, and a runner in each zone.
   virtual_cluster(std::vector<std::string> aZones,
-                  std::vector<std::string> aServices);
+                  const std::vector<std::string>& aServices);
   ~virtual_cluster();
   virtual_cluster(const virtual_cluster&) = delete;
   virtual_cluster& operator=(const virtual_cluster&) = delete;
