A successor evicts nothing while its predecessor's stops may be under way

Cause: the former owner, cut off from the store, had ordered a run to stop at 3.87 for a maintenance wave. Its successor, elected at 4.46, adopted the run as live at 4.50, since a stop takes up to 0.9 s, and evicted another task of the step at 4.61.

Ruled out: the new replacement of owners; this owner's lease was revoked by the store, and nobody replaced it.

Fix: an owner that has taken over jobs evicts nothing for 1.5 s, longer than a stop takes. The fleet controller asks again with each exchange.

Test: scheduler_test. SuccessorEvictsNothingWhileStopsOfItsPredecessorMayBeUnderWay, which fails without the condition.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -21,6 +21,9 @@
 // A job that was turned away is the same demand when it returns within this
 // time.
 constexpr milliseconds kTurnedAwayMemory{ 3'000 };
+// A run that an earlier owner has ordered to stop shows as live for up to this
+// time after the takeover.
+constexpr milliseconds kPredecessorStopTime{ 1'500 };
 // The clocks of two hosts differ by less than this in their time of day.
 constexpr milliseconds kMaxWallClockSkew{ 500 };
 
@@ -72,6 +75,9 @@
     }
     known.SetDeadAt(deadAt);
   }
+  if (!aJobs.empty()) {
+    mNoEvictionBefore = aNow + kPredecessorStopTime;
+  }
   for (job& each : aJobs) {
     each.mInherited = true;
     // Derived from the time of day, which may be off: it affects only the order
@@ -441,7 +447,7 @@
 scheduler::Evict(const runner_name& aRunner, time_point aNow)
 {
   const auto found = mRunners.find(aRunner);
-  if (found == mRunners.end()) {
+  if (found == mRunners.end() || aNow < mNoEvictionBefore) {
     return;
   }
   for (auto& [key, live] : found->second.Runs()) {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -232,7 +232,9 @@
   // are needed elsewhere. All other runners are uncordoned.
   void SetCordoned(const std::set<runner_name>& aRunners);
   // Stops the long-running runs on the runner, except where a step would have
-  // more tasks unavailable than its `step_spec` allows.
+  // more tasks unavailable than its `step_spec` allows. Stops none just after a
+  // takeover, while runs that the earlier owner has stopped may still show as
+  // live.
   void Evict(const runner_name& aRunner, time_point aNow);
 
   // Returns whether this owner knows every run on the runner: the runner has
@@ -335,6 +337,7 @@
   std::map<job_name, std::set<runner_name>> mRunnersByJob;
   // The time of each job's latest failure on each runner, for recent failures.
   std::map<runner_name, std::map<job_name, time_point>> mFailuresByRunner;
+  time_point mNoEvictionBefore{};
   std::map<service_name, arrival_forecast> mArrivalForecasts;
   // Jobs that were turned away lately, and the same with the times, in order.
   std::set<job_name> mTurnedAwayJobs;
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -1,5 +1,7 @@
 #include "mangospan/jobs/scheduler.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "mangospan/jobs/ranking.h"
@@ -393,6 +395,34 @@
                          scheduler_schedules_test,
                          ::testing::Range(0, 20));
 
+// The earlier owner may have ordered a run to stop that still shows as live, so
+// its successor does not know yet how many tasks are unavailable.
+TEST(scheduler_test,
+     SuccessorEvictsNothingWhileStopsOfItsPredecessorMayBeUnderWay)
+{
+  fake_world world(1, {});
+  AddRunners(world, 3);
+  world.RunFor(milliseconds(200));
+  step_spec longRunning = LongRunning(3);
+  longRunning.mMaxPerRunner = 1;
+  longRunning.mMaxUnavailable = 1;
+  world.Submit("a1", Job({ longRunning }));
+  world.RunFor(seconds(2));
+  world.KillOwner(milliseconds(50));
+  world.RunFor(milliseconds(300));
+  const auto countStops = [&world] {
+    const auto& runs = world.Owner()->Runners().at(runner_name{ "r1" }).Runs();
+    return std::count_if(runs.begin(), runs.end(), [](const auto& aEntry) {
+      return aEntry.second.mStopWanted;
+    });
+  };
+  world.Owner()->Evict(runner_name{ "r1" }, world.Now());
+  EXPECT_EQ(countStops(), 0);
+  world.RunFor(seconds(2));
+  world.Owner()->Evict(runner_name{ "r1" }, world.Now());
+  EXPECT_EQ(countStops(), 1);
+}
+
 // Hosts are ordered for the load that an owner reports. Callers that it turns
 // away during an outage come back at its end, so they have to show before.
 TEST(scheduler_test, JobsTurnedAwayCountAsDemandOnce)
