Probes for the store's return begin after a user's own retry

Cause: the store there cuts all waiting watches while it answers other calls. The first probe was answered within 4 ms, and every mirror repeated its watch at once, in place of after its delay of 0.15 s; those watches hung for their whole wait, and new runners were listed a second late.

Evidence: logs of both codes: runner.listed of 96 hosts at 2.5 s before and of 155 at 3.5 s with the probes, store.lost at 2.20 in both.

Fix: the first probe is sent 0.2 s after a call without an answer. An outage lasts longer than that, so its end is found as soon as before.

Test: monitored_store_test.LostCallIsNotReportedBeforeItsUserRepeatsIt.

--- a/mangospan/node/monitored_store.cc
+++ b/mangospan/node/monitored_store.cc
@@ -17,6 +17,9 @@
 // A key that no node writes.
 constexpr const char* kProbeKey = "mangospan/probe";
 constexpr milliseconds kProbeInterval{ 100 };
+// The store may cut a single watch while it answers all other calls. Its user
+// then repeats it after a delay of its own, which is shorter than this.
+constexpr milliseconds kFirstProbeDelay{ 200 };
 // Longer than a slow answer takes; several probes may be under way.
 constexpr milliseconds kProbeTimeout{ 800 };
 
@@ -60,10 +63,21 @@
 {
   if (!mIsProbing) {
     mIsProbing = true;
-    Probe();
+    ScheduleProbe(kFirstProbeDelay);
   }
 }
 
+void
+monitored_store::ScheduleProbe(milliseconds aDelay)
+{
+  mTimer.expires_after(aDelay);
+  mTimer.async_wait([this](const boost::system::error_code& aAbort) {
+    if (!aAbort && mIsProbing) {
+      Probe();
+    }
+  });
+}
+
 void
 monitored_store::Probe()
 {
@@ -74,12 +88,7 @@
                   OnProbeAnswered();
                 }
               });
-  mTimer.expires_after(kProbeInterval);
-  mTimer.async_wait([this](const boost::system::error_code& aAbort) {
-    if (!aAbort && mIsProbing) {
-      Probe();
-    }
-  });
+  ScheduleProbe(kProbeInterval);
 }
 
 void
--- a/mangospan/node/monitored_store.h
+++ b/mangospan/node/monitored_store.h
@@ -63,6 +63,7 @@
   template<typename T>
   platform::handler<T> Observe(platform::handler<T> aHandler);
   void OnNoAnswer();
+  void ScheduleProbe(std::chrono::milliseconds aDelay);
   void Probe();
   void OnProbeAnswered();
 
--- a/mangospan/node/monitored_store_test.cc
+++ b/mangospan/node/monitored_store_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "mangospan/node/mirror.h"
 #include "mangospan/node/testing/virtual_store.h"
 
 namespace mangospan::node {
@@ -55,6 +56,20 @@
   EXPECT_EQ(mReturnCount, 1);
 }
 
+// A watch that the store has cut is repeated by its user after the delay of a
+// mirror. A report before that would make the user repeat it at once.
+TEST_F(monitored_store_test, LostCallIsNotReportedBeforeItsUserRepeatsIt)
+{
+  mStore.SetSilent(true);
+  Read();
+  RunFor(kCallTimeout - milliseconds(1));
+  mStore.SetSilent(false);
+  RunFor(milliseconds(1) + mirror_settings{}.mRetryDelay);
+  EXPECT_EQ(mReturnCount, 0);
+  RunFor(kCallTimeout / 2);
+  EXPECT_EQ(mReturnCount, 1);
+}
+
 TEST_F(monitored_store_test, AnsweredCallsAreNotProbedFor)
 {
   Read();
