The store stand-in refuses writes with an ended lease

What was seen: over this stand-in a node could claim a subject with a lease that had ended meanwhile; the key would then stay for good. The platform's store answers such a write with 404, "no such lease", and so does the stand-in now. The answer to a call gets a name of its own beside that; it is computed at the same time as before.

Evidence: by reading. The schedules of owner_outage_test pass with either form. Only the stand-in changes.

--- a/mangospan/node/testing/virtual_store.cc
+++ b/mangospan/node/testing/virtual_store.cc
@@ -187,6 +187,17 @@
   return out;
 }
 
+bool
+virtual_store::HasLeases(const transaction& aChange) const
+{
+  return std::all_of(aChange.mWrites.begin(),
+                     aChange.mWrites.end(),
+                     [this](const platform::key_write& aWrite) {
+                       return !aWrite.mLease ||
+                              mLeases.count(aWrite.mLease->mValue) > 0;
+                     });
+}
+
 commit_outcome
 virtual_store::Commit(const transaction& aChange)
 {
@@ -253,7 +264,8 @@
           if (!IsConnected()) {
             return;
           }
-          After(mStore.mIo, virtual_store::kLatency, [answer, reply = call()] {
+          const result<T> reply = call();
+          After(mStore.mIo, virtual_store::kLatency, [answer, reply] {
             answer(reply);
           });
         });
@@ -373,6 +385,11 @@
     aTimeout,
     std::move(aHandler),
     [this, change = std::move(aTransaction)]() -> result<commit_outcome> {
+      if (!mStore.HasLeases(change)) {
+        return error{
+          error_code::kNotFound, "store.commit", "store", "no such lease"
+        };
+      }
       return mStore.Commit(change);
     });
 }
--- a/mangospan/node/testing/virtual_store.h
+++ b/mangospan/node/testing/virtual_store.h
@@ -61,6 +61,8 @@
   // Reports the changes of one revision to the watches.
   void Notify(const std::vector<platform::change>& aChanges);
   void EndLease(std::uint64_t aLease);
+  // Returns whether every lease that the change names exists.
+  bool HasLeases(const platform::transaction& aChange) const;
   platform::commit_outcome Commit(const platform::transaction& aChange);
 
   boost::asio::io_context& mIo;
