--- a/testing/scenario/deployment.cc
+++ b/testing/scenario/deployment.cc
@@ -7,10 +7,6 @@
 #include <utility>
 #include <vector>
 
-#include <unistd.h>
-
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <nlohmann/json.hpp>
 
 #include "mangospan/base/error.h"
@@ -23,25 +19,6 @@
 
 using nlohmann::json;
 
-// Below the range from which the kernel takes the ports of outgoing
-// connections, so that a runner that was stopped finds its port free again.
-constexpr unsigned kFirstPort = 12'000;
-constexpr unsigned kLastPort = 32'000;
-
-bool
-IsFree(unsigned aPort)
-{
-  using boost::asio::ip::tcp;
-  boost::asio::io_context io;
-  tcp::acceptor probe(io);
-  boost::system::error_code failure;
-  probe.open(tcp::v4(), failure);
-  probe.bind({ boost::asio::ip::address_v4::loopback(),
-               static_cast<unsigned short>(aPort) },
-             failure);
-  return !failure;
-}
-
 status
 Write(const std::string& aFile, const std::string& aText)
 {
@@ -66,26 +43,7 @@
 deployment::deployment(std::string aBinFolder, std::string aFolder)
   : mBinFolder(std::move(aBinFolder))
   , mFolder(std::move(aFolder))
-  , mNextPort(kFirstPort +
-              static_cast<unsigned>(getpid()) * 97 % (kLastPort - kFirstPort))
-{
-}
-
-result<std::string>
-deployment::NewAddress()
 {
-  for (unsigned tried = 0; tried < kLastPort - kFirstPort; ++tried) {
-    const unsigned port = mNextPort++;
-    if (mNextPort == kLastPort) {
-      mNextPort = kFirstPort;
-    }
-    if (IsFree(port)) {
-      return "127.0.0.1:" + std::to_string(port);
-    }
-  }
-  return error{
-    error_code::kUnavailable, "deployment.address", "", "no port is free"
-  };
 }
 
 status
@@ -93,12 +51,12 @@
 {
   BOOST_OUTCOME_TRY(fleet, standin::LoadFleet(aFile));
   mFleet = std::move(fleet);
-  BOOST_OUTCOME_TRY(platformAddress, NewAddress());
+  BOOST_OUTCOME_TRY(platformAddress, mPorts.NewAddress());
   mPlatformAddress = platformAddress;
-  BOOST_OUTCOME_TRY(control, NewAddress());
+  BOOST_OUTCOME_TRY(control, mPorts.NewAddress());
   mFleet.mEndpointControl = control;
   for (platform::host_info& host : mFleet.mHosts) {
-    BOOST_OUTCOME_TRY(address, NewAddress());
+    BOOST_OUTCOME_TRY(address, mPorts.NewAddress());
     host.mAddress = address;
   }
   return Write(mFolder + "/fleet.json", standin::FormatFleet(mFleet));
@@ -119,14 +77,14 @@
   made.mKind = aKind;
   made.mHost = aHost;
   made.mZone = host->mZone.Str();
-  BOOST_OUTCOME_TRY(operatorAddress, NewAddress());
+  BOOST_OUTCOME_TRY(operatorAddress, mPorts.NewAddress());
   made.mOperatorAddress = operatorAddress;
   if (aKind == daemon_kind::kEntry) {
     made.mPeerAddress = host->mAddress; // as the host list shows it
-    BOOST_OUTCOME_TRY(callerAddress, NewAddress());
+    BOOST_OUTCOME_TRY(callerAddress, mPorts.NewAddress());
     made.mCallerAddress = callerAddress;
   } else {
-    BOOST_OUTCOME_TRY(peerAddress, NewAddress());
+    BOOST_OUTCOME_TRY(peerAddress, mPorts.NewAddress());
     made.mPeerAddress = peerAddress;
   }
   mDaemons[made.mName] = made;
--- a/testing/scenario/deployment.h
+++ b/testing/scenario/deployment.h
@@ -13,6 +13,7 @@
 
 #include "mangospan/base/error.h"
 #include "testing/fleet/fleet_file.h"
+#include "testing/scenario/free_ports.h"
 
 namespace mangospan::scenario {
 
@@ -68,14 +69,13 @@
   }
 
 private:
-  result<std::string> NewAddress();
   std::vector<std::string> PeersOf(const daemon_process& aDaemon) const;
   status WriteSettings(const daemon_process& aDaemon,
                        const std::string& aFile) const;
 
   std::string mBinFolder;
   std::string mFolder;
-  unsigned mNextPort;
+  free_ports mPorts;
   std::string mPlatformAddress;
   standin::fleet_file mFleet;
   std::map<std::string, std::string> mEntryPeerAddresses; // by host
