The stand-ins tell ends that are acknowledged after a lease has lapsed

A run's end that is acknowledged only after its runner's lease has lapsed does not forbid another run: the platform's rules except it, since the owner could not wait for that runner any longer. The stand-ins and the soak's ledger did not know of the exception.

At the same time the cluster in virtual time judges as the soak does: a run after an end that is acknowledged, then or later, is a violation; one after an end that nobody ever acknowledges is not. It took any run after a done one as a violation before, and looked at later acknowledgements not at all.

--- a/bench/owner/runner_farm.cc
+++ b/bench/owner/runner_farm.cc
@@ -82,7 +82,7 @@
       },
       [](const std::string&, std::uint32_t) {},
       [](const std::string&, std::uint32_t, jobs::run_end) {},
-      [](const std::string&, std::uint32_t, jobs::run_end) {});
+      [](const std::string&, std::uint32_t, jobs::run_end, bool) {});
     mMembers.emplace(info.mName.Str(), std::move(added));
     mInfos.push_back(std::move(info));
   }
--- a/mangospan/jobs/testing/fake_runner.cc
+++ b/mangospan/jobs/testing/fake_runner.cc
@@ -19,7 +19,7 @@
 fake_runner::SetHooks(work_source aWork,
                       begin_hook aOnBegin,
                       end_hook aOnEnd,
-                      end_hook aOnAcknowledged)
+                      acknowledge_hook aOnAcknowledged)
 {
   mOnAcknowledged = std::move(aOnAcknowledged);
   mWork = std::move(aWork);
@@ -59,6 +59,9 @@
 fake_runner::Advance(time_point aNow)
 {
   const bool isLeaseExpired = Clock(aNow) >= mLeaseUntil;
+  if (isLeaseExpired) {
+    mEndsBeforeExpiry = mEndCount;
+  }
   std::vector<std::pair<std::string, run_end>> ends;
   for (const auto& [task, each] : mRuns) {
     if (each.mEndsAt <= aNow) {
@@ -139,7 +142,8 @@
       return aEnd.mNumber <= aOrder.mAcknowledged;
     });
   for (auto it = mEnded.begin(); it != kept; ++it) {
-    mOnAcknowledged(it->mTask, it->mRun, it->mEnd);
+    const bool hasExpired = it->mNumber <= mEndsBeforeExpiry;
+    mOnAcknowledged(it->mTask, it->mRun, it->mEnd, hasExpired);
   }
   mEnded.erase(mEnded.begin(), kept);
   poll_report report;
@@ -167,6 +171,7 @@
   mHighestEndedRun.clear();
   mEnded.clear();
   mEndCount = 0;
+  mEndsBeforeExpiry = 0;
 }
 
 } // namespace mangospan::jobs::testing
--- a/mangospan/jobs/testing/fake_runner.h
+++ b/mangospan/jobs/testing/fake_runner.h
@@ -45,17 +45,21 @@
   // Called with the task, the run number and the reason for each run that ends.
   using end_hook =
     std::function<void(const std::string&, std::uint32_t, run_end)>;
+  // Called with the same when the owner acknowledges that end, and with whether
+  // the lease has expired between the two. An owner may start such a task again
+  // before it learns of the end.
+  using acknowledge_hook =
+    std::function<void(const std::string&, std::uint32_t, run_end, bool)>;
 
   // `aClockRate` is the rate of the runner's clock relative to virtual time.
   // The runner boots at `aNow`.
   fake_runner(runner_info aInfo, double aClockRate, time_point aNow);
 
-  // Must be called before the first order. `aOnAcknowledged` is called for each
-  // ended run that the owner has acknowledged.
+  // Must be called before the first order.
   void SetHooks(work_source aWork,
                 begin_hook aOnBegin,
                 end_hook aOnEnd,
-                end_hook aOnAcknowledged);
+                acknowledge_hook aOnAcknowledged);
 
   // Ends the runs whose work is done by `aNow` and, if the lease has expired by
   // then, all others.
@@ -99,10 +103,12 @@
   std::map<std::string, std::uint32_t> mHighestEndedRun;
   std::vector<ended_run> mEnded; // Not yet acknowledged, oldest first.
   std::uint64_t mEndCount = 0;   // The number of runs that ended in this boot.
+  // How many of them had ended when the lease was last seen to be over.
+  std::uint64_t mEndsBeforeExpiry = 0;
   work_source mWork;
   begin_hook mOnBegin;
   end_hook mOnEnd;
-  end_hook mOnAcknowledged;
+  acknowledge_hook mOnAcknowledged;
 };
 
 } // namespace mangospan::jobs::testing
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -119,7 +119,9 @@
   void OnEnd(const std::string& aRunner,
              const std::string& aTask,
              run_end aEnd);
-  void OnAcknowledged(const std::string& aTask, run_end aEnd);
+  void OnAcknowledged(const std::string& aTask,
+                      run_end aEnd,
+                      bool aHasLeaseExpired);
   void CheckDependencies(const task_id& aTask);
   void AddViolation(const std::string& aDescription);
 
--- a/mangospan/node/testing/virtual_cluster.cc
+++ b/mangospan/node/testing/virtual_cluster.cc
@@ -480,29 +480,67 @@
       return jobs::testing::fake_work{ kTaskDuration, false, {} };
     },
     [this, name](const std::string& aTask, std::uint32_t /*aRun*/) {
-      task_history& history = mTasks[aTask];
-      if (!history.mRunningOn.empty()) {
-        mViolations.push_back("runs twice at the same time: " + aTask);
-      }
-      if (history.mIsDone) {
-        mViolations.push_back("runs again after it was done: " + aTask);
-      }
-      history.mRunningOn.insert(name);
-    },
-    [this, name](
-      const std::string& aTask, std::uint32_t /*aRun*/, jobs::run_end aEnd) {
-      task_history& history = mTasks[aTask];
-      history.mRunningOn.erase(name);
-      history.mIsDone = history.mIsDone || aEnd == jobs::run_end::kDone;
+      OnBegin(name, aTask);
     },
-    [](const std::string& /*aTask*/,
-       std::uint32_t /*aRun*/,
-       jobs::run_end /*aEnd*/) {});
+    [this, name](const std::string& aTask,
+                 std::uint32_t aRun,
+                 jobs::run_end aEnd) { OnEnd(name, aTask, aRun, aEnd); },
+    [this](const std::string& aTask,
+           std::uint32_t aRun,
+           jobs::run_end aEnd,
+           bool aHasLeaseExpired) {
+      OnAcknowledged(aTask, aRun, aEnd, aHasLeaseExpired);
+    });
   mFormat.mInfos[info.mName] = info;
   mRunners.emplace(name, std::move(runner));
   mStore.Put(mFormat.RunnerPrefix() + name, "{}");
 }
 
+void
+virtual_cluster::OnBegin(const std::string& aRunner, const std::string& aTask)
+{
+  task_history& history = mTasks[aTask];
+  if (!history.mRunningOn.empty()) {
+    mViolations.push_back("runs twice at the same time: " + aTask);
+  }
+  if (history.mIsDoneAcknowledged) {
+    mViolations.push_back("runs again after it was done: " + aTask);
+  }
+  for (auto& [run, isFollowed] : history.mDone) {
+    isFollowed = true;
+  }
+  history.mRunningOn.insert(aRunner);
+}
+
+void
+virtual_cluster::OnEnd(const std::string& aRunner,
+                       const std::string& aTask,
+                       std::uint32_t aRun,
+                       jobs::run_end aEnd)
+{
+  task_history& history = mTasks[aTask];
+  history.mRunningOn.erase(aRunner);
+  if (aEnd == jobs::run_end::kDone) {
+    history.mDone.emplace(aRun, false);
+  }
+}
+
+void
+virtual_cluster::OnAcknowledged(const std::string& aTask,
+                                std::uint32_t aRun,
+                                jobs::run_end aEnd,
+                                bool aHasLeaseExpired)
+{
+  if (aEnd != jobs::run_end::kDone) {
+    return;
+  }
+  task_history& history = mTasks[aTask];
+  if (history.mDone[aRun] && !aHasLeaseExpired) {
+    mViolations.push_back("ran again after it was done: " + aTask);
+  }
+  history.mIsDoneAcknowledged = true;
+}
+
 void
 virtual_cluster::After(milliseconds aDelay, std::function<void()> aAction)
 {
--- a/mangospan/node/testing/virtual_cluster.h
+++ b/mangospan/node/testing/virtual_cluster.h
@@ -97,7 +97,10 @@
   }
   // Returns a description of each guarantee that was broken: a job accepted and
   // not stored, a job stored though its caller was told that it never runs, a
-  // task that ran twice at the same time or again after it was done.
+  // task that ran twice at the same time, and one that ran again after a run
+  // that was done and acknowledged, earlier or later. Not the latter if the
+  // runner's lease had expired by then: its owner could not wait for it any
+  // longer.
   std::vector<std::string> Violations() const;
 
 private:
@@ -108,10 +111,21 @@
   struct task_history
   {
     std::set<std::string> mRunningOn;
-    bool mIsDone = false;
+    // Runs that were done, and whether another run began after them.
+    std::map<std::uint32_t, bool> mDone;
+    bool mIsDoneAcknowledged = false;
   };
 
   void AddRunner(const std::string& aService, const std::string& aZone);
+  void OnBegin(const std::string& aRunner, const std::string& aTask);
+  void OnEnd(const std::string& aRunner,
+             const std::string& aTask,
+             std::uint32_t aRun,
+             jobs::run_end aEnd);
+  void OnAcknowledged(const std::string& aTask,
+                      std::uint32_t aRun,
+                      jobs::run_end aEnd,
+                      bool aHasLeaseExpired);
   std::unique_ptr<virtual_node> MakeNode(const std::string& aName);
   // Returns the node at the address, or null if it can not be reached from
   // `aZone`.
