A task whose run was lost starts again only once ownership is confirmed

What runners saw: a task started again after an end of it had been acknowledged.

Cause: an owner that loses the store goes on starting runs for 2.3 s after its lease was last certainly valid. If it loses a runner meanwhile, it starts that runner's tasks elsewhere at once. A successor that is elected in this time, and that still reaches the runner, may have taken and acknowledged the end there.

Why it works: the store grants a renewal only while no successor stands. A renewal that was sent after the loss and has succeeded shows that nobody can have acknowledged the end before, and afterwards the runner's lease is over. The wait is one interval of the renewals, 0.35 s, at most while the store answers.

--- a/bench/owner/main.cc
+++ b/bench/owner/main.cc
@@ -158,7 +158,9 @@
     jobs::scheduler_settings{},
     service,
     node::owner_record{ 1, "bench", "", 0, store.Put(termKey, "1") },
-    [] { return true; },
+    [&clock] {
+      return node::ownership_status{ true, clock.Now() };
+    },
     [] {});
   one->Start(OneQueue());
   while (!one->IsLoaded()) {
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -360,6 +360,12 @@
   mMayStart = aMayStart;
 }
 
+void
+scheduler::OnOwnershipConfirmed(time_point aAt)
+{
+  mOwnershipConfirmedAt = std::max(mOwnershipConfirmedAt, aAt);
+}
+
 std::vector<roster_entry>
 scheduler::Roster(time_point aNow, wall_time aWall) const
 {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -134,6 +134,9 @@
   // as soon as a successor may rely on the leases granted so far. Stops and
   // polls go on either way.
   void SetMayStart(bool aMayStart);
+  // Notes that no successor had been elected at `aAt`. Tasks whose run was lost
+  // later than that do not start again yet.
+  void OnOwnershipConfirmed(time_point aAt);
   const catalog& Catalog() const { return mCatalog; }
 
   // Adds or updates a runner that service discovery lists.
@@ -260,8 +263,10 @@
   bool MayStartInheritedJobs(const service_name& aService,
                              time_point aNow) const;
   void ReleaseRunsOfDeadRunners(time_point aNow);
-  void ReleaseRun(runner& aRunner, const run_key& aKey, time_point aNow);
+  // Returns the task of the run, if it needs another run.
+  task* ReleaseRun(runner& aRunner, const run_key& aKey, time_point aNow);
   void ReleaseAllRuns(runner& aRunner, time_point aNow);
+  bool MayStartTask(const task& aTask) const;
   void PlanStarts(time_point aNow,
                   wall_time aWall,
                   std::vector<order>& aOrders);
@@ -347,6 +352,7 @@
   std::uint64_t mStoredRosterVersion = 0;
   bool mFenced = false;
   bool mMayStart = true;
+  time_point mOwnershipConfirmedAt{};
 };
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -124,18 +124,30 @@
              { { "task", key.first },
                { "run", static_cast<std::uint64_t>(key.second) },
                { "runner", aRunner.mInfo.mName.Str() } });
-    ReleaseRun(aRunner, key, aNow);
+    if (task* const lost = ReleaseRun(aRunner, key, aNow)) {
+      lost->mLostAt = aNow;
+    }
   }
 }
 
+// A run that was lost may have been done. If a successor has acknowledged that
+// end before the runner's lease was over or the runner was gone, the task must
+// not run again. No successor can have done so if none had been elected by the
+// time of the loss.
+bool
+scheduler::MayStartTask(const task& aTask) const
+{
+  return aTask.IsIdle() && aTask.mLostAt <= mOwnershipConfirmedAt;
+}
+
 // Removes a run that is over for whatever reason: frees its capacity, and lets
 // its task be started again.
-void
+task*
 scheduler::ReleaseRun(runner& aRunner, const run_key& aKey, time_point aNow)
 {
   const run* const foundRun = aRunner.Find(aKey);
   if (foundRun == nullptr) {
-    return;
+    return nullptr;
   }
   const task_id taskId = foundRun->mTask;
   const std::uint32_t runNumber = foundRun->mNumber;
@@ -143,11 +155,13 @@
   job* const foundJob = FindMutable(taskId.mJob);
   task* const foundTask =
     foundJob == nullptr ? nullptr : foundJob->Find(taskId);
-  if (foundTask != nullptr && foundTask->mLastRun == runNumber) {
-    foundTask->mLive = false;
-    foundTask->mReady = false;
-    foundTask->mIdleSince = aNow;
+  if (foundTask == nullptr || foundTask->mLastRun != runNumber) {
+    return nullptr;
   }
+  foundTask->mLive = false;
+  foundTask->mReady = false;
+  foundTask->mIdleSince = aNow;
+  return foundTask;
 }
 
 void
@@ -217,8 +231,8 @@
     for (std::size_t s = 0; s < steps.size(); ++s) {
       const auto& tasks = steps[s].mTasks;
       const bool hasIdle =
-        std::any_of(tasks.begin(), tasks.end(), [](const task& aTask) {
-          return aTask.IsIdle();
+        std::any_of(tasks.begin(), tasks.end(), [this](const task& aTask) {
+          return MayStartTask(aTask);
         });
       if (hasIdle && aJob.IsStepReady(k, s)) {
         aCandidates.mByService[service].push_back(
@@ -239,7 +253,7 @@
   std::uint64_t placed = 0;
   std::uint64_t waiting = 0;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    if (!tasks[i].IsIdle()) {
+    if (!MayStartTask(tasks[i])) {
       continue;
     }
     const placement_request request{
@@ -286,8 +300,8 @@
   auto& tasks = aCandidate.Tasks();
   std::uint32_t runNumber = 0;
   for (const task& each : tasks) {
-    if (each.mLive) {
-      return true; // some members of the last run have not ended yet
+    if (each.mLive || each.mLostAt > mOwnershipConfirmedAt) {
+      return true; // some members of the last run may not have ended yet
     }
     runNumber = std::max(runNumber, NextRun(each));
   }
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -395,6 +395,24 @@
                          scheduler_schedules_test,
                          ::testing::Range(0, 20));
 
+// The run may have been done. A successor that nobody has told this owner of
+// may have acknowledged that before the runner was gone.
+TEST(scheduler_test, LostTaskWaitsUntilOwnershipIsConfirmed)
+{
+  fake_world world(1, fault_rates{});
+  AddRunners(world, 2);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ LongRunning(1) }));
+  world.RunFor(seconds(1));
+  world.CutOwnerFromStore(seconds(3));
+  world.Crash(world.Runner("r0").Runs().empty() ? "r1" : "r0");
+  world.RunFor(milliseconds(2'900));
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 1U);
+  world.RunFor(milliseconds(600));
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 2U);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
 // The earlier owner may have ordered a run to stop that still shows as live, so
 // its successor does not know yet how many tasks are unavailable.
 TEST(scheduler_test,
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -155,6 +155,7 @@
     }
     const bool isCut = mNow < mStoreCutUntil;
     mConfirmedAt = isCut ? mConfirmedAt : mNow;
+    mOwner->OnOwnershipConfirmed(mConfirmedAt);
     mOwner->SetMayStart(mNow - mConfirmedAt < kMaxUnconfirmedTime);
     for (const order& each : mOwner->Plan(mNow, Wall())) {
       Send(each);
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -181,6 +181,9 @@
   // Returns whether this node is the owner and its lease was certainly valid
   // `aAge` ago.
   bool WasLeaseValid(std::chrono::milliseconds aAge) const;
+  // Returns when the latest renewal or claim that succeeded was sent: no other
+  // node had been elected by then.
+  time_point ConfirmedAt() const { return mRenewedAt; }
   // Returns the owner last seen in the store, or nullopt if no node holds the
   // lease.
   std::optional<owner_record> CurrentOwner() const;
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -29,14 +29,14 @@
              jobs::scheduler_settings aScheduling,
              service_name aService,
              owner_record aOwnerRecord,
-             std::function<bool()> aMayStartRuns,
+             std::function<ownership_status()> aOwnershipStatus,
              std::function<void()> aOnSuperseded)
   : mDeps(aDependencies)
   , mSettings(aSettings)
   , mService(std::move(aService))
   , mOwnerRecord(std::move(aOwnerRecord))
   , mFence{ election::TermKey(JobsSubject(mService)), mOwnerRecord.mRevision }
-  , mMayStartRuns(std::move(aMayStartRuns))
+  , mOwnershipStatus(std::move(aOwnershipStatus))
   , mOnSuperseded(std::move(aOnSuperseded))
   , mScheduler(aScheduling,
                { mOwnerRecord.mTerm,
@@ -179,7 +179,9 @@
     return;
   }
   mLastPlanAt = mDeps.mClock.Now();
-  mScheduler.SetMayStart(!mIsHandingOver && mMayStartRuns());
+  const ownership_status status = mOwnershipStatus();
+  mScheduler.OnOwnershipConfirmed(status.mConfirmedAt);
+  mScheduler.SetMayStart(!mIsHandingOver && status.mMayStartRuns);
   const auto orders = mScheduler.Plan(mLastPlanAt, WallNow());
   mLastPlanDuration = mDeps.mClock.Now() - mLastPlanAt;
   for (const jobs::order& each : orders) {
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -63,6 +63,13 @@
   daemon::metrics& mMetrics;
 };
 
+// What a node knows of its own ownership.
+struct ownership_status
+{
+  bool mMayStartRuns = false;
+  time_point mConfirmedAt{}; // when it certainly was still the owner
+};
+
 // Owns the jobs of one service for the duration of one term: loads them from
 // the store, accepts new ones and runs them on the service's runners. Every
 // write is fenced by the term, so it fails once a newer owner has been elected.
@@ -77,8 +84,7 @@
         jobs::scheduler_settings aScheduling,
         service_name aService,
         owner_record aOwnerRecord,
-        // Returns whether this node may still start runs as the owner.
-        std::function<bool()> aMayStartRuns,
+        std::function<ownership_status()> aOwnershipStatus,
         // Called at most once, when a newer owner is detected.
         std::function<void()> aOnSuperseded);
 
@@ -198,7 +204,7 @@
   const service_name mService;
   const owner_record mOwnerRecord;
   const term_fence mFence;
-  const std::function<bool()> mMayStartRuns;
+  const std::function<ownership_status()> mOwnershipStatus;
   std::function<void()> mOnSuperseded;
   jobs::scheduler mScheduler;
   std::shared_ptr<mirror> mRunnerMirror;
--- a/mangospan/node/owner_test.cc
+++ b/mangospan/node/owner_test.cc
@@ -105,7 +105,9 @@
       jobs::scheduler_settings{},
       kOurs,
       owner_record{ 1, "n", "", 0, mStore.Put(key, "1") },
-      [] { return true; },
+      [this] {
+        return ownership_status{ true, mClock.Now() };
+      },
       [] {});
     mOwner->Start(TwoServices());
     RunUntil([this] { return mOwner->IsLoaded(); });
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -76,7 +76,10 @@
     jobs::scheduler_settings{},
     mService,
     aOwnerRecord,
-    [this] { return mElection->WasLeaseValid(kStartGracePeriod); },
+    [this] {
+      return ownership_status{ mElection->WasLeaseValid(kStartGracePeriod),
+                               mElection->ConfirmedAt() };
+    },
     [this] { mElection->StepDown(); });
   const jobs::catalog* const known = mCatalog();
   mOwner->Start(known == nullptr ? jobs::catalog{} : *known);
