An end is acknowledged only until that is confirmed

Cause: every poll carried the highest number acknowledged so far, also when the runner had long confirmed it. A runner that starts again under its name begins its numbers anew. A poll that reached it before the owner knew, and that waited there for an end, acknowledged ends of the new boot that nobody had seen. Their tasks counted as lost and started again.

The number is now sent until a poll that carried it has been answered, and 0 from then on: a runner has forgotten those ends by then. A runner that has not answered for three poll intervals does not delay its answer to a poll with a number. If a runner lists an end that counts as acknowledged, it is acknowledged again: the answer was one of an earlier boot.

scheduler_test.AnEndIsAcknowledgedOnlyUntilThatIsConfirmed (1 in place of 0) and .RunnerThatWasQuietAnswersAnAcknowledgementAtOnce (a wait of 1500 ms in place of 0) fail without the change.

--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -80,6 +80,8 @@
   runner_time ClockAt(time_point aNow) const;
   // Notes that the runner's clock showed `aClock` at `aNow`.
   void OnClock(runner_time aClock, time_point aNow);
+  // Returns when the runner last told its clock; the epoch if it never did.
+  time_point ClockReadAt() const { return mClockAt; }
   // Returns whether the runner has told its clock.
   bool KnowsClock() const { return mClockAt != time_point{}; }
 
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -294,6 +294,9 @@
   void PlanPolls(time_point aNow, std::vector<order>& aOrders);
   void PlanThrottles(std::vector<order>& aOrders);
   std::chrono::nanoseconds PollInterval() const;
+  std::chrono::milliseconds PollWait(const runner& aRunner,
+                                     const poll_order& aPoll,
+                                     time_point aNow) const;
   poll_order MakePollOrder(runner& aRunner, time_point aNow);
   void OnBootChanged(runner& aRunner, std::int64_t aBoot, time_point aNow);
   void OnPollFailed(runner& aRunner, order_outcome aOutcome);
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -23,6 +23,9 @@
 // The ends of runs on an idle runner are acknowledged after this delay, so that
 // one poll acknowledges several of them.
 constexpr milliseconds kIdleAckDelay{ 1'000 };
+// A runner that has not answered for this many poll intervals may have started
+// again unnoticed.
+constexpr int kQuietPollIntervals = 3;
 // The longest time for which a runner that has both best-effort and
 // latency-sensitive tasks delays its answer to a poll, so that the latency of
 // the latter is reported this often.
@@ -425,20 +428,39 @@
     mSettings.mPollInterval, mSettings.mPollIntervalPerRunner * runners);
 }
 
+// Returns for how long the runner may delay its answer to the poll. While it
+// delays it, runs of a boot that this owner does not know may end, and the poll
+// would acknowledge them unseen; so it answers at once if it has been quiet.
+milliseconds
+scheduler::PollWait(const runner& aRunner,
+                    const poll_order& aPoll,
+                    time_point aNow) const
+{
+  const bool wasQuiet =
+    aNow - aRunner.ClockReadAt() > kQuietPollIntervals * PollInterval();
+  if (aPoll.mAcknowledged > 0 && wasQuiet) {
+    return milliseconds(0);
+  }
+  return HasMixedTasks(aRunner) ? kSharedRunnerPollWait : mSettings.mPollWait;
+}
+
 poll_order
 scheduler::MakePollOrder(runner& aRunner, time_point aNow)
 {
   poll_order poll;
   poll.mRunner = aRunner.mInfo.mName;
-  poll.mAcknowledged = aRunner.mHighestStoredEnd;
+  // Once acknowledged, the runner has forgotten these ends. Their numbers would
+  // acknowledge other ends if the runner has started again.
+  if (aRunner.mHighestStoredEnd > aRunner.mHighestAckedEnd) {
+    poll.mAcknowledged = aRunner.mHighestStoredEnd;
+  }
   aRunner.mAckDueAt = aNow + kIdleAckDelay;
   const bool isReachable =
     aRunner.mContacted && aRunner.mIsInRoster && aRunner.mFailedPolls == 0;
   if (isReachable && !aRunner.Runs().empty()) {
     // Only the lease of a runner that answers is extended, so that the tasks of
     // an unreachable runner can soon start elsewhere.
-    poll.mWait =
-      HasMixedTasks(aRunner) ? kSharedRunnerPollWait : mSettings.mPollWait;
+    poll.mWait = PollWait(aRunner, poll, aNow);
     if (mMayStart) {
       poll.mLeaseUntil = aRunner.ClockAt(aNow) + mSettings.mLease;
       aRunner.ExtendLease(*poll.mLeaseUntil, aNow);
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -238,6 +238,11 @@
     aRunner.mInfo.mBoot = aReport.mBoot;
   }
   for (const ended_run& each : aReport.mEnded) {
+    if (each.mNumber <= aRunner.mHighestAckedEnd) {
+      // The runner lists it again: what was acknowledged were ends of an
+      // earlier boot.
+      aRunner.mHighestAckedEnd = each.mNumber - 1;
+    }
     if (each.mNumber > aRunner.mHighestSeenEnd) {
       OnRunEnded(aRunner, each, aNow, aWall);
     }
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -413,6 +413,40 @@
   EXPECT_TRUE(world.Violations().empty());
 }
 
+// The numbers of ended runs begin anew with each boot of a runner. A poll that
+// reaches the next boot must not acknowledge ends there that nobody has seen.
+TEST(scheduler_test, AnEndIsAcknowledgedOnlyUntilThatIsConfirmed)
+{
+  fake_world world(1, fault_rates{});
+  RunOneLongRunningTask(world);
+  world.Submit("a2", Job({ Tasks(1, 500, milliseconds(100)) }));
+  world.RunFor(seconds(4));
+  EXPECT_EQ(world.StateOf("a2"), job_state::kCompleted);
+  EXPECT_EQ(world.PollsOf("r0").back().mAcknowledged, 0U);
+}
+
+// A runner that has been quiet may have started again. Runs of its new boot
+// must not end while it delays its answer to a poll that acknowledges others.
+TEST(scheduler_test, RunnerThatWasQuietAnswersAnAcknowledgementAtOnce)
+{
+  fake_world world(1, fault_rates{});
+  AddRunners(world, 1);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ Tasks(1, 500, milliseconds(100)) }));
+  world.RunFor(milliseconds(100));
+  world.CutOwnerFromStore(seconds(1));
+  world.Submit("a2", Job({ Tasks(1, 500, milliseconds(500)) }));
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.StateOf("a1"), job_state::kCompleted);
+  const auto& polls = world.PollsOf("r0");
+  const auto acknowledging =
+    std::find_if(polls.begin(), polls.end(), [](const poll_order& aEach) {
+      return aEach.mAcknowledged > 0;
+    });
+  ASSERT_NE(acknowledging, polls.end());
+  EXPECT_EQ(acknowledging->mWait.count(), 0);
+}
+
 // The earlier owner may have ordered a run to stop that still shows as live, so
 // its successor does not know yet how many tasks are unavailable.
 TEST(scheduler_test,
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -253,6 +253,7 @@
   const std::uint64_t term = mTerm;
   const time_point sentAt = mNow;
   fake_runner& target = *mRunners.at(aOrder.mRunner.Str());
+  mPolls[aOrder.mRunner.Str()].push_back(aOrder);
   if (!target.mIsReachable || Chance(mRates.mAnswerLost)) {
     if (target.mIsReachable) {
       Schedule(RandomDelay(), [this, aOrder, term, &target] {
@@ -385,6 +386,12 @@
   mStoreCutUntil = mNow + aFor;
 }
 
+const std::vector<poll_order>&
+fake_world::PollsOf(const std::string& aRunner) const
+{
+  return mPolls.at(aRunner);
+}
+
 void
 fake_world::SetReachable(const std::string& aRunner, bool aIsReachable)
 {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -72,6 +72,8 @@
   bool IsAccepted(const std::string& aJob) const;
   // Returns how many runs of the task have begun.
   std::size_t StartsOf(const std::string& aTask) const;
+  // Returns the polls of the runner so far, which has had at least one.
+  const std::vector<poll_order>& PollsOf(const std::string& aRunner) const;
   // Returns a description of each guarantee that was broken.
   const std::vector<std::string>& Violations() const { return mViolations; }
   // Returns the accepted jobs that have not reached a final state, except those
@@ -136,6 +138,7 @@
   std::uint64_t mTerm = 0;
   time_point mConfirmedAt{};
   time_point mStoreCutUntil{};
+  std::map<std::string, std::vector<poll_order>> mPolls; // by runner
   bool mIsWriting = false;
   std::map<std::string, std::string> mStoredJobs;
   std::string mStoredRoster;
