Runs that began in the next boot of their runner are not repeated

What runners saw: two runs of a task at a time.

Cause: a runner that starts again under its name takes the orders that are sent to that name. When the owner learned of the new boot, it gave up all runs there, also those whose order was under way or had just been answered. These ran in the new boot while their tasks started elsewhere. The stand-in of the schedules hid it: it refused orders for an earlier boot, and told of each new boot at once.

A run that no report has listed now stays with the runner: an answered start until the first report of the new boot, one without an answer until the new boot has confirmed a stop of it, since a late order carries an expiry by a clock that began anew. A runner that earlier owners have used keeps holding up inherited jobs until this owner has reached the new boot.

--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -45,6 +45,12 @@
   bool mStopWanted = false;   // The run is to be stopped.
   bool mStopInFlight = false; // A stop order was sent and is not yet answered.
   time_point mStopSentAt{};   // When the latest stop order was sent.
+  // When the present boot of the runner has answered a stop order; the epoch if
+  // it has not.
+  time_point mStopConfirmedAt{};
+  // The start order was made for an earlier boot of the runner, so its expiry
+  // means nothing to the present one.
+  bool mIsOfEarlierBoot = false;
   int mPercent = 0;           // The latest `live_run::mPercent`.
   time_point mProgressAt{};   // When `mPercent` changed last.
   std::int64_t mMetric = 0;   // The latest `live_run::mMetric`.
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -123,11 +123,8 @@
   }
   runner& known = found->second;
   if (known.mInfo.mBoot != 0 && aInfo.mBoot > known.mInfo.mBoot) {
-    LogEvent(
-      log_level::kInfo, "runner.rebooted", { { "runner", aInfo.mName.Str() } });
-    ReleaseAllRuns(known, aNow);
-    known = runner(aInfo);
-    known.mCordoned = mCordonedRunners.count(aInfo.mName) > 0;
+    OnBootChanged(known, aInfo, aNow);
+    known.mListed = true;
     return;
   }
   if (known.mInfo.mDraining != aInfo.mDraining) {
@@ -285,6 +282,13 @@
   return found == mJobs.end() ? nullptr : &found->second;
 }
 
+task*
+scheduler::FindTask(const task_id& aTask)
+{
+  job* const foundJob = FindMutable(aTask.mJob);
+  return foundJob == nullptr ? nullptr : foundJob->Find(aTask);
+}
+
 std::size_t
 scheduler::CountWaitingJobs(const queue_name& aQueue) const
 {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -47,6 +47,9 @@
   // otherwise that owner would restart tasks whose runs its successor has
   // reached and keeps alive.
   std::chrono::milliseconds mLease{ 6'000 };
+  // The longest lease that a runner grants. An order that was made by the clock
+  // of an earlier boot may get that much.
+  std::chrono::milliseconds mMaxLease{ 10'000 };
   // The time for which an owner that cannot confirm its ownership may still
   // order starts and extend leases after a successor may have claimed it. Keeps
   // work going during an outage of the store.
@@ -263,6 +266,8 @@
   bool MayStartInheritedJobs(const service_name& aService,
                              time_point aNow) const;
   void ReleaseRunsOfDeadRunners(time_point aNow);
+  // Returns null if there is no such task.
+  task* FindTask(const task_id& aTask);
   // Returns the task of the run, if it needs another run.
   task* ReleaseRun(runner& aRunner, const run_key& aKey, time_point aNow);
   void ReleaseAllRuns(runner& aRunner, time_point aNow);
@@ -298,7 +303,7 @@
                                      const poll_order& aPoll,
                                      time_point aNow) const;
   poll_order MakePollOrder(runner& aRunner, time_point aNow);
-  void OnBootChanged(runner& aRunner, std::int64_t aBoot, time_point aNow);
+  void OnBootChanged(runner& aRunner, runner_info aInfo, time_point aNow);
   void OnPollFailed(runner& aRunner, order_outcome aOutcome);
   void OnPollAnswered(runner& aRunner, const poll_order& aOrder);
   void ApplyReport(runner& aRunner,
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -155,9 +155,7 @@
   const task_id taskId = foundRun->mTask;
   const std::uint32_t runNumber = foundRun->mNumber;
   aRunner.Remove(aKey);
-  job* const foundJob = FindMutable(taskId.mJob);
-  task* const foundTask =
-    foundJob == nullptr ? nullptr : foundJob->Find(taskId);
+  task* const foundTask = FindTask(taskId);
   if (foundTask == nullptr || foundTask->mLastRun != runNumber) {
     return nullptr;
   }
@@ -430,7 +428,8 @@
 
 // Returns for how long the runner may delay its answer to the poll. While it
 // delays it, runs of a boot that this owner does not know may end, and the poll
-// would acknowledge them unseen; so it answers at once if it has been quiet.
+// would acknowledge them unseen; so it answers at once if it has been quiet. So
+// does a runner whose answer tells whether a task may start again.
 milliseconds
 scheduler::PollWait(const runner& aRunner,
                     const poll_order& aPoll,
@@ -438,7 +437,12 @@
 {
   const bool wasQuiet =
     aNow - aRunner.ClockReadAt() > kQuietPollIntervals * PollInterval();
-  if (aPoll.mAcknowledged > 0 && wasQuiet) {
+  const bool hasUnsettledRun = std::any_of(
+    aRunner.Runs().begin(), aRunner.Runs().end(), [](const auto& aEntry) {
+      return aEntry.second.mIsOfEarlierBoot &&
+             aEntry.second.mPhase != run_phase::kListed;
+    });
+  if (hasUnsettledRun || (aPoll.mAcknowledged > 0 && wasQuiet)) {
     return milliseconds(0);
   }
   return HasMixedTasks(aRunner) ? kSharedRunnerPollWait : mSettings.mPollWait;
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -47,6 +47,27 @@
   return "";
 }
 
+// Returns whether a run that the report does not list is gone, if it had
+// started, or never begins, if its start order got no answer.
+bool
+IsOver(const run& aRun, const poll_report& aReport, time_point aSentAt)
+{
+  switch (aRun.mPhase) {
+    case run_phase::kOrdered:
+      return false;
+    case run_phase::kUnknown:
+      // A runner refuses a start order that has expired by its clock, and a run
+      // that it was told to stop. Its clock begins anew with each boot.
+      return aRun.mIsOfEarlierBoot ? aRun.mStopConfirmedAt != time_point{} &&
+                                       aRun.mStopConfirmedAt < aSentAt
+                                   : aReport.mClock > aRun.mExpiry;
+    case run_phase::kStarted:
+    case run_phase::kListed:
+      return aRun.mPhaseSince < aSentAt;
+  }
+  return false;
+}
+
 } // namespace
 
 void
@@ -103,7 +124,7 @@
 void
 scheduler::OnStop(const stop_order& aOrder,
                   order_outcome aOutcome,
-                  time_point /*aNow*/)
+                  time_point aNow)
 {
   const auto found = mRunners.find(aOrder.mRunner);
   if (aOutcome == order_outcome::kFenced) {
@@ -117,6 +138,9 @@
   if (foundRun != nullptr) {
     // The order is repeated until the runner reports the end of the run.
     foundRun->mStopInFlight = false;
+    if (aOutcome == order_outcome::kDone) {
+      foundRun->mStopConfirmedAt = aNow;
+    }
   }
 }
 
@@ -161,12 +185,19 @@
     mFenced = true;
     return;
   }
-  const bool isOtherBoot =
-    aOutcome == order_outcome::kOtherBoot ||
-    (aReport != nullptr && polledRunner.mInfo.mBoot != 0 &&
-     aReport->mBoot != 0 && aReport->mBoot != polledRunner.mInfo.mBoot);
-  if (isOtherBoot) {
-    OnBootChanged(polledRunner, aReport == nullptr ? 0 : aReport->mBoot, aNow);
+  const bool hasNewBoot = aReport != nullptr && polledRunner.mInfo.mBoot != 0 &&
+                          aReport->mBoot != 0 &&
+                          aReport->mBoot != polledRunner.mInfo.mBoot;
+  if (aOutcome == order_outcome::kOtherBoot) {
+    // Another runner answers at the address, which takes no order for this one.
+    ReleaseAllRuns(polledRunner, aNow);
+    OnBootChanged(polledRunner, polledRunner.mInfo, aNow);
+    polledRunner.mNextPollAt = aNow + kRunnerRetryDelay;
+  } else if (hasNewBoot) {
+    runner_info info = polledRunner.mInfo;
+    info.mBoot = aReport->mBoot;
+    OnBootChanged(polledRunner, std::move(info), aNow);
+    polledRunner.mNextPollAt = aNow + kRunnerRetryDelay;
   } else if (aReport == nullptr) {
     OnPollFailed(polledRunner, aOutcome);
   } else {
@@ -176,19 +207,47 @@
   }
 }
 
-// Handles a runner of which another boot has answered. Every run of the
-// previous boot has ended with it, and nothing is known of the runs of the
-// present one.
+// Handles a runner that has started again under its name. The runs that the
+// previous boot has listed have ended with it. A run that no report has listed
+// yet may have begun in either boot, or its order may still reach the new one,
+// since an order names only the runner. It is kept until that is certain.
 void
-scheduler::OnBootChanged(runner& aRunner, std::int64_t aBoot, time_point aNow)
+scheduler::OnBootChanged(runner& aRunner, runner_info aInfo, time_point aNow)
 {
-  ReleaseAllRuns(aRunner, aNow);
-  runner_info info = aRunner.mInfo;
-  info.mBoot = aBoot == 0 ? info.mBoot : aBoot;
-  runner rebooted(std::move(info));
+  std::vector<run> kept;
+  for (const auto& [key, each] : aRunner.Runs()) {
+    if (each.mPhase != run_phase::kListed) {
+      kept.push_back(each);
+    }
+  }
+  if (aInfo.mBoot != aRunner.mInfo.mBoot) {
+    LogEvent(log_level::kInfo,
+             "runner.rebooted",
+             { { "runner", aInfo.mName.Str() },
+               { "unsettled", static_cast<std::uint64_t>(kept.size()) } });
+  }
+  runner rebooted(std::move(aInfo));
   rebooted.mListed = aRunner.mListed;
   rebooted.mCordoned = aRunner.mCordoned;
-  rebooted.mNextPollAt = aNow + kRunnerRetryDelay;
+  rebooted.mStartsInFlight = aRunner.mStartsInFlight;
+  if (aRunner.mMayHoldInheritedRuns && aNow < InheritedLeasesEnd()) {
+    // The new boot takes orders of earlier owners until this one reaches it.
+    rebooted.mMayHoldInheritedRuns = true;
+    rebooted.SetDeadAt(aRunner.DeadAt());
+  }
+  if (!kept.empty()) {
+    rebooted.SetDeadAt(aNow + mSettings.mMaxLease);
+  }
+  for (run& each : kept) {
+    aRunner.Remove({ each.mTask.Text(), each.mNumber });
+    if (task* const keptTask = FindTask(each.mTask)) {
+      keptTask->mLostAt = aNow; // it may have ended with the previous boot
+    }
+    each.mIsOfEarlierBoot = true;
+    each.mStopConfirmedAt = time_point{};
+    rebooted.Add(std::move(each));
+  }
+  ReleaseAllRuns(aRunner, aNow);
   aRunner = std::move(rebooted);
 }
 
@@ -464,9 +523,8 @@
   aRunner.Add(std::move(adopted));
 }
 
-// Releases the runs that the report would list if they were live. A run whose
-// start order got no answer never began if the order has expired; a run that
-// had started is gone.
+// Releases the runs that the report would list if they were live or could still
+// begin.
 void
 scheduler::ResolveUnlistedRuns(runner& aRunner,
                                const poll_report& aReport,
@@ -478,15 +536,14 @@
     listed.emplace(each.mTask, each.mRun);
   }
   std::vector<run_key> endedRuns;
-  for (const auto& [key, each] : aRunner.Runs()) {
-    const bool neverBegan =
-      each.mPhase == run_phase::kUnknown && aReport.mClock > each.mExpiry;
-    const bool hasVanished = (each.mPhase == run_phase::kStarted ||
-                              each.mPhase == run_phase::kListed) &&
-                             each.mPhaseSince < aSentAt;
-    const bool shouldBeListed = neverBegan || hasVanished;
-    if (shouldBeListed && listed.count({ key.first, key.second }) == 0) {
+  for (auto& [key, each] : aRunner.Runs()) {
+    if (listed.count({ key.first, key.second }) > 0) {
+      continue;
+    }
+    if (IsOver(each, aReport, aSentAt)) {
       endedRuns.push_back(key);
+    } else if (each.mIsOfEarlierBoot && each.mPhase == run_phase::kUnknown) {
+      each.mStopWanted = true;
     }
   }
   for (const run_key& each : endedRuns) {
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -413,6 +413,26 @@
   EXPECT_TRUE(world.Violations().empty());
 }
 
+// A runner that starts again under its name takes orders that are sent to it
+// before the owner knows. Their runs belong to the new boot.
+TEST(scheduler_test, RunThatBeganInTheNextBootOfItsRunnerIsNotRepeated)
+{
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    fake_world world(seed, fault_rates{});
+    AddRunners(world, 2);
+    world.RunFor(milliseconds(200));
+    world.FreezeDiscovery(milliseconds(20) + milliseconds(4) * seed);
+    world.Crash("r0");
+    world.Submit("a1", Job({ LongRunning(1) }));
+    world.Submit("a2", Job({ Tasks(1, 500, milliseconds(100)) }));
+    world.RunFor(seconds(3));
+    EXPECT_EQ(world.StartsOf("a1.0.0.0"), 1U) << seed;
+    EXPECT_EQ(world.StartsOf("a2.0.0.0"), 1U) << seed;
+    EXPECT_EQ(world.StateOf("a2"), job_state::kCompleted) << seed;
+    EXPECT_TRUE(world.Violations().empty()) << seed;
+  }
+}
+
 // The numbers of ended runs begin anew with each boot of a runner. A poll that
 // reaches the next boot must not acknowledge ends there that nobody has seen.
 TEST(scheduler_test, AnEndIsAcknowledgedOnlyUntilThatIsConfirmed)
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -146,14 +146,10 @@
     each->Advance(mNow);
   }
   if (mOwner) {
-    for (const auto& [name, each] : mRunners) {
-      if (mUnlisted.count(name) == 0) {
-        mOwner->OnRunnerListed(each->Info(), mNow);
-      } else {
-        mOwner->OnRunnerUnlisted(runner_name{ name }, mNow);
-      }
-    }
     const bool isCut = mNow < mStoreCutUntil;
+    if (!isCut && mNow >= mDiscoveryFrozenUntil) {
+      ListRunners();
+    }
     mConfirmedAt = isCut ? mConfirmedAt : mNow;
     mOwner->OnOwnershipConfirmed(mConfirmedAt);
     mOwner->SetMayStart(mNow - mConfirmedAt < kMaxUnconfirmedTime);
@@ -165,6 +161,18 @@
   Schedule(kTick, [this] { Tick(); });
 }
 
+void
+fake_world::ListRunners()
+{
+  for (const auto& [name, each] : mRunners) {
+    if (mUnlisted.count(name) == 0) {
+      mOwner->OnRunnerListed(each->Info(), mNow);
+    } else {
+      mOwner->OnRunnerUnlisted(runner_name{ name }, mNow);
+    }
+  }
+}
+
 void
 fake_world::Send(const order& aOrder)
 {
@@ -200,9 +208,12 @@
   const bool isLost = isLate || Chance(mRates.mAnswerLost);
   std::uniform_int_distribution<int> lateDelay(300, 12'000);
   Schedule(isLate ? milliseconds(lateDelay(mRandom)) : RandomDelay(),
-           [this, aOrder, term, name, boot, isLost] {
+           [this, aOrder, term, name, boot, isLate, isLost] {
+             // A runner that starts again keeps its name, and takes what is
+             // sent to that name.
              fake_runner& target = *mRunners.at(name);
-             const order_outcome outcome = target.Info().mBoot == boot
+             const bool isTaken = !isLate || target.Info().mBoot == boot;
+             const order_outcome outcome = isTaken
                                              ? target.Start(aOrder, term, mNow)
                                              : order_outcome::kOtherBoot;
              if (!isLost) {
@@ -386,6 +397,12 @@
   mStoreCutUntil = mNow + aFor;
 }
 
+void
+fake_world::FreezeDiscovery(milliseconds aFor)
+{
+  mDiscoveryFrozenUntil = mNow + aFor;
+}
+
 const std::vector<poll_order>&
 fake_world::PollsOf(const std::string& aRunner) const
 {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -53,9 +53,12 @@
   // tells its successor until when runs may live.
   void HandOver(std::chrono::milliseconds aElectionDelay);
   // Cuts the owner off from the store for `aFor`: it can neither write nor
-  // confirm its ownership, but continues to act.
+  // confirm its ownership nor hear of runners, but continues to act.
   void CutOwnerFromStore(std::chrono::milliseconds aFor);
+  // Keeps service discovery from reporting anything new for `aFor`.
+  void FreezeDiscovery(std::chrono::milliseconds aFor);
   void SetReachable(const std::string& aRunner, bool aIsReachable);
+  // Ends all runs of the runner, which starts again at once under its name.
   void Crash(const std::string& aRunner);
   void Unlist(const std::string& aRunner);
   void Relist(const std::string& aRunner);
@@ -107,6 +110,7 @@
   wall_time Wall() const;
   void Elect();
   void Tick();
+  void ListRunners();
   void Send(const order& aOrder);
   void Deliver(const start_order& aOrder);
   void Deliver(const stop_order& aOrder);
@@ -138,6 +142,7 @@
   std::uint64_t mTerm = 0;
   time_point mConfirmedAt{};
   time_point mStoreCutUntil{};
+  time_point mDiscoveryFrozenUntil{};
   std::map<std::string, std::vector<poll_order>> mPolls; // by runner
   bool mIsWriting = false;
   std::map<std::string, std::string> mStoredJobs;
