A node stays ready while no operator writes anything

What callers saw: for 0.2 s in each 1.2 s of a calm time, every node answers its readiness check with 503, and a request for a queue that it does not know with 503 in place of 404.

Cause: a node is ready, and says that a queue is missing, if its catalog was confirmed within the last 2.2 s. A watch without a change confirms it as of when the watch was sent. Two watches of 1.2 s each make that up to 2.4 s.

The watch for what operators write waits 0.9 s now, so that the age stays under 1.9 s. owner_outage_test.NodesStayReadyWhileNothingHappens fails without it: 0 of 8 nodes are ready at its start.

--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -20,6 +20,9 @@
 // A catalog that was confirmed longer ago may lack queues that an operator has
 // added since.
 constexpr milliseconds kMaxCatalogAge{ 2'200 };
+// A watch without a change confirms the catalog as of when it was sent, and the
+// next one takes as long again. Both have to end within `kMaxCatalogAge`.
+constexpr milliseconds kCatalogWatchWait{ 900 };
 // Time until the load balancer sends no more callers: it stops after two failed
 // readiness checks, a second apart.
 constexpr milliseconds kDrainTime{ 2'500 };
@@ -48,6 +51,14 @@
   return std::hash<std::string>()(aNode + "/" + aSubject) % kRanks;
 }
 
+mirror_settings
+OperatorMirrorSettings()
+{
+  mirror_settings out;
+  out.mWatchWait = kCatalogWatchWait;
+  return out;
+}
+
 } // namespace
 
 node_process::node_process(boost::asio::io_context& aIo,
@@ -99,7 +110,7 @@
     mClock,
     mStore,
     mPorts.mFormat.OperatorPrefix(),
-    mirror_settings{},
+    OperatorMirrorSettings(),
     mirror_handlers{
       [this](const platform::record& aRecord) { OnOperatorRecord(aRecord); },
       [this](const std::string& aKey, platform::revision /*aRevision*/) {
--- a/mangospan/node/owner_outage_test.cc
+++ b/mangospan/node/owner_outage_test.cc
@@ -154,6 +154,18 @@
   EXPECT_NE(mCluster.FleetLeaseHolder(), "");
 }
 
+// A catalog that no operator changes is confirmed often enough to count as
+// current.
+TEST_F(owner_outage_test, NodesStayReadyWhileNothingHappens)
+{
+  const std::size_t nodes = mCluster.ReadyNodes().size();
+  EXPECT_EQ(nodes, kZones.size() * virtual_cluster::kNodesPerZone);
+  for (int i = 0; i < 500; ++i) {
+    mCluster.RunFor(milliseconds(10));
+    ASSERT_EQ(mCluster.ReadyNodes().size(), nodes) << i;
+  }
+}
+
 // The other nodes reach the owner, which has only lost the store. It keeps its
 // lease while the store is away from all.
 TEST_F(owner_outage_test, OwnerThatOthersReachIsNotReplaced)
--- a/mangospan/node/testing/virtual_cluster.cc
+++ b/mangospan/node/testing/virtual_cluster.cc
@@ -743,6 +743,18 @@
   });
 }
 
+std::vector<std::string>
+virtual_cluster::ReadyNodes() const
+{
+  std::vector<std::string> out;
+  for (const auto& [address, each] : mNodes) {
+    if (each->Process().IsReady()) {
+      out.push_back(address);
+    }
+  }
+  return out;
+}
+
 std::vector<std::string>
 virtual_cluster::Violations() const
 {
--- a/mangospan/node/testing/virtual_cluster.h
+++ b/mangospan/node/testing/virtual_cluster.h
@@ -89,6 +89,8 @@
   // Returns whether a node outside the zones that are cut off owns the
   // service's jobs and serves them.
   bool IsServed(const std::string& aService) const;
+  // Returns the nodes that ask for callers, in order of their names.
+  std::vector<std::string> ReadyNodes() const;
   // Returns the number of the service's owner's term in the store.
   std::uint64_t TermOf(const std::string& aService) const;
   const std::vector<std::shared_ptr<caller_record>>& Callers() const
