A mirror's first watch after a failure does not wait for a change

What callers saw: after an outage of the store, callers of a zone that was cut off meanwhile were sent to its nodes for 1.2 s longer than need be.

Cause: the nodes of the other zones were not ready before 37.87, when an operator happened to change the configuration. The watch that a mirror repeats when the store answers again waits for a change as any other, and the catalog counts as old until it has been answered. All nodes logged store.regained for "op/" within 5 ms, whenever they had begun.

The first watch after a failure is answered at once now. Without the change owner_outage_test.NodesAreReadySoonAfterTheStoreIsBack fails: no node is ready 1.2 s after the return.

--- a/mangospan/node/mirror.cc
+++ b/mangospan/node/mirror.cc
@@ -120,6 +120,8 @@
   }
 }
 
+// After a failure the first watch does not wait for a change, so that its
+// answer shows at once that the copy is current.
 void
 mirror::Watch()
 {
@@ -129,7 +131,7 @@
   mStore.Watch(
     mPrefix,
     mRevision,
-    mSettings.mWatchWait,
+    mIsFailing ? std::chrono::milliseconds(0) : mSettings.mWatchWait,
     [self = shared_from_this(), sentAt, attempt](
       result<platform::change_batch> aResult) {
       if (self->mIsStopped || attempt != self->mAttempt) {
--- a/mangospan/node/owner_outage_test.cc
+++ b/mangospan/node/owner_outage_test.cc
@@ -166,6 +166,22 @@
   }
 }
 
+// Callers of a zone that is cut off reach the nodes of other zones only once
+// these are ready. Nothing that an operator wrote has changed meanwhile.
+TEST_F(owner_outage_test, NodesAreReadySoonAfterTheStoreIsBack)
+{
+  const auto before = mCluster.ReadyNodes();
+  for (int i = 0; i < 12; ++i) {
+    mCluster.SetStoreSilent(true);
+    mCluster.RunFor(outage{}.mStoreBackAt + milliseconds(150 * i));
+    EXPECT_TRUE(mCluster.ReadyNodes().empty());
+    mCluster.SetStoreSilent(false);
+    mCluster.RunFor(kPromisedReturn / 2);
+    EXPECT_EQ(mCluster.ReadyNodes(), before) << i;
+    mCluster.RunFor(milliseconds(3'000));
+  }
+}
+
 // The other nodes reach the owner, which has only lost the store. It keeps its
 // lease while the store is away from all.
 TEST_F(owner_outage_test, OwnerThatOthersReachIsNotReplaced)
