--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -303,6 +303,7 @@
                                      const poll_order& aPoll,
                                      time_point aNow) const;
   poll_order MakePollOrder(runner& aRunner, time_point aNow);
+  std::vector<run> TakeUnsettledRuns(runner& aRunner, time_point aNow);
   void OnBootChanged(runner& aRunner, runner_info aInfo, time_point aNow);
   void OnPollFailed(runner& aRunner, order_outcome aOutcome);
   void OnPollAnswered(runner& aRunner, const poll_order& aOrder);
