A successor does not wait for a runner whose address another has taken

What callers would have seen: jobs of a former owner that start up to ten seconds late, for as long as a runner that is gone could hold a lease.

Found by reading.

scheduler_test.SuccessorDoesNotWaitForRunnerWhoseAddressAnotherTook fails without the change: one start in place of two a second after the answer.

--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -305,6 +305,7 @@
   poll_order MakePollOrder(runner& aRunner, time_point aNow);
   std::vector<run> TakeUnsettledRuns(runner& aRunner, time_point aNow);
   void OnBootChanged(runner& aRunner, runner_info aInfo, time_point aNow);
+  void OnAddressTaken(runner& aRunner, time_point aNow);
   void OnPollFailed(runner& aRunner, order_outcome aOutcome);
   void OnPollAnswered(runner& aRunner, const poll_order& aOrder);
   void ApplyReport(runner& aRunner,
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -165,10 +165,7 @@
                           aReport->mBoot != 0 &&
                           aReport->mBoot != polledRunner.mInfo.mBoot;
   if (aOutcome == order_outcome::kOtherBoot) {
-    // Another runner answers at the address, which takes no order for this one.
-    ReleaseAllRuns(polledRunner, aNow);
-    OnBootChanged(polledRunner, polledRunner.mInfo, aNow);
-    polledRunner.mNextPollAt = aNow + kRunnerRetryDelay;
+    OnAddressTaken(polledRunner, aNow);
   } else if (hasNewBoot) {
     runner_info info = polledRunner.mInfo;
     info.mBoot = aReport->mBoot;
@@ -238,6 +235,17 @@
   aRunner = std::move(rebooted);
 }
 
+// Handles a runner at whose address another one answers, which takes no order
+// for this one. All runs on this one have ended.
+void
+scheduler::OnAddressTaken(runner& aRunner, time_point aNow)
+{
+  ReleaseAllRuns(aRunner, aNow);
+  aRunner.mMayHoldInheritedRuns = false;
+  OnBootChanged(aRunner, aRunner.mInfo, aNow);
+  aRunner.mNextPollAt = aNow + kRunnerRetryDelay;
+}
+
 void
 scheduler::OnPollFailed(runner& aRunner, order_outcome aOutcome)
 {
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -413,6 +413,34 @@
   EXPECT_TRUE(world.Violations().empty());
 }
 
+// A runner whose address another one has taken is gone, with all runs that
+// earlier owners have started there.
+TEST(scheduler_test, SuccessorDoesNotWaitForRunnerWhoseAddressAnotherTook)
+{
+  fake_world world(8, fault_rates{});
+  AddRunners(world, 2);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ LongRunning(1) }));
+  world.RunFor(seconds(1));
+  const std::string gone = world.Runner("r0").Runs().empty() ? "r1" : "r0";
+  world.SetReachable(gone, false);
+  world.Unlist(gone);
+  world.Crash(gone);
+  world.KillOwner(milliseconds(100));
+  world.RunFor(milliseconds(200));
+  poll_order poll;
+  poll.mRunner = runner_name{ gone };
+  world.Owner()->OnPoll(poll,
+                        order_outcome::kOtherBoot,
+                        nullptr,
+                        world.Now(),
+                        world.Now(),
+                        wall_time{});
+  world.RunFor(seconds(1));
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 2U);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
 // A runner that starts again under its name takes orders that are sent to it
 // before the owner knows. Their runs belong to the new boot.
 TEST(scheduler_test, RunThatBeganInTheNextBootOfItsRunnerIsNotRepeated)
