--- a/mangospan/node/owner_outage_schedules_test.cc
+++ b/mangospan/node/owner_outage_schedules_test.cc
@@ -50,13 +50,13 @@
     }
     const int cuts = Draw(1, 3);
     for (int i = 0; i < cuts; ++i) {
-      const std::string zone = kZones[Draw(0, 3)];
+      const std::string& zone = kZones[Draw(0, 3)];
       Disturb([this, zone] { SetCut(zone, 1); },
               [this, zone] { SetCut(zone, -1); });
     }
     const int others = Draw(0, 3);
     for (int i = 0; i < others; ++i) {
-      const std::string service = kServices[Draw(0, 2)];
+      const std::string& service = kServices[Draw(0, 2)];
       const bool isRestart = Draw(0, 1) == 0;
       Disturb([this, service, isRestart] { EndOwner(service, isRestart); },
               [] {});
