Say what else the time of a lost run covers

Reading the change once more: job.h named only runs given up with their runner; a run left in doubt by a restart of its runner sets that time too. A comment only.

--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -72,8 +72,9 @@
   runner_name mFailedOn;   // The runner of the latest failed run.
   std::string mCheckpoint; // The latest progress that a run has saved.
   time_point mIdleSince{}; // When the latest run of this task was over.
-  // When the latest run was given up with its runner, without a report of its
-  // end; the epoch if that did not happen.
+  // When a run was last given up with its runner, or left in doubt since its
+  // runner had started again: it may have ended without a report. The epoch if
+  // that did not happen.
   time_point mLostAt{};
 
   // Returns whether the task needs a run.
