Say what became of each failed call of a mirror, and how old a configuration is

A node that stayed behind in its configuration logged one store.lost and then nothing for 16 s. The client's read errors say how many bytes of the response had arrived.

--- a/mangospan/http/internal/exchange.cc
+++ b/mangospan/http/internal/exchange.cc
@@ -151,7 +151,10 @@
 exchange::OnRead(const error_type& aError)
 {
   if (aError) {
-    Fail(error_code::kUnknownResult, "http.read", aError.message());
+    Fail(error_code::kUnknownResult,
+         "http.read",
+         aError.message() + " after " + std::to_string(ReceivedBytes()) +
+           " bytes of the response");
     return;
   }
   const auto& message = mParser->get();
@@ -186,6 +189,12 @@
   Finish(FromBeast(mParser->release()), canReuse);
 }
 
+std::size_t
+exchange::ReceivedBytes() const
+{
+  return mBuffer.size() + (mParser ? mParser->get().body().size() : 0);
+}
+
 bool
 exchange::IsReusable()
 {
--- a/mangospan/http/internal/exchange.h
+++ b/mangospan/http/internal/exchange.h
@@ -69,6 +69,8 @@
   void Read();
   void ReadBody();
   void OnRead(const error_type& aError);
+  // Returns how many bytes of the present response have arrived.
+  std::size_t ReceivedBytes() const;
   void Fail(error_code aCode, const char* aStep, const std::string& aMessage);
   void Finish(result<response> aResult, bool aCanReuse);
 
--- a/mangospan/node/mirror.cc
+++ b/mangospan/node/mirror.cc
@@ -8,6 +8,16 @@
 
 namespace mangospan::node {
 
+namespace {
+
+std::int64_t
+ToMilliseconds(time_point::duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+} // namespace
+
 mirror::mirror(boost::asio::io_context& aIo,
                const clock_source& aClock,
                platform::transactional_store& aStore,
@@ -69,10 +79,11 @@
                           return;
                         }
                         if (aResult.has_error()) {
-                          self->Retry(true, aResult.assume_error());
+                          self->Retry(true, aResult.assume_error(), sentAt);
                           return;
                         }
                         self->mConfirmedAt = sentAt;
+                        self->LogListing(aResult.assume_value(), sentAt);
                         self->OnListing(aResult.assume_value());
                         self->Watch();
                       });
@@ -128,51 +139,91 @@
   const time_point sentAt = mClock.Now();
   const std::uint64_t attempt = ++mAttempt;
   mMustList = false;
-  mStore.Watch(
-    mPrefix,
-    mRevision,
-    mIsFailing ? std::chrono::milliseconds(0) : mSettings.mWatchWait,
-    [self = shared_from_this(), sentAt, attempt](
-      result<platform::change_batch> aResult) {
-      if (self->mIsStopped || attempt != self->mAttempt) {
-        return;
-      }
-      if (aResult.has_error()) {
-        const bool isHistoryGone =
-          aResult.assume_error().mCode == error_code::kNotFound;
-        self->Retry(isHistoryGone, aResult.assume_error());
-        return;
-      }
-      if (self->mIsFailing) {
-        self->mIsFailing = false;
-        LogEvent(
-          log_level::kInfo, "store.regained", { { "prefix", self->mPrefix } });
-      }
-      self->mConfirmedAt = sentAt;
-      for (const platform::change& each : aResult.assume_value().mChanges) {
-        self->OnChange(each);
-        if (self->mIsStopped) {
-          return;
-        }
-      }
-      self->mRevision = aResult.assume_value().mRevision;
-      self->Watch();
-    });
+  mStore.Watch(mPrefix,
+               mRevision,
+               mIsFailing ? std::chrono::milliseconds(0) : mSettings.mWatchWait,
+               [self = shared_from_this(), sentAt, attempt](
+                 result<platform::change_batch> aResult) {
+                 if (self->mIsStopped || attempt != self->mAttempt) {
+                   return;
+                 }
+                 if (aResult.has_error()) {
+                   const bool isHistoryGone =
+                     aResult.assume_error().mCode == error_code::kNotFound;
+                   self->Retry(isHistoryGone, aResult.assume_error(), sentAt);
+                   return;
+                 }
+                 self->LogRegained();
+                 self->mConfirmedAt = sentAt;
+                 for (const platform::change& each :
+                      aResult.assume_value().mChanges) {
+                   self->OnChange(each);
+                   if (self->mIsStopped) {
+                     return;
+                   }
+                 }
+                 self->mRevision = aResult.assume_value().mRevision;
+                 self->Watch();
+               });
 }
 
 void
-mirror::Retry(bool aMustList, const error& aError)
+mirror::OnFailure(const error& aError, time_point aSentAt)
 {
   if (!mIsFailing) {
     mIsFailing = true;
-    LogEvent(log_level::kWarning,
-             "store.lost",
-             { { "prefix", mPrefix },
-               { "code", Name(aError.mCode) },
-               { "step", aError.mStep },
-               { "peer", aError.mPeer },
-               { "message", aError.mMessage } });
+    mFailingSince = aSentAt;
+    mFailedCalls = 0;
+  }
+  ++mFailedCalls;
+  LogEvent(
+    log_level::kWarning,
+    mFailedCalls == 1 ? "store.lost" : "store.still_lost",
+    { { "prefix", mPrefix },
+      { "code", Name(aError.mCode) },
+      { "step", aError.mStep },
+      { "peer", aError.mPeer },
+      { "message", aError.mMessage },
+      { "failed_calls", mFailedCalls },
+      { "took_ms", ToMilliseconds(mClock.Now() - aSentAt) },
+      { "unconfirmed_ms", ToMilliseconds(mClock.Now() - mConfirmedAt) } });
+}
+
+void
+mirror::LogRegained()
+{
+  if (!mIsFailing) {
+    return;
   }
+  mIsFailing = false;
+  LogEvent(log_level::kInfo,
+           "store.regained",
+           { { "prefix", mPrefix },
+             { "failed_calls", mFailedCalls },
+             { "lost_ms", ToMilliseconds(mClock.Now() - mFailingSince) } });
+}
+
+void
+mirror::LogListing(const platform::listing& aListing, time_point aSentAt) const
+{
+  std::size_t bytes = 0;
+  for (const platform::record& each : aListing.mRecords) {
+    bytes += each.mValue.size();
+  }
+  LogEvent(
+    log_level::kInfo,
+    "store.listed",
+    { { "prefix", mPrefix },
+      { "records", static_cast<std::uint64_t>(aListing.mRecords.size()) },
+      { "bytes", static_cast<std::uint64_t>(bytes) },
+      { "revision", aListing.mRevision },
+      { "took_ms", ToMilliseconds(mClock.Now() - aSentAt) } });
+}
+
+void
+mirror::Retry(bool aMustList, const error& aError, time_point aSentAt)
+{
+  OnFailure(aError, aSentAt);
   mMustList = aMustList;
   mTimer.expires_after(mSettings.mRetryDelay);
   mTimer.async_wait([self = shared_from_this(),
--- a/mangospan/node/mirror.h
+++ b/mangospan/node/mirror.h
@@ -76,7 +76,11 @@
   void Resume(bool aMustList);
   void List();
   void Watch();
-  void Retry(bool aMustList, const error& aError);
+  // Counts and logs a failed call that was sent at `aSentAt`.
+  void OnFailure(const error& aError, time_point aSentAt);
+  void LogRegained();
+  void LogListing(const platform::listing& aListing, time_point aSentAt) const;
+  void Retry(bool aMustList, const error& aError, time_point aSentAt);
   void OnListing(const platform::listing& aListing);
   void OnChange(const platform::change& aChange);
 
@@ -92,7 +96,9 @@
   bool mIsSynced = false;
   bool mIsStopped = false;
   bool mIsFailing = false;
-  bool mMustList = true;      // before the next watch
+  time_point mFailingSince{};
+  std::uint64_t mFailedCalls = 0; // since the copy was last current
+  bool mMustList = true;          // before the next watch
   std::uint64_t mAttempt = 0; // the last call; results of others are ignored
 };
 
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -51,6 +51,12 @@
   return std::hash<std::string>()(aNode + "/" + aSubject) % kRanks;
 }
 
+std::int64_t
+ToMilliseconds(time_point::duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
 mirror_settings
 OperatorMirrorSettings()
 {
@@ -300,20 +306,17 @@
 void
 node_process::OnCatalog(const platform::record& aRecord)
 {
+  const time_point startedAt = mClock.Now();
   auto decoded = mPorts.mFormat.DecodeCatalog(aRecord.mValue);
   if (decoded.has_error()) {
     LogError("config.malformed", decoded.assume_error());
     return;
   }
+  const time_point decodedAt = mClock.Now();
   jobs::catalog next = std::move(decoded).assume_value();
   if (mCatalog && next.mVersion <= mCatalog->mVersion) {
     return;
   }
-  LogEvent(log_level::kInfo,
-           "config.adopted",
-           { { "version", next.mVersion },
-             { "revision", aRecord.mRevision },
-             { "queues", static_cast<std::uint64_t>(next.mQueues.size()) } });
   mCatalog = std::make_unique<jobs::catalog>(std::move(next));
   for (const auto& [queueName, each] : mCatalog->mQueues) {
     FindOrAddPartition(each.mService);
@@ -326,6 +329,18 @@
   if (mFleetController) {
     mFleetController->SetCatalog(*mCatalog);
   }
+  mMetrics.Set("mangospan_node_config_version",
+               {},
+               static_cast<double>(mCatalog->mVersion));
+  LogEvent(log_level::kInfo,
+           "config.adopted",
+           { { "version", mCatalog->mVersion },
+             { "revision", aRecord.mRevision },
+             { "queues", static_cast<std::uint64_t>(mCatalog->mQueues.size()) },
+             { "bytes", static_cast<std::uint64_t>(aRecord.mValue.size()) },
+             { "decode_ms", ToMilliseconds(decodedAt - startedAt) },
+             { "apply_ms", ToMilliseconds(mClock.Now() - decodedAt) },
+             { "confirmed_age_ms", ToMilliseconds(CatalogAge()) } });
 }
 
 std::vector<service_name>
@@ -353,11 +368,16 @@
   return mCatalog.get();
 }
 
+time_point::duration
+node_process::CatalogAge() const
+{
+  return mClock.Now() - mOperatorMirror->ConfirmedAt();
+}
+
 bool
 node_process::IsCatalogCurrent() const
 {
-  return mCatalog &&
-         mClock.Now() - mOperatorMirror->ConfirmedAt() < kMaxCatalogAge;
+  return mCatalog && CatalogAge() < kMaxCatalogAge;
 }
 
 std::string
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -102,6 +102,8 @@
   // Returns the newest catalog (queues and services), or null before the first
   // is known.
   const jobs::catalog* Catalog() const;
+  // Returns for how long the catalog has not been confirmed to be the newest.
+  time_point::duration CatalogAge() const;
   // Returns whether the catalog was confirmed recently, so that a queue that it
   // does not list can be reported as missing.
   bool IsCatalogCurrent() const;
--- a/mangospan/node/node_process_owners.cc
+++ b/mangospan/node/node_process_owners.cc
@@ -53,6 +53,9 @@
   }
   ReplaceCutOffOwners();
   RequestYieldOfSmallerHost();
+  mMetrics.Set("mangospan_node_config_age_seconds",
+               {},
+               std::chrono::duration<double>(CatalogAge()).count());
   mCheckTimer.expires_after(kOwnerCheckInterval);
   mCheckTimer.async_wait([this](const boost::system::error_code& aAbort) {
     if (!aAbort) {
