Large reads are bounded by their pauses, not by a total time

Callers saw an old configuration in use: a node on a link of 10 Mbit/s gave up each answer to a watch after 0.5 s in total, however much had arrived and went on arriving. 21 calls in a row ended so after 260 to 590 KB (postmortem).

A response that began and did not arrive whole is kIncomplete, so that the store counts as answering then. A fetch can be cancelled, which closes its connection: the rest of a response that nobody waits for would use the link.

client_test: FetchLastsAsLongAsTheResponseProgresses, FetchThatStallsIsIncomplete, CancelledFetchClosesItsConnectionAndReportsNothing.

--- a/mangospan/base/error.cc
+++ b/mangospan/base/error.cc
@@ -20,6 +20,8 @@
       return "unavailable";
     case error_code::kUnknownResult:
       return "unknown-result";
+    case error_code::kIncomplete:
+      return "incomplete";
     case error_code::kTimeout:
       return "timeout";
     case error_code::kCancelled:
--- a/mangospan/base/error.h
+++ b/mangospan/base/error.h
@@ -24,6 +24,7 @@
   kTooLarge,      // over a size limit; nothing was written
   kUnavailable,   // the peer was not reached; certainly nothing happened
   kUnknownResult, // the request was sent; it may or may not have taken effect
+  kIncomplete,    // a read's response began and did not arrive whole in time
   kTimeout,       // our own deadline passed before anything was sent
   kCancelled,
   kInternal,
--- a/mangospan/http/client.cc
+++ b/mangospan/http/client.cc
@@ -84,21 +84,47 @@
             request aRequest,
             std::chrono::milliseconds aTimeout,
             response_handler aHandler)
+  {
+    // A response that was cut off tells no more about the effect of the request
+    // than none.
+    Run(aAddress,
+        std::move(aRequest),
+        { aTimeout, aTimeout, aTimeout },
+        [handler = std::move(aHandler)](result<response> aResult) {
+          if (aResult.has_error() &&
+              aResult.assume_error().mCode == error_code::kIncomplete) {
+            aResult.assume_error().mCode = error_code::kUnknownResult;
+          }
+          handler(std::move(aResult));
+        });
+  }
+
+  std::shared_ptr<fetch> Fetch(const std::string& aAddress,
+                               const std::string& aTarget,
+                               const fetch_timeouts& aTimeouts,
+                               response_handler aHandler);
+
+  // Returns the exchange that carries the request, or null if there is an
+  // error, which is posted to the handler.
+  std::shared_ptr<exchange> Run(const std::string& aAddress,
+                                request aRequest,
+                                const fetch_timeouts& aTimeouts,
+                                response_handler aHandler)
   {
     auto message = ToBeast(aAddress, std::move(aRequest));
     if (message.has_error()) {
       PostError(std::move(message).assume_error(), std::move(aHandler));
-      return;
+      return nullptr;
     }
     auto connection = AcquireConnection(aAddress);
     if (connection.has_error()) {
       PostError(std::move(connection).assume_error(), std::move(aHandler));
-      return;
+      return nullptr;
     }
     const auto exchange = connection.assume_value();
     mPools[aAddress].mBusy.push_back(exchange);
     exchange->Run(std::move(message).assume_value(),
-                  std::chrono::steady_clock::now() + aTimeout,
+                  aTimeouts,
                   [weak = weak_from_this(), exchange, aHandler](
                     result<response> aResult, bool aCanReuse) {
                     if (const auto self = weak.lock()) {
@@ -106,6 +132,7 @@
                       aHandler(std::move(aResult));
                     }
                   });
+    return exchange;
   }
 
   std::size_t OpenConnections(const std::string& aAddress) const
@@ -233,6 +260,65 @@
   std::map<std::string, pool> mPools;
 };
 
+namespace {
+
+// A fetch in the pool of its client. Holds its connection until the response
+// has been passed on, since the connection then carries other requests.
+class pooled_fetch final : public fetch
+{
+public:
+  // `aCloseConnection` closes a busy connection of the pool.
+  explicit pooled_fetch(
+    std::function<void(const std::shared_ptr<exchange>&)> aCloseConnection)
+    : mCloseConnection(std::move(aCloseConnection))
+  {
+  }
+
+  void SetExchange(std::shared_ptr<exchange> aExchange)
+  {
+    mExchange = std::move(aExchange);
+  }
+  bool HasBegun() const override { return mExchange && mExchange->HasBegun(); }
+  void Cancel() override
+  {
+    if (const auto running = std::exchange(mExchange, nullptr)) {
+      mCloseConnection(running);
+    }
+  }
+
+private:
+  const std::function<void(const std::shared_ptr<exchange>&)> mCloseConnection;
+  std::shared_ptr<exchange> mExchange;
+};
+
+} // namespace
+
+std::shared_ptr<fetch>
+client::impl::Fetch(const std::string& aAddress,
+                    const std::string& aTarget,
+                    const fetch_timeouts& aTimeouts,
+                    response_handler aHandler)
+{
+  const auto out = std::make_shared<pooled_fetch>(
+    [weak = weak_from_this()](const std::shared_ptr<exchange>& aRunning) {
+      if (const auto self = weak.lock()) {
+        self->ReleaseConnection(aRunning, /*aCanReuse=*/false);
+      }
+    });
+  request call;
+  call.mTarget = aTarget;
+  const auto running =
+    Run(aAddress,
+        std::move(call),
+        aTimeouts,
+        [out, handler = std::move(aHandler)](result<response> aResult) {
+          out->SetExchange(nullptr);
+          handler(std::move(aResult));
+        });
+  out->SetExchange(running);
+  return running ? out : nullptr;
+}
+
 client::client(asio::io_context& aIo, client_options aOptions)
   : mImpl(std::make_shared<impl>(aIo, aOptions))
 {
@@ -252,6 +338,15 @@
   mImpl->Send(aAddress, std::move(aRequest), aTimeout, std::move(aHandler));
 }
 
+std::shared_ptr<fetch>
+client::Fetch(const std::string& aAddress,
+              const std::string& aTarget,
+              const fetch_timeouts& aTimeouts,
+              response_handler aHandler)
+{
+  return mImpl->Fetch(aAddress, aTarget, aTimeouts, std::move(aHandler));
+}
+
 std::size_t
 client::OpenConnections(const std::string& aAddress) const
 {
--- a/mangospan/http/client.h
+++ b/mangospan/http/client.h
@@ -38,6 +38,27 @@
   std::chrono::milliseconds mIdleTimeout{ 30'000 };
 };
 
+// The timeouts of a read whose response may be large. They bound the pauses of
+// the transfer; its length is left to the size and to the link.
+struct fetch_timeouts
+{
+  std::chrono::milliseconds mHeader{ 0 }; // until the response's header is read
+  std::chrono::milliseconds mStall{ 0 };  // between two pieces of the body
+  std::chrono::milliseconds mTotal{ 0 };  // until the response is complete
+};
+
+// A read that is under way.
+class fetch
+{
+public:
+  virtual ~fetch() = default;
+  // Returns whether a part of the response has arrived.
+  virtual bool HasBegun() const = 0;
+  // Gives the read up and closes its connection. The handler is not called any
+  // more.
+  virtual void Cancel() = 0;
+};
+
 // Receives the response to a request, or the error that prevented it.
 using response_handler = std::function<void(result<response>)>;
 
@@ -61,6 +82,14 @@
             std::chrono::milliseconds aTimeout,
             response_handler aHandler);
 
+  // Reads `aTarget` with a GET request. Errors: those of `Send`, and
+  // kIncomplete if the header of the response arrived and the rest did not in
+  // time. Returns the read, or null if no request could be made.
+  std::shared_ptr<fetch> Fetch(const std::string& aAddress,
+                               const std::string& aTarget,
+                               const fetch_timeouts& aTimeouts,
+                               response_handler aHandler);
+
   // Returns the number of connections to the address, busy and idle.
   std::size_t OpenConnections(const std::string& aAddress) const;
 
--- a/mangospan/http/client_test.cc
+++ b/mangospan/http/client_test.cc
@@ -291,5 +291,85 @@
   EXPECT_EQ(second.assume_error().mCode, error_code::kUnknownResult);
 }
 
+// Sends the header and `aPieces` pieces of a body of `aSize` bytes, with a
+// pause before each.
+raw_endpoint::script
+RespondInPieces(std::size_t aSize, std::size_t aPieces, milliseconds aPause)
+{
+  return [aSize, aPieces, aPause](tcp::socket& aSocket) {
+    raw_endpoint::ReadRequest(aSocket);
+    boost::system::error_code failure;
+    asio::write(aSocket,
+                asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                             std::to_string(aSize) + "\r\n\r\n"),
+                failure);
+    for (std::size_t i = 0; i < aPieces && !failure; ++i) {
+      std::this_thread::sleep_for(aPause);
+      asio::write(aSocket, asio::buffer(std::string("x")), failure);
+    }
+    // Until the client closes the connection.
+    std::array<char, 1> byte{};
+    aSocket.read_some(asio::buffer(byte), failure);
+  };
+}
+
+constexpr milliseconds kLong{ 5'000 };
+
+TEST_F(http_client, FetchLastsAsLongAsTheResponseProgresses)
+{
+  raw_endpoint endpoint({ RespondInPieces(8, 8, milliseconds(100)) });
+  std::optional<result<response>> outcome;
+  // The whole response takes longer than its header may.
+  mClient.Fetch(
+    endpoint.Address(),
+    "/large",
+    { milliseconds(700), kLong, 2 * kLong },
+    [&outcome](const result<response>& aResult) { outcome = aResult; });
+  while (!outcome && mIo.run_one() > 0) {
+  }
+  ASSERT_TRUE(outcome->has_value());
+  EXPECT_EQ(outcome->assume_value().mBody, "xxxxxxxx");
+  mClient.CloseIdle(endpoint.Address());
+  mIo.restart();
+  mIo.poll();
+}
+
+TEST_F(http_client, FetchThatStallsIsIncomplete)
+{
+  raw_endpoint endpoint({ RespondInPieces(8, 2, milliseconds(10)) });
+  std::optional<result<response>> outcome;
+  mClient.Fetch(
+    endpoint.Address(),
+    "/large",
+    { kLong, milliseconds(300), kLong },
+    [&outcome](const result<response>& aResult) { outcome = aResult; });
+  while (!outcome && mIo.run_one() > 0) {
+  }
+  ASSERT_TRUE(outcome->has_error());
+  EXPECT_EQ(outcome->assume_error().mCode, error_code::kIncomplete);
+  EXPECT_NE(outcome->assume_error().mMessage.find("after 2 bytes"),
+            std::string::npos);
+  EXPECT_EQ(mClient.OpenConnections(endpoint.Address()), 0U);
+}
+
+TEST_F(http_client, CancelledFetchClosesItsConnectionAndReportsNothing)
+{
+  raw_endpoint endpoint({ RespondInPieces(8, 2, milliseconds(0)) });
+  bool isReported = false;
+  const auto fetch = mClient.Fetch(
+    endpoint.Address(),
+    "/large",
+    { kLong, kLong, kLong },
+    [&isReported](const result<response>& /*aResult*/) { isReported = true; });
+  EXPECT_FALSE(fetch->HasBegun());
+  while (!fetch->HasBegun() && mIo.run_one() > 0) {
+  }
+  fetch->Cancel();
+  EXPECT_EQ(mClient.OpenConnections(endpoint.Address()), 0U);
+  mIo.restart();
+  mIo.run();
+  EXPECT_FALSE(isReported);
+}
+
 } // namespace
 } // namespace mangospan::http
--- a/mangospan/http/internal/exchange.cc
+++ b/mangospan/http/internal/exchange.cc
@@ -49,12 +49,17 @@
 }
 
 void
-exchange::Run(beast_request aRequest, deadline aDeadline, done_handler aDone)
+exchange::Run(beast_request aRequest,
+              const fetch_timeouts& aTimeouts,
+              done_handler aDone)
 {
+  const auto now = std::chrono::steady_clock::now();
   ++mIdleGeneration;
   mIdleTimer.cancel();
   mRequest = std::move(aRequest);
-  mDeadline = aDeadline;
+  mDeadline = now + aTimeouts.mTotal;
+  mHeaderDeadline = std::min(mDeadline, now + aTimeouts.mHeader);
+  mStallTimeout = aTimeouts.mStall;
   mDone = std::move(aDone);
   if (mIsConnected) {
     error_type ignored;
@@ -68,8 +73,9 @@
 void
 exchange::Connect()
 {
-  mStream.expires_at(std::min(
-    mDeadline, std::chrono::steady_clock::now() + mOptions.mConnectTimeout));
+  mStream.expires_at(
+    std::min(mHeaderDeadline,
+             std::chrono::steady_clock::now() + mOptions.mConnectTimeout));
   mStream.async_connect(
     mEndpoint, [self = shared_from_this()](const error_type& aError) {
       if (!self->mDone) {
@@ -89,7 +95,7 @@
 void
 exchange::Write()
 {
-  mStream.expires_at(mDeadline);
+  mStream.expires_at(mHeaderDeadline);
   bhttp::async_write(mStream,
                      mRequest,
                      [self = shared_from_this()](const error_type& aError,
@@ -128,21 +134,30 @@
       if (aError || self->mParser->is_done()) {
         self->OnRead(aError);
       } else {
+        self->mParser->eager(true);
         self->ReadBody();
       }
     });
 }
 
+// Reads the body piece by piece, each within the stall timeout.
 void
 exchange::ReadBody()
 {
-  bhttp::async_read(
+  mStream.expires_at(
+    std::min(mDeadline, std::chrono::steady_clock::now() + mStallTimeout));
+  bhttp::async_read_some(
     mStream,
     mBuffer,
     *mParser,
     [self = shared_from_this()](const error_type& aError, std::size_t) {
-      if (self->mDone) {
+      if (!self->mDone) {
+        return;
+      }
+      if (aError || self->mParser->is_done()) {
         self->OnRead(aError);
+      } else {
+        self->ReadBody();
       }
     });
 }
@@ -151,7 +166,8 @@
 exchange::OnRead(const error_type& aError)
 {
   if (aError) {
-    Fail(error_code::kUnknownResult,
+    Fail(mParser->is_header_done() ? error_code::kIncomplete
+                                   : error_code::kUnknownResult,
          "http.read",
          aError.message() + " after " + std::to_string(ReceivedBytes()) +
            " bytes of the response");
@@ -195,6 +211,12 @@
   return mBuffer.size() + (mParser ? mParser->get().body().size() : 0);
 }
 
+bool
+exchange::HasBegun() const
+{
+  return ReceivedBytes() > 0 || (mParser && mParser->is_header_done());
+}
+
 bool
 exchange::IsReusable()
 {
--- a/mangospan/http/internal/exchange.h
+++ b/mangospan/http/internal/exchange.h
@@ -41,11 +41,15 @@
            boost::asio::ip::tcp::endpoint aEndpoint);
 
   // Connects unless already connected, writes the request and reads the
-  // complete response. Calls `aDone` once, unless `Close` is called first.
+  // complete response. Calls `aDone` once, unless `Close` is called first. A
+  // failure after the header of the response was read is kIncomplete.
   void Run(beast_request aRequest,
-           std::chrono::steady_clock::time_point aDeadline,
+           const fetch_timeouts& aTimeouts,
            done_handler aDone);
 
+  // Returns whether a part of the present response has arrived.
+  bool HasBegun() const;
+
   // Returns true if the idle connection is still open and has no unread bytes.
   bool IsReusable();
 
@@ -84,7 +88,9 @@
     boost::beast::http::response_parser<boost::beast::http::string_body>>
     mParser;
   beast_request mRequest;
-  deadline mDeadline;
+  deadline mHeaderDeadline;
+  deadline mDeadline; // for the complete response
+  std::chrono::milliseconds mStallTimeout{ 0 };
   done_handler mDone;
   bool mIsConnected = false;
   // Incremented when an idle period starts or ends, so that handlers of an
--- a/mangospan/node/monitored_store.cc
+++ b/mangospan/node/monitored_store.cc
@@ -159,12 +159,12 @@
     std::move(aTransaction), aTimeout, Observe(std::move(aHandler)));
 }
 
-void
+std::shared_ptr<platform::pending_listing>
 monitored_store::ListForWatch(std::string aPrefix,
                               milliseconds aTimeout,
                               handler<listing> aHandler)
 {
-  mStore.ListForWatch(
+  return mStore.ListForWatch(
     std::move(aPrefix), aTimeout, Observe(std::move(aHandler)));
 }
 
--- a/mangospan/node/testing/memory_store.cc
+++ b/mangospan/node/testing/memory_store.cc
@@ -174,13 +174,14 @@
   Answer<platform::commit_outcome>(mIo, std::move(aHandler), std::move(out));
 }
 
-void
+std::shared_ptr<platform::pending_listing>
 memory_store::ListForWatch(std::string aPrefix,
                            milliseconds /*aTimeout*/,
                            handler<platform::listing> aHandler)
 {
   Answer<platform::listing>(
     mIo, std::move(aHandler), platform::listing{ Find(aPrefix), mRevision });
+  return nullptr;
 }
 
 } // namespace mangospan::node::testing
--- a/mangospan/node/testing/virtual_store.cc
+++ b/mangospan/node/testing/virtual_store.cc
@@ -304,7 +304,7 @@
     });
 }
 
-void
+std::shared_ptr<platform::pending_listing>
 virtual_store_client::ListForWatch(std::string aPrefix,
                                    milliseconds aTimeout,
                                    handler<listing> aHandler)
@@ -315,6 +315,7 @@
                 [this, prefix = std::move(aPrefix)]() -> result<listing> {
                   return listing{ mStore.Find(prefix), mStore.mRevision };
                 });
+  return nullptr;
 }
 
 void
--- a/mangospan/node/testing/virtual_store.h
+++ b/mangospan/node/testing/virtual_store.h
@@ -112,9 +112,10 @@
   void Commit(platform::transaction aTransaction,
               std::chrono::milliseconds aTimeout,
               platform::handler<platform::commit_outcome> aHandler) override;
-  void ListForWatch(std::string aPrefix,
-                    std::chrono::milliseconds aTimeout,
-                    platform::handler<platform::listing> aHandler) override;
+  std::shared_ptr<platform::pending_listing> ListForWatch(
+    std::string aPrefix,
+    std::chrono::milliseconds aTimeout,
+    platform::handler<platform::listing> aHandler) override;
 
 private:
   // Executes `aCall` at the store and passes its result to `aHandler`, or an
--- a/mangospan/platform/store.h
+++ b/mangospan/platform/store.h
@@ -16,6 +16,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -79,7 +80,8 @@
 //
 // Every call can fail with kUnavailable (it had no effect), kUnknownResult (it
 // was sent but got no response, so it may have taken effect) or
-// kInvalidArgument.
+// kInvalidArgument; `List` and `Watch` also with kIncomplete (the response
+// began and did not arrive whole).
 class record_store
 {
 public:
@@ -182,6 +184,17 @@
   revision mRevision = 0;
 };
 
+// A listing that is under way.
+class pending_listing
+{
+public:
+  virtual ~pending_listing() = default;
+  // Returns whether a part of the response has arrived.
+  virtual bool HasBegun() const = 0;
+  // Gives the listing up. Its handler is not called any more.
+  virtual void Cancel() = 0;
+};
+
 // A store that changes several keys in one transaction.
 class transactional_store : public record_store
 {
@@ -193,10 +206,13 @@
                       handler<commit_outcome> aHandler) = 0;
 
   // Like `List`, and also returns the revision as of which the first key was
-  // read.
-  virtual void ListForWatch(std::string aPrefix,
-                            std::chrono::milliseconds aTimeout,
-                            handler<listing> aHandler) = 0;
+  // read. `aTimeout` bounds the time until the response begins and each pause
+  // in it: the whole takes as long as its size and the link demand. The result
+  // may be null if the listing can not be given up.
+  virtual std::shared_ptr<pending_listing> ListForWatch(
+    std::string aPrefix,
+    std::chrono::milliseconds aTimeout,
+    handler<listing> aHandler) = 0;
 };
 
 // The most expectations, writes and deletes of one transaction in total.
