A mirror lists its records after a failure and when it falls behind

Callers saw a node answer by a configuration 16 s behind the confirmed one after its zone had been cut off (CONFIG). After a failure the mirror repeated its watch, which returns all that was written since: ten versions of 365 KB in base64 on a link of 10 Mbit/s. Each try failed and the next one asked for more, until the store's history ended.

Now a mirror lists after each failure: that costs what the newest records cost. Of an answer to a watch only the newest change of each key is reported, and if replaced versions were most of it, the copy is listed as well. A listing that is arriving is not repeated when the store answers another call; one without a response is cancelled. Delays and timeouts of failing listings double up to a maximum.

--- a/mangospan/node/mirror.cc
+++ b/mangospan/node/mirror.cc
@@ -1,6 +1,8 @@
 #include "mangospan/node/mirror.h"
 
+#include <algorithm>
 #include <set>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -30,6 +32,8 @@
   , mPrefix(std::move(aPrefix))
   , mSettings(aSettings)
   , mHandlers(std::move(aHandlers))
+  , mNextListTimeout(aSettings.mListTimeout)
+  , mNextRetryDelay(aSettings.mRetryDelay)
 {
 }
 
@@ -44,74 +48,83 @@
 {
   mIsStopped = true;
   mTimer.cancel();
+  if (mListing) {
+    mListing->Cancel();
+    mListing.reset();
+  }
 }
 
 void
 mirror::OnStoreAnswersAgain()
 {
-  if (mIsFailing && !mIsStopped) {
+  const bool isArriving = mListing && mListing->HasBegun();
+  if (mIsFailing && !mIsStopped && !isArriving) {
     mTimer.cancel();
-    Resume(mMustList);
-  }
-}
-
-void
-mirror::Resume(bool aMustList)
-{
-  if (aMustList || !mIsSynced) {
     List();
-  } else {
-    Watch();
   }
 }
 
 void
 mirror::List()
 {
+  if (mListing) {
+    mListing->Cancel(); // its response would use the link for nothing
+  }
   const time_point sentAt = mClock.Now();
   const std::uint64_t attempt = ++mAttempt;
-  mMustList = true;
-  mStore.ListForWatch(mPrefix,
-                      mSettings.mListTimeout,
-                      [self = shared_from_this(), sentAt, attempt](
-                        result<platform::listing> aResult) {
-                        if (self->mIsStopped || attempt != self->mAttempt) {
-                          return;
-                        }
-                        if (aResult.has_error()) {
-                          self->Retry(true, aResult.assume_error(), sentAt);
-                          return;
-                        }
-                        self->mConfirmedAt = sentAt;
-                        self->LogListing(aResult.assume_value(), sentAt);
-                        self->OnListing(aResult.assume_value());
-                        self->Watch();
-                      });
+  mListing = mStore.ListForWatch(
+    mPrefix,
+    mNextListTimeout,
+    [self = shared_from_this(), sentAt, attempt](
+      const result<platform::listing>& aResult) {
+      if (self->mIsStopped || attempt != self->mAttempt) {
+        return;
+      }
+      self->mListing.reset();
+      if (aResult.has_error()) {
+        self->mNextListTimeout =
+          std::min(2 * self->mNextListTimeout, self->mSettings.mMaxListTimeout);
+        self->Retry(aResult.assume_error(), sentAt);
+      } else {
+        self->OnListing(aResult.assume_value(), sentAt);
+      }
+    });
 }
 
 void
-mirror::OnListing(const platform::listing& aListing)
+mirror::OnListing(const platform::listing& aListing, time_point aSentAt)
 {
+  mConfirmedAt = aSentAt;
   mRevision = aListing.mRevision;
-  std::set<std::string> present;
+  mNextListTimeout = mSettings.mListTimeout;
+  mNextRetryDelay = mSettings.mRetryDelay;
+  LogListing(aListing, aSentAt);
+  LogRegained();
+  std::set<std::string_view> present;
   for (const platform::record& each : aListing.mRecords) {
     present.insert(each.mKey);
     OnChange({ each, false });
+    if (mIsStopped) {
+      return;
+    }
   }
   std::vector<std::string> missing;
-  for (const auto& [key, revision] : mKnownRevisions) {
+  for (const auto& [key, each] : mKnown) {
     if (present.count(key) == 0) {
       missing.push_back(key);
     }
   }
   for (const std::string& each : missing) {
-    mKnownRevisions.erase(each);
+    mKnown.erase(each);
     mHandlers.mOnDeleted(each, mRevision);
   }
   mIsSynced = true;
   if (mHandlers.mOnSynced) {
     mHandlers.mOnSynced();
   }
+  if (!mIsStopped) {
+    Watch();
+  }
 }
 
 void
@@ -119,54 +132,81 @@
 {
   const platform::record& changed = aChange.mRecord;
   if (aChange.mDeleted) {
-    if (mKnownRevisions.erase(changed.mKey) > 0) {
+    if (mKnown.erase(changed.mKey) > 0) {
       mHandlers.mOnDeleted(changed.mKey, changed.mRevision);
     }
     return;
   }
-  platform::revision& known = mKnownRevisions[changed.mKey];
-  if (changed.mRevision > known) {
-    known = changed.mRevision;
+  known_record& known = mKnown[changed.mKey];
+  if (changed.mRevision > known.mRevision) {
+    known = { changed.mRevision, changed.mValue.size() };
     mHandlers.mOnRecord(changed);
   }
 }
 
-// After a failure the first watch does not wait for a change, so that its
-// answer shows at once that the copy is current.
 void
 mirror::Watch()
 {
   const time_point sentAt = mClock.Now();
   const std::uint64_t attempt = ++mAttempt;
-  mMustList = false;
   mStore.Watch(mPrefix,
                mRevision,
-               mIsFailing ? std::chrono::milliseconds(0) : mSettings.mWatchWait,
+               mSettings.mWatchWait,
                [self = shared_from_this(), sentAt, attempt](
-                 result<platform::change_batch> aResult) {
+                 const result<platform::change_batch>& aResult) {
                  if (self->mIsStopped || attempt != self->mAttempt) {
                    return;
                  }
-                 if (aResult.has_error()) {
-                   const bool isHistoryGone =
-                     aResult.assume_error().mCode == error_code::kNotFound;
-                   self->Retry(isHistoryGone, aResult.assume_error(), sentAt);
-                   return;
-                 }
-                 self->LogRegained();
-                 self->mConfirmedAt = sentAt;
-                 for (const platform::change& each :
-                      aResult.assume_value().mChanges) {
-                   self->OnChange(each);
-                   if (self->mIsStopped) {
-                     return;
-                   }
+                 if (aResult.has_value()) {
+                   self->mConfirmedAt = sentAt;
+                   self->OnWatched(aResult.assume_value());
+                 } else if (aResult.assume_error().mCode ==
+                            error_code::kNotFound) {
+                   self->List(); // the store has dropped that history
+                 } else {
+                   self->Retry(aResult.assume_error(), sentAt);
                  }
-                 self->mRevision = aResult.assume_value().mRevision;
-                 self->Watch();
                });
 }
 
+// Reports the newest change of each key only. If the others were most of the
+// answer, changes come faster than this copy reads them.
+void
+mirror::OnWatched(const platform::change_batch& aBatch)
+{
+  std::map<std::string_view, const platform::change*> newest;
+  for (const platform::change& each : aBatch.mChanges) {
+    newest[each.mRecord.mKey] = &each;
+  }
+  std::size_t replacedBytes = 0;
+  for (const platform::change& each : aBatch.mChanges) {
+    if (newest[each.mRecord.mKey] != &each) {
+      replacedBytes += each.mRecord.mValue.size();
+      continue;
+    }
+    OnChange(each);
+    if (mIsStopped) {
+      return;
+    }
+  }
+  mRevision = aBatch.mRevision;
+  if (replacedBytes > CopyBytes() / 2) {
+    List();
+  } else {
+    Watch();
+  }
+}
+
+std::size_t
+mirror::CopyBytes() const
+{
+  std::size_t out = 0;
+  for (const auto& [key, each] : mKnown) {
+    out += each.mBytes;
+  }
+  return out;
+}
+
 void
 mirror::OnFailure(const error& aError, time_point aSentAt)
 {
@@ -221,18 +261,17 @@
 }
 
 void
-mirror::Retry(bool aMustList, const error& aError, time_point aSentAt)
+mirror::Retry(const error& aError, time_point aSentAt)
 {
   OnFailure(aError, aSentAt);
-  mMustList = aMustList;
-  mTimer.expires_after(mSettings.mRetryDelay);
-  mTimer.async_wait([self = shared_from_this(),
-                     aMustList](const boost::system::error_code& aTimerError) {
-    if (aTimerError || self->mIsStopped) {
-      return;
-    }
-    self->Resume(aMustList);
-  });
+  mTimer.expires_after(mNextRetryDelay);
+  mNextRetryDelay = std::min(2 * mNextRetryDelay, mSettings.mMaxRetryDelay);
+  mTimer.async_wait(
+    [self = shared_from_this()](const boost::system::error_code& aTimerError) {
+      if (!aTimerError && !self->mIsStopped) {
+        self->List();
+      }
+    });
 }
 
 } // namespace mangospan::node
