--- a/mangospan/http/client.cc
+++ b/mangospan/http/client.cc
@@ -121,7 +121,7 @@
       PostError(std::move(connection).assume_error(), std::move(aHandler));
       return nullptr;
     }
-    const auto exchange = connection.assume_value();
+    auto exchange = connection.assume_value();
     mPools[aAddress].mBusy.push_back(exchange);
     exchange->Run(std::move(message).assume_value(),
                   aTimeouts,
