Say why a run was given up, and after what time

The log of a task that crashes its runners showed task.lost without a reason. It now tells a new boot of the runner, another runner at its address, a lease that is over and a runner that is known to have ended, and the time since the run was ordered.

--- a/mangospan/jobs/runner.cc
+++ b/mangospan/jobs/runner.cc
@@ -4,6 +4,22 @@
 
 namespace mangospan::jobs {
 
+const char*
+Name(loss_reason aReason)
+{
+  switch (aReason) {
+    case loss_reason::kNewBoot:
+      return "new_boot";
+    case loss_reason::kAddressTaken:
+      return "address_taken";
+    case loss_reason::kLeaseOver:
+      return "lease_over";
+    case loss_reason::kRunnerDead:
+      return "runner_dead";
+  }
+  return "";
+}
+
 namespace {
 
 using std::chrono::duration_cast;
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -26,6 +26,19 @@
   kListed,  // The runner listed the run as live in its answer to a poll.
 };
 
+// Why the runs on a runner are given up.
+enum class loss_reason
+{
+  kNewBoot,      // The runner has started again under its name.
+  kAddressTaken, // Another runner answers at its address.
+  kLeaseOver,    // It can not be reached, and its lease is over.
+  kRunnerDead,   // It is known to have ended.
+};
+
+// Returns the name of the reason in logs, such as "new_boot".
+const char*
+Name(loss_reason aReason);
+
 // A run that exists, or may exist, on a runner. It takes capacity until the
 // runner lists its end or it is certain that the run never began.
 struct run
@@ -40,6 +53,8 @@
   bool mBestEffort = false; // The run uses only the CPU time that others leave.
   // The target latency; used only if the run is latency-sensitive.
   std::chrono::milliseconds mTargetLatency{ 0 };
+  // When the start order was made; the epoch if an earlier owner made it.
+  time_point mOrderedAt{};
   runner_time mExpiry{ 0 };   // Expiry of the start order.
   time_point mPhaseSince{};   // When the run reached its phase.
   bool mStopWanted = false;   // The run is to be stopped.
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -160,7 +160,7 @@
   if (found == mRunners.end()) {
     return;
   }
-  ReleaseAllRuns(found->second, aNow);
+  ReleaseAllRuns(found->second, loss_reason::kRunnerDead, aNow);
   mRunners.erase(found);
   ++mRosterVersion;
 }
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -270,7 +270,7 @@
   task* FindTask(const task_id& aTask);
   // Returns the task of the run, if it needs another run.
   task* ReleaseRun(runner& aRunner, const run_key& aKey, time_point aNow);
-  void ReleaseAllRuns(runner& aRunner, time_point aNow);
+  void ReleaseAllRuns(runner& aRunner, loss_reason aReason, time_point aNow);
   bool MayStartTask(const task& aTask) const;
   void PlanStarts(time_point aNow,
                   wall_time aWall,
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -106,7 +106,7 @@
     runner& each = it->second;
     const bool isUnreachable = !each.mListed || each.mFailedPolls > 0;
     if (isUnreachable && aNow >= each.DeadAt()) {
-      ReleaseAllRuns(each, aNow);
+      ReleaseAllRuns(each, loss_reason::kLeaseOver, aNow);
       if (!each.mListed) {
         mRosterVersion += each.mIsInRoster ? 1 : 0;
         it = mRunners.erase(it);
@@ -118,15 +118,22 @@
 }
 
 void
-scheduler::ReleaseAllRuns(runner& aRunner, time_point aNow)
+scheduler::ReleaseAllRuns(runner& aRunner, loss_reason aReason, time_point aNow)
 {
   while (!aRunner.Runs().empty()) {
-    const run_key key = aRunner.Runs().begin()->first;
+    const auto& [firstKey, first] = *aRunner.Runs().begin();
+    const run_key key = firstKey;
+    const auto age =
+      std::chrono::duration_cast<milliseconds>(aNow - first.mOrderedAt);
     LogEvent(log_level::kInfo,
              "task.lost",
              { { "task", key.first },
                { "run", static_cast<std::uint64_t>(key.second) },
-               { "runner", aRunner.mInfo.mName.Str() } });
+               { "runner", aRunner.mInfo.mName.Str() },
+               { "reason", Name(aReason) },
+               { "age_ms",
+                 static_cast<std::int64_t>(
+                   first.mOrderedAt == time_point{} ? -1 : age.count()) } });
     if (task* const lost = ReleaseRun(aRunner, key, aNow)) {
       lost->mLostAt = aNow;
     }
@@ -356,6 +363,7 @@
   run newRun = MakeRun(spec);
   newRun.mTask = aCandidate.Id(aIndex);
   newRun.mNumber = aRun;
+  newRun.mOrderedAt = aNow;
   newRun.mPhaseSince = aNow;
   newRun.mProgressAt = aNow;
   newRun.mExpiry = aRunner.ClockAt(aNow) + mSettings.mStartValidity;
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -216,7 +216,7 @@
              { { "runner", aInfo.mName.Str() },
                { "unsettled", static_cast<std::uint64_t>(unsettled.size()) } });
   }
-  ReleaseAllRuns(aRunner, aNow);
+  ReleaseAllRuns(aRunner, loss_reason::kNewBoot, aNow);
   runner rebooted(std::move(aInfo));
   rebooted.mListed = aRunner.mListed;
   rebooted.mCordoned = aRunner.mCordoned;
@@ -240,7 +240,7 @@
 void
 scheduler::OnAddressTaken(runner& aRunner, time_point aNow)
 {
-  ReleaseAllRuns(aRunner, aNow);
+  ReleaseAllRuns(aRunner, loss_reason::kAddressTaken, aNow);
   aRunner.mMayHoldInheritedRuns = false;
   OnBootChanged(aRunner, aRunner.mInfo, aNow);
   aRunner.mNextPollAt = aNow + kRunnerRetryDelay;
