--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -21,6 +21,9 @@
 // after the last confirmation. A successor can be elected after the same time.
 constexpr milliseconds kMaxUnconfirmedTime{ 3'900 };
 constexpr std::size_t kMaxAttempts = 4;
+constexpr milliseconds kCrashDownTime{ 3'500 };
+// The time after which service discovery drops a runner that is gone.
+constexpr milliseconds kEntryLifetime{ 600 };
 
 } // namespace
 
@@ -79,12 +82,14 @@
 void
 fake_world::AddRunner(const std::string& aName,
                       const std::string& aService,
-                      resources aCapacity)
+                      resources aCapacity,
+                      const std::string& aRack)
 {
   runner_info info;
   info.mName = runner_name{ aName };
   info.mService = service_name{ aService };
   info.mAddress = aName + ":1";
+  info.mRack = rack_name{ aRack };
   info.mCapacity = aCapacity;
   info.mBoot = 1;
   const double rate =
@@ -165,6 +170,9 @@
 fake_world::ListRunners()
 {
   for (const auto& [name, each] : mRunners) {
+    if (mDown.count(name) > 0) {
+      continue; // its entry stays as it was
+    }
     if (mUnlisted.count(name) == 0) {
       mOwner->OnRunnerListed(each->Info(), mNow);
     } else {
@@ -200,6 +208,14 @@
       aOwner.OnStart(aOrder, order_outcome::kUnknown, mNow);
     });
   };
+  if (const auto outcome = OutcomeWithoutRunner(name)) {
+    Schedule(RandomDelay(), [this, aOrder, term, outcome] {
+      NotifyOwner(term, [&](scheduler& aOwner) {
+        aOwner.OnStart(aOrder, *outcome, mNow);
+      });
+    });
+    return;
+  }
   if (!mRunners.at(name)->mIsReachable) {
     Schedule(kOrderTimeout, unanswered);
     return;
@@ -211,6 +227,12 @@
            [this, aOrder, term, name, boot, isLate, isLost] {
              // A runner that starts again keeps its name, and takes what is
              // sent to that name.
+             if (OutcomeWithoutRunner(name)) {
+               NotifyOwner(term, [&](scheduler& aOwner) {
+                 aOwner.OnStart(aOrder, order_outcome::kUnknown, mNow);
+               });
+               return;
+             }
              fake_runner& target = *mRunners.at(name);
              const bool isTaken = !isLate || target.Info().mBoot == boot;
              const order_outcome outcome = isTaken
@@ -265,6 +287,14 @@
   const time_point sentAt = mNow;
   fake_runner& target = *mRunners.at(aOrder.mRunner.Str());
   mPolls[aOrder.mRunner.Str()].push_back(aOrder);
+  if (const auto outcome = OutcomeWithoutRunner(aOrder.mRunner.Str())) {
+    Schedule(RandomDelay(), [this, aOrder, term, sentAt, outcome] {
+      NotifyOwner(term, [&](scheduler& aOwner) {
+        aOwner.OnPoll(aOrder, *outcome, nullptr, sentAt, mNow, Wall());
+      });
+    });
+    return;
+  }
   if (!target.mIsReachable || Chance(mRates.mAnswerLost)) {
     if (target.mIsReachable) {
       Schedule(RandomDelay(), [this, aOrder, term, &target] {
@@ -282,6 +312,13 @@
   // The runner's report is taken at once and delivered after at most one tick,
   // so that the report of an end is at most one tick late.
   Schedule(RandomDelay(), [this, aOrder, term, sentAt, &target] {
+    if (OutcomeWithoutRunner(aOrder.mRunner.Str())) {
+      NotifyOwner(term, [&](scheduler& aOwner) {
+        aOwner.OnPoll(
+          aOrder, order_outcome::kUnknown, nullptr, sentAt, mNow, Wall());
+      });
+      return;
+    }
     const auto report = target.Poll(aOrder, term, mNow);
     Schedule(std::min<milliseconds>(aOrder.mWait, kTick) + RandomDelay(),
              [this, aOrder, term, sentAt, report] {
@@ -421,6 +458,48 @@
   mRunners.at(aRunner)->Crash(mNow);
 }
 
+void
+fake_world::CrashFor(const std::string& aRunner, milliseconds aFor)
+{
+  if (!mDown.insert(aRunner).second) {
+    return;
+  }
+  mRunners.at(aRunner)->Crash(mNow);
+  Schedule(aFor, [this, aRunner] { Return(aRunner); });
+}
+
+void
+fake_world::Return(const std::string& aRunner)
+{
+  mDown.erase(aRunner);
+  if (!mAreReturningRenamed) {
+    return;
+  }
+  const runner_info info = mRunners.at(aRunner)->Info();
+  mReplaced.insert(aRunner);
+  AddRunner(
+    aRunner + "'", info.mService.Str(), info.mCapacity, info.mRack.Str());
+  Schedule(kEntryLifetime, [this, aRunner] { Unlist(aRunner); });
+}
+
+std::optional<order_outcome>
+fake_world::OutcomeWithoutRunner(const std::string& aRunner) const
+{
+  if (mDown.count(aRunner) > 0) {
+    return order_outcome::kNotExecuted;
+  }
+  if (mReplaced.count(aRunner) > 0) {
+    return order_outcome::kOtherBoot;
+  }
+  return std::nullopt;
+}
+
+void
+fake_world::SetDeadly(const std::string& aTask, milliseconds aAfter)
+{
+  mDeadly[aTask] = aAfter;
+}
+
 void
 fake_world::Unlist(const std::string& aRunner)
 {
@@ -549,6 +628,14 @@
     AddViolation(aTask + " started before its job was accepted");
   }
   CheckDependencies(id);
+  const auto deadly = mDeadly.find(aTask);
+  if (deadly != mDeadly.end()) {
+    Schedule(deadly->second, [this, aRunner, aTask] {
+      if (mRunners.at(aRunner)->Runs().count(aTask) > 0) {
+        CrashFor(aRunner, kCrashDownTime);
+      }
+    });
+  }
   history.mRunningOn.insert(aRunner);
   resources used;
   for (const auto& [task, each] : mRunners.at(aRunner)->Runs()) {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -42,7 +42,8 @@
   // reachable.
   void AddRunner(const std::string& aName,
                  const std::string& aService,
-                 resources aCapacity);
+                 resources aCapacity,
+                 const std::string& aRack = "");
   // Submits the job to the owner. The job is accepted once the owner has stored
   // it. Does nothing while there is no owner.
   void Submit(const std::string& aName, const job_spec& aSpec);
@@ -60,6 +61,16 @@
   void SetReachable(const std::string& aRunner, bool aIsReachable);
   // Ends all runs of the runner, which starts again at once under its name.
   void Crash(const std::string& aRunner);
+  // Ends all runs of the runner, which refuses connections for `aFor` and then
+  // starts again: under its name, or under a new one at the same address.
+  void CrashFor(const std::string& aRunner, std::chrono::milliseconds aFor);
+  void SetRunnersReturnRenamed(bool aAreRenamed)
+  {
+    mAreReturningRenamed = aAreRenamed;
+  }
+  // Each runner on which the task begins crashes `aAfter` later and is down for
+  // some seconds.
+  void SetDeadly(const std::string& aTask, std::chrono::milliseconds aAfter);
   void Unlist(const std::string& aRunner);
   void Relist(const std::string& aRunner);
 
@@ -129,6 +140,10 @@
                       run_end aEnd,
                       bool aHasLeaseExpired);
   void CheckDependencies(const task_id& aTask);
+  void Return(const std::string& aRunner);
+  // Returns the outcome of an order for a runner that is not there any more.
+  std::optional<order_outcome> OutcomeWithoutRunner(
+    const std::string& aRunner) const;
   void AddViolation(const std::string& aDescription);
 
   std::mt19937_64 mRandom;
@@ -138,6 +153,11 @@
   std::priority_queue<event> mEvents;
   std::map<std::string, std::unique_ptr<fake_runner>> mRunners;
   std::set<std::string> mUnlisted;
+  std::set<std::string> mDown;     // runners that have crashed and are not back
+  std::set<std::string> mReplaced; // at whose address another one answers
+  bool mAreReturningRenamed = false;
+  // Tasks that crash their runners, with the time from the begin of a run.
+  std::map<std::string, std::chrono::milliseconds> mDeadly;
   std::unique_ptr<scheduler> mOwner;
   std::uint64_t mTerm = 0;
   time_point mConfirmedAt{};
