An odd entry among the runners names no runner, and the others hold

Another writer may leave an entry with a number that is too large, an address that can't be called, or deep nesting among those of the runners.

An entry that can't be read counts as deleted.

--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -96,6 +96,7 @@
       self->mDeps.mFormat.DecodeRunner(aRecord.mKey, aRecord.mValue);
     if (info.has_error()) {
       LogError("runner.malformed_record", info.assume_error());
+      self->OnRunnerRecordGone(aRecord.mKey);
       return;
     }
     const time_point now = self->mDeps.mClock.Now();
@@ -110,10 +111,7 @@
     [weak = weak_from_this()](const std::string& aKey,
                               platform::revision /*aRevision*/) {
       if (const auto self = weak.lock()) {
-        const auto prefix = self->mDeps.mFormat.RunnerPrefix().size();
-        self->mScheduler.OnRunnerUnlisted(
-          jobs::runner_name{ aKey.substr(prefix) }, self->mDeps.mClock.Now());
-        self->Wake();
+        self->OnRunnerRecordGone(aKey);
       }
     };
   mRunnerMirror =
@@ -126,6 +124,16 @@
   mRunnerMirror->Start();
 }
 
+// Handles a record that was deleted, or that names no runner any more.
+void
+owner::OnRunnerRecordGone(const std::string& aKey)
+{
+  const auto prefix = mDeps.mFormat.RunnerPrefix().size();
+  mScheduler.OnRunnerUnlisted(jobs::runner_name{ aKey.substr(prefix) },
+                              mDeps.mClock.Now());
+  Wake();
+}
+
 void
 owner::Tick()
 {
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -171,6 +171,7 @@
   void AddRosterWrite(platform::transaction& aChange,
                       written_records& aWritten);
   void StartRunnerMirror();
+  void OnRunnerRecordGone(const std::string& aKey);
   void Tick();
   void Wake(); // schedules a plan
   void Plan();
--- a/mangospan/node/owner_outage_test.cc
+++ b/mangospan/node/owner_outage_test.cc
@@ -208,5 +208,26 @@
   EXPECT_EQ(mCluster.Violations(), std::vector<std::string>());
 }
 
+// Another writer overwrites the entry of a runner. It names no runner to use
+// any more, and the others are used on.
+TEST_F(owner_outage_test, RunnerWhoseEntryCanNotBeReadGetsNoMoreTasks)
+{
+  mCluster.SpoilRunner(kPeak, "a");
+  mCluster.RunFor(milliseconds(1'000));
+  const std::size_t before = mCluster.RunsBegunOn(kPeak, "a");
+  RunWithCallers(mCluster.Now() + milliseconds(5'000));
+  mCluster.RunFor(milliseconds(2'000));
+  EXPECT_EQ(mCluster.RunsBegunOn(kPeak, "a"), before);
+  std::size_t others = 0;
+  for (const char* const each : { "b", "c", "d" }) {
+    others += mCluster.RunsBegunOn(kPeak, each);
+  }
+  EXPECT_GT(others, 0U);
+  for (const auto& each : mCluster.Callers()) {
+    EXPECT_TRUE(each->mIsAccepted);
+  }
+  EXPECT_EQ(mCluster.Violations(), std::vector<std::string>());
+}
+
 } // namespace
 } // namespace mangospan::node
--- a/mangospan/node/testing/virtual_cluster.cc
+++ b/mangospan/node/testing/virtual_cluster.cc
@@ -496,9 +496,27 @@
   mStore.Put(mFormat.RunnerPrefix() + name, "{}");
 }
 
+void
+virtual_cluster::SpoilRunner(const std::string& aService,
+                             const std::string& aZone)
+{
+  const std::string name = aService + "-" + aZone;
+  mFormat.mInfos.erase(jobs::runner_name{ name });
+  mStore.Put(mFormat.RunnerPrefix() + name, "[[[");
+}
+
+std::size_t
+virtual_cluster::RunsBegunOn(const std::string& aService,
+                             const std::string& aZone) const
+{
+  const auto found = mBegun.find(aService + "-" + aZone);
+  return found == mBegun.end() ? 0 : found->second;
+}
+
 void
 virtual_cluster::OnBegin(const std::string& aRunner, const std::string& aTask)
 {
+  ++mBegun[aRunner];
   task_history& history = mTasks[aTask];
   if (!history.mRunningOn.empty()) {
     mViolations.push_back("runs twice at the same time: " + aTask);
--- a/mangospan/node/testing/virtual_cluster.h
+++ b/mangospan/node/testing/virtual_cluster.h
@@ -75,6 +75,13 @@
   void Restart(const std::string& aNode);
   void Kill(const std::string& aNode);
 
+  // Overwrites the entry of the service's runner in the zone with one that can
+  // not be read.
+  void SpoilRunner(const std::string& aService, const std::string& aZone);
+  // Returns how many tasks have begun on that runner.
+  std::size_t RunsBegunOn(const std::string& aService,
+                          const std::string& aZone) const;
+
   // A caller of the zone submits a job of one task now, and again when told to.
   void Submit(const std::string& aService, const std::string& aZone);
 
@@ -154,6 +161,7 @@
   // Processes that have ended; they reach nothing any more.
   std::vector<std::unique_ptr<virtual_node>> mEndedNodes;
   std::map<std::string, task_history> mTasks;
+  std::map<std::string, std::size_t> mBegun; // runs by runner
   std::vector<std::shared_ptr<caller_record>> mCallers;
   std::map<std::string, std::shared_ptr<caller_record>> mCallersByJob;
   std::vector<std::string> mViolations;
