Suspected tasks wait less, and a task that crashes at its start is given up sooner

A task is given up after the second crash if it was alone and had just started; after three as before if it had been at work. A third of the pool may be kept for suspected tasks, and a run that has outlived its probation no longer keeps its runner, whatever became of the suspicion. The start of a suspected task is logged.

--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -300,7 +300,7 @@
   void FailJobsOfDeadlyTasks(wall_time aWall);
   void RememberLostRunner(const runner& aRunner, time_point aNow);
   void OnRunnerAtAddress(const std::string& aAddress, time_point aNow);
-  void ClearSuspicion(job& aJob, task& aTask, run* aRun);
+  void ClearSuspicion(job& aJob, task& aTask);
   void CheckProbation(job& aJob, task& aTask, run& aRun, time_point aNow);
   void PlaceSuspects(const std::vector<candidate>& aCandidates,
                      const service_name& aService,
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -36,9 +36,12 @@
 // last run was no longer than `kMaxProbation`.
 constexpr std::uint32_t kMinSuspicion = 2;
 constexpr std::uint32_t kCrashesToSuspect = 3;
-// A task that was alone under the last one of this many crashes is given up.
-constexpr std::uint32_t kCrashesToGiveUp = 3;
-// The same if it is not certain that its run had begun.
+// A task that was alone under the last one of this many crashes is given up, if
+// its run had just started; a crash by another cause rarely meets that moment.
+constexpr std::uint32_t kCrashesToGiveUp = 2;
+// The same if its run had been at work for longer, and if it is not certain
+// that it had begun.
+constexpr std::uint32_t kLateCrashesToGiveUp = 3;
 constexpr std::uint32_t kUncertainCrashesToGiveUp = 4;
 // A member of a gang is given up after this many crashes, since a gang can not
 // wait for runners that its members have for themselves.
@@ -47,7 +50,7 @@
 constexpr milliseconds kMinProbation{ 1'000 };
 constexpr milliseconds kMaxProbation{ 3'000 };
 // One of this many runners of a pool may be kept for suspected tasks.
-constexpr std::size_t kRunnersPerSuspect = 4;
+constexpr std::size_t kRunnersPerSuspect = 3;
 // A runner at an address where one has crashed is not reserved for this long,
 // if there is another: a host that fails again would have its task blamed.
 constexpr milliseconds kCrashMemory{ 20'000 };
@@ -197,9 +200,10 @@
     (foundTask->mIsSuspect || foundTask->mSuspicion >= kMinSuspicion ||
      (foundTask->mCrashes >= kCrashesToSuspect &&
       aCrashedAt - aRun.mOrderedAt <= kMaxProbation));
-  const std::uint32_t enoughAlone = aRun.mPhase == run_phase::kUnknown
-                                      ? kUncertainCrashesToGiveUp
-                                      : kCrashesToGiveUp;
+  const std::uint32_t enoughAlone =
+    aRun.mPhase == run_phase::kUnknown ? kUncertainCrashesToGiveUp
+    : IsRecentStart(aRun, aCrashedAt)  ? kCrashesToGiveUp
+                                       : kLateCrashesToGiveUp;
   const bool isTheCause = isGang ? foundTask->mCrashes >= kCrashesOfGangMember
                                  : foundTask->mCrashes >= enoughAlone &&
                                      aRun.mIsIsolated && aWasAlone;
@@ -258,13 +262,10 @@
 }
 
 void
-scheduler::ClearSuspicion(job& aJob, task& aTask, run* aRun)
+scheduler::ClearSuspicion(job& aJob, task& aTask)
 {
   aTask.mIsSuspect = false;
   aTask.mSuspicion = 0;
-  if (aRun != nullptr) {
-    aRun->mIsIsolated = false;
-  }
   MarkChanged(aJob);
   LogEvent(log_level::kInfo,
            "task.cleared",
@@ -277,8 +278,12 @@
 {
   const time_point since =
     aRun.mOrderedAt == time_point{} ? aRun.mPhaseSince : aRun.mOrderedAt;
-  if (aTask.mIsSuspect && aNow - since >= Probation(aTask)) {
-    ClearSuspicion(aJob, aTask, &aRun);
+  if (!aRun.mIsIsolated || aNow - since < Probation(aTask)) {
+    return;
+  }
+  aRun.mIsIsolated = false;
+  if (aTask.mIsSuspect) {
+    ClearSuspicion(aJob, aTask);
   }
 }
 
@@ -321,6 +326,13 @@
       }
       aOrders.emplace_back(
         MakeStartOrder(each, i, *target, NextRun(tasks[i]), aNow));
+      LogEvent(log_level::kInfo,
+               "task.isolated",
+               { { "task", each.Id(i).Text() },
+                 { "runner", target->mInfo.mName.Str() },
+                 { "crashes", static_cast<std::uint64_t>(tasks[i].mCrashes) },
+                 { "runs_beside",
+                   static_cast<std::uint64_t>(target->Runs().size() - 1) } });
       target->Find({ each.Id(i).Text(), tasks[i].mLastRun })->mIsIsolated =
         true;
     }
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -85,7 +85,7 @@
     endedTask.mCheckpoint = aEnd.mCheckpoint;
   }
   if (aEnd.mEnd == run_end::kFailed && endedTask.mIsSuspect) {
-    ClearSuspicion(aJob, endedTask, nullptr); // its runner has survived it
+    ClearSuspicion(aJob, endedTask); // its runner has survived it
   }
   if (spec.mLongRunning) {
     return; // a long-running task is restarted however its run ends
