--- a/mangospan/jobs/crashes_test.cc
+++ b/mangospan/jobs/crashes_test.cc
@@ -92,7 +92,7 @@
 
 TEST_P(crashes_test, DeadlyTaskIsGivenUpAndTheOthersAreNot)
 {
-  mWorld.SetDeadly(kDeadlyTask, kShortFuse);
+  mWorld.SetCrashesRunners(kDeadlyTask, kShortFuse);
   RunWithOtherJobs(seconds(2));
   mWorld.Submit(kDeadlyJob, Job(6, milliseconds(500)));
   RunWithOtherJobs(seconds(30));
@@ -104,7 +104,7 @@
 // Such a task runs among others for a while before it crashes its runner.
 TEST_P(crashes_test, TaskThatIsDeadlyLateIsGivenUpAndTheOthersAreNot)
 {
-  mWorld.SetDeadly(kDeadlyTask, milliseconds(2'500));
+  mWorld.SetCrashesRunners(kDeadlyTask, milliseconds(2'500));
   RunWithOtherJobs(seconds(2));
   mWorld.Submit(kDeadlyJob, Job(1, milliseconds(8'000)));
   RunWithOtherJobs(seconds(50));
@@ -118,7 +118,7 @@
   constexpr int kDeadlyJobs = 10;
   for (int i = 0; i < kDeadlyJobs; ++i) {
     const std::string name = kDeadlyJob + std::to_string(i);
-    mWorld.SetDeadly(name + ".0.0.0", kShortFuse);
+    mWorld.SetCrashesRunners(name + ".0.0.0", kShortFuse);
     mWorld.Submit(name, Job(6, milliseconds(500)));
     RunWithOtherJobs(seconds(2));
   }
@@ -134,7 +134,7 @@
 {
   job_spec spec = Job(3, milliseconds(0));
   spec.mSteps[0].mLongRunning = true;
-  mWorld.SetDeadly(kDeadlyTask, kShortFuse);
+  mWorld.SetCrashesRunners(kDeadlyTask, kShortFuse);
   mWorld.Submit(kDeadlyJob, spec);
   RunWithOtherJobs(seconds(30));
   mWorld.RunFor(seconds(10));
@@ -148,7 +148,7 @@
   job_spec spec = Job(3, milliseconds(500));
   spec.mSteps[0].mGang = true;
   for (int i = 0; i < 3; ++i) {
-    mWorld.SetDeadly("dead.0.0." + std::to_string(i), kShortFuse);
+    mWorld.SetCrashesRunners("dead.0.0." + std::to_string(i), kShortFuse);
   }
   mWorld.Submit(kDeadlyJob, spec);
   RunWithOtherJobs(seconds(30));
@@ -160,7 +160,7 @@
 // The count of crashes is part of the job, so that successors go on with it.
 TEST_P(crashes_test, DeadlyTaskIsGivenUpAcrossChangesOfTheOwner)
 {
-  mWorld.SetDeadly(kDeadlyTask, kShortFuse);
+  mWorld.SetCrashesRunners(kDeadlyTask, kShortFuse);
   mWorld.Submit(kDeadlyJob, Job(1, milliseconds(500)));
   RunWithOtherJobs(seconds(5));
   mWorld.KillOwner(milliseconds(100));
@@ -192,7 +192,7 @@
 // A deadly task is looked for while the rack falls.
 TEST_P(crashes_test, RackThatFallsBesideADeadlyTaskFailsNoOtherJob)
 {
-  mWorld.SetDeadly(kDeadlyTask, kShortFuse);
+  mWorld.SetCrashesRunners(kDeadlyTask, kShortFuse);
   mWorld.Submit(kDeadlyJob, Job(6, milliseconds(500)));
   RunWithOtherJobs(seconds(6));
   for (const std::string& each : mWorld.RunnerNames()) {
--- a/mangospan/jobs/scheduler_candidate.h
+++ b/mangospan/jobs/internal/scheduler_candidate.h
@@ -1,7 +1,7 @@
 // A step that a plan of the scheduler may start tasks of. Used by the sources
 // of the scheduler only.
-#ifndef MANGOSPAN_JOBS_SCHEDULER_CANDIDATE_H
-#define MANGOSPAN_JOBS_SCHEDULER_CANDIDATE_H
+#ifndef MANGOSPAN_JOBS_INTERNAL_SCHEDULER_CANDIDATE_H
+#define MANGOSPAN_JOBS_INTERNAL_SCHEDULER_CANDIDATE_H
 
 #include <cstddef>
 #include <vector>
@@ -32,4 +32,4 @@
 
 } // namespace mangospan::jobs
 
-#endif // MANGOSPAN_JOBS_SCHEDULER_CANDIDATE_H
+#endif // MANGOSPAN_JOBS_INTERNAL_SCHEDULER_CANDIDATE_H
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -297,7 +297,7 @@
                   bool aWasAlone,
                   std::uint32_t aSuspicion,
                   time_point aCrashedAt);
-  void FailJobsOfDeadlyTasks(wall_time aWall);
+  void FailJobsOfCrashingTasks(wall_time aWall);
   void RememberLostRunner(const runner& aRunner, time_point aNow);
   void OnRunnerAtAddress(const std::string& aAddress, time_point aNow);
   void ClearSuspicion(job& aJob, task& aTask);
@@ -379,7 +379,7 @@
   // were then, by address.
   std::map<std::string, runner> mLostRunners;
   std::map<std::string, time_point> mCrashedAt; // latest crash by address
-  std::vector<task_id> mDeadlyTasks; // whose jobs the next plan gives up
+  std::vector<task_id> mCrashingTasks; // whose jobs the next plan gives up
   time_point mNoEvictionBefore{};
   std::map<service_name, arrival_forecast> mArrivalForecasts;
   // Jobs that were turned away lately, and the same with the times, in order.
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -11,9 +11,9 @@
 #include <utility>
 
 #include "mangospan/base/log.h"
+#include "mangospan/jobs/internal/scheduler_candidate.h"
 #include "mangospan/jobs/placement.h"
 #include "mangospan/jobs/scheduler.h"
-#include "mangospan/jobs/scheduler_candidate.h"
 
 namespace mangospan::jobs {
 
@@ -208,18 +208,18 @@
                                  : foundTask->mCrashes >= enoughAlone &&
                                      aRun.mIsIsolated && aWasAlone;
   if (isTheCause) {
-    mDeadlyTasks.push_back(aRun.mTask);
+    mCrashingTasks.push_back(aRun.mTask);
   }
   MarkChanged(*foundJob);
   foundJob->mCrashVersion = foundJob->mVersion;
 }
 
 void
-scheduler::FailJobsOfDeadlyTasks(wall_time aWall)
+scheduler::FailJobsOfCrashingTasks(wall_time aWall)
 {
-  const auto deadly = std::move(mDeadlyTasks);
-  mDeadlyTasks.clear();
-  for (const task_id& each : deadly) {
+  const auto crashing = std::move(mCrashingTasks);
+  mCrashingTasks.clear();
+  for (const task_id& each : crashing) {
     job* const foundJob = FindMutable(each.mJob);
     if (foundJob == nullptr || IsFinal(foundJob->mState)) {
       continue;
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -3,10 +3,10 @@
 #include <utility>
 
 #include "mangospan/base/log.h"
+#include "mangospan/jobs/internal/scheduler_candidate.h"
 #include "mangospan/jobs/placement.h"
 #include "mangospan/jobs/ranking.h"
 #include "mangospan/jobs/scheduler.h"
-#include "mangospan/jobs/scheduler_candidate.h"
 #include "mangospan/jobs/throttling.h"
 
 namespace mangospan::jobs {
@@ -47,7 +47,7 @@
 {
   std::vector<order> orders;
   ReleaseRunsOfDeadRunners(aNow);
-  FailJobsOfDeadlyTasks(aWall);
+  FailJobsOfCrashingTasks(aWall);
   PlanStops(aNow, orders);
   if (mMayStart) {
     PlanStarts(aNow, aWall, orders);
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -495,9 +495,9 @@
 }
 
 void
-fake_world::SetDeadly(const std::string& aTask, milliseconds aAfter)
+fake_world::SetCrashesRunners(const std::string& aTask, milliseconds aAfter)
 {
-  mDeadly[aTask] = aAfter;
+  mCrashingTasks[aTask] = aAfter;
 }
 
 void
@@ -628,9 +628,9 @@
     AddViolation(aTask + " started before its job was accepted");
   }
   CheckDependencies(id);
-  const auto deadly = mDeadly.find(aTask);
-  if (deadly != mDeadly.end()) {
-    Schedule(deadly->second, [this, aRunner, aTask] {
+  const auto crashing = mCrashingTasks.find(aTask);
+  if (crashing != mCrashingTasks.end()) {
+    Schedule(crashing->second, [this, aRunner, aTask] {
       if (mRunners.at(aRunner)->Runs().count(aTask) > 0) {
         CrashFor(aRunner, kCrashDownTime);
       }
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -70,7 +70,8 @@
   }
   // Each runner on which the task begins crashes `aAfter` later and is down for
   // some seconds.
-  void SetDeadly(const std::string& aTask, std::chrono::milliseconds aAfter);
+  void SetCrashesRunners(const std::string& aTask,
+                         std::chrono::milliseconds aAfter);
   void Unlist(const std::string& aRunner);
   void Relist(const std::string& aRunner);
 
@@ -157,7 +158,7 @@
   std::set<std::string> mReplaced; // at whose address another one answers
   bool mAreReturningRenamed = false;
   // Tasks that crash their runners, with the time from the begin of a run.
-  std::map<std::string, std::chrono::milliseconds> mDeadly;
+  std::map<std::string, std::chrono::milliseconds> mCrashingTasks;
   std::unique_ptr<scheduler> mOwner;
   std::uint64_t mTerm = 0;
   time_point mConfirmedAt{};
