Orders without an answer are repeated at once, and their runners get fewer

Callers saw: while runners leave orders unanswered, most wide jobs are late.

Cause: a start without an answer was certain only 1.2 s after the order, and then by the next poll; the task then often went to the same runner. A poll without an answer was noticed after up to 2 s, told the end of a run that much later, and made the runner unresponsive at once: no new runs, a new roster, no moves of hosts. Ruled out: the load (the pools had room), the loss of leases (none more than before).

Change: a start is sent again after the usual answer time (mean and deviation, as a TCP retransmission timeout), up to ten times within its expiry; runners start a run at most once. Until all of its orders are answered, a run whose runner has started again counts as uncertain, as one without any answer did. A runner that leaves orders unanswered gets tasks after the others, two at a time, until it has answered several. Its polls wait briefly and are repeated at once; it is taken to be unresponsive after eight lost answers in a row, or a refused connection. One lost answer does not end the extension of its lease any more.

--- a/mangospan/jobs/orders.h
+++ b/mangospan/jobs/orders.h
@@ -112,7 +112,8 @@
 Name(order_outcome aOutcome);
 
 // Starts a run. The runner refuses the order if it arrives after `mExpiry` on
-// the runner's clock.
+// the runner's clock. If the run has begun already, the order changes nothing
+// and is answered as done.
 struct start_order
 {
   runner_name mRunner;
@@ -121,6 +122,7 @@
   std::string mPayload;
   std::string mCheckpoint; // The progress to continue from; empty if none.
   runner_time mExpiry{ 0 };
+  int mAttempt = 1; // How often the order has been sent, with this time.
 };
 
 // Stops a run, and prevents its start if that has not happened yet.
@@ -154,6 +156,8 @@
   std::optional<runner_time> mLeaseUntil;
   // The longest time for which the runner may delay its answer.
   std::chrono::milliseconds mWait{ 0 };
+  // The answer counts as lost if it has not arrived this long after `mWait`.
+  std::chrono::milliseconds mAnswerTimeout{ 500 };
 };
 
 // Any order to a runner.
--- a/mangospan/jobs/placement.cc
+++ b/mangospan/jobs/placement.cc
@@ -10,13 +10,15 @@
 // The maximum number of unanswered start calls to one runner. Further calls
 // would queue up there while another runner could start the task at once.
 constexpr int kMaxStartsInFlight = 6;
+// The same for a runner that has left start orders unanswered lately.
+constexpr int kMaxStartsInFlightIfUnreliable = 2;
 
 // The preferred maximum of long-running tasks of one step on a runner, so that
 // the loss of one host affects few of them.
 constexpr std::size_t kPreferredMaxLongRunning = 2;
 
 // The elements are compared in order; the lowest score is the best.
-using score = std::tuple<bool, bool, bool, bool, bool, std::int64_t>;
+using score = std::tuple<bool, bool, bool, bool, bool, bool, std::int64_t>;
 
 bool
 HasLongRunning(const runner& aRunner)
@@ -41,7 +43,7 @@
 }
 
 score
-Score(const placement_request& aRequest, const runner& aRunner)
+Score(const placement_request& aRequest, const runner& aRunner, time_point aNow)
 {
   const step_spec& spec = aRequest.mStep;
   const bool isFarFromData =
@@ -58,6 +60,7 @@
   return { aRunner.mInfo.mName == aRequest.mAvoidRunner,
            isFarFromData,
            isFarFromSiblings,
+           aRunner.mAnswerRecord.IsUnreliable(aNow),
            isConcentrated,
            spec.mLongRunning && !HasLongRunning(aRunner),
            aRunner.FreeCapacity().mCpu };
@@ -88,10 +91,13 @@
 bool
 CanAcceptRuns(const runner& aRunner, time_point aNow)
 {
+  const int maxStartsInFlight = aRunner.mAnswerRecord.IsUnreliable(aNow)
+                                  ? kMaxStartsInFlightIfUnreliable
+                                  : kMaxStartsInFlight;
   return aRunner.mListed && aRunner.mContacted && aRunner.mIsInRoster &&
          !aRunner.mInfo.mDraining && !aRunner.mCordoned &&
-         aRunner.mFailedPolls == 0 && aNow >= aRunner.mQuarantinedUntil &&
-         aRunner.mStartsInFlight < kMaxStartsInFlight;
+         aRunner.IsAnswering() && aNow >= aRunner.mQuarantinedUntil &&
+         aRunner.mStartsInFlight < maxStartsInFlight;
 }
 
 pool_free_capacity::pool_free_capacity(const std::vector<runner*>& aPool,
@@ -141,7 +147,7 @@
     if (!CanAcceptRuns(*each, aNow) || !Fits(aRequest, *each)) {
       continue;
     }
-    const score candidate = Score(aRequest, *each);
+    const score candidate = Score(aRequest, *each, aNow);
     if (best == nullptr || candidate < bestScore) {
       best = each;
       bestScore = candidate;
--- a/mangospan/jobs/runner.cc
+++ b/mangospan/jobs/runner.cc
@@ -28,11 +28,20 @@
 // The lowest rate of a runner's clock, relative to the owner's clock, that the
 // computed end of a lease allows for.
 constexpr double kMinClockRate = 0.98;
+// One answer may be lost while the runner is well.
+constexpr int kToleratedFailedPolls = 1;
 // Covers rounding to whole milliseconds and late timers.
 constexpr milliseconds kLeaseSlack{ 100 };
 
 } // namespace
 
+bool
+IsStarting(const run& aRun)
+{
+  return aRun.mPhase == run_phase::kOrdered ||
+         aRun.mPhase == run_phase::kUnknown;
+}
+
 run
 MakeRun(const step_spec& aStep)
 {
@@ -95,6 +104,12 @@
     }));
 }
 
+bool
+runner::IsAnswering() const
+{
+  return mFailedPolls <= kToleratedFailedPolls;
+}
+
 bool
 runner::HasLabel(const std::string& aLabel) const
 {
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "mangospan/base/time.h"
+#include "mangospan/jobs/answer_times.h"
 #include "mangospan/jobs/orders.h"
 
 namespace mangospan::jobs {
@@ -21,7 +22,7 @@
 enum class run_phase
 {
   kOrdered, // The start order was sent and is not yet answered.
-  kUnknown, // The start order got no answer, so the run may exist or not.
+  kUnknown, // Some start order got no answer, so the run may exist or not.
   kStarted, // The runner answered that it started the run.
   kListed,  // The runner listed the run as live in its answer to a poll.
 };
@@ -55,7 +56,13 @@
   std::chrono::milliseconds mTargetLatency{ 0 };
   // When the start order was made; the epoch if an earlier owner made it.
   time_point mOrderedAt{};
-  runner_time mExpiry{ 0 }; // Expiry of the start order.
+  runner_time mExpiry{ 0 };  // Expiry of the start order.
+  std::string mCheckpoint;   // As in the start order.
+  int mStartAttempts = 0;    // How often the start order was sent.
+  time_point mStartSentAt{}; // When it was sent last.
+  // The start orders that were not answered. Any of them may still be executed
+  // until `mExpiry`.
+  int mUnansweredStarts = 0;
   time_point mPhaseSince{}; // When the run reached its phase.
   // The task is suspected to crash its runners: nothing else starts there.
   bool mIsIsolated = false;
@@ -75,6 +82,10 @@
   bool mThrottleInFlight = false; // A throttle order is not yet answered.
 };
 
+// Returns whether the start of the run is neither confirmed nor refused.
+bool
+IsStarting(const run& aRun);
+
 // Returns a run of the step for which no order was sent yet. Its task and
 // number are not set.
 run
@@ -122,6 +133,9 @@
   std::size_t CountRuns(const job_name& aJob,
                         std::size_t aOccurrence,
                         std::size_t aStep) const;
+  // Returns whether the runner answers polls, up to a lost answer. Otherwise it
+  // gets no new runs, and its lease is not extended.
+  bool IsAnswering() const;
   // Returns whether the runner carries the label.
   bool HasLabel(const std::string& aLabel) const;
 
@@ -147,13 +161,16 @@
   time_point mNextPollAt{};   // The earliest time of the next poll.
   int mFailedPolls = 0;       // The number of consecutive failed polls.
   time_point mSilentSince{};  // When they began; the epoch if there are none.
-  bool mIsReserved = false;   // For a task that has to run alone.
+  // Polls have failed so often that the runner is taken to be unreachable.
+  bool mIsUnresponsive = false;
+  bool mIsReserved = false; // For a task that has to run alone.
   // The runner gets no new runs before this time, because tasks of several jobs
   // failed there or it refused a start.
   time_point mQuarantinedUntil{};
   // The runner gets no new runs, because its host is needed elsewhere.
   bool mCordoned = false;
-  int mStartsInFlight = 0; // Start orders that are not yet answered.
+  int mStartsInFlight = 0;     // Runs whose start is not yet answered.
+  answer_record mAnswerRecord; // of start orders and polls
   // CPU limit of every best-effort run on the runner, in percent; see
   // throttling.h.
   int mBestEffortCpuLimitPercent = 100;
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -384,7 +384,7 @@
     // Also for runners that service discovery does not list: the lease of a
     // runner that answers is extended, so its runs go on.
     const bool isExtended =
-      mMayStart && each.mContacted && each.mFailedPolls == 0;
+      mMayStart && each.mContacted && !each.mIsUnresponsive;
     if (!isExtended) {
       entry.mDeadBy = aWall + std::chrono::duration_cast<wall_time::duration>(
                                 std::max(each.DeadAt(), aNow) - aNow);
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "mangospan/base/time.h"
+#include "mangospan/jobs/answer_times.h"
 #include "mangospan/jobs/arrival_forecast.h"
 #include "mangospan/jobs/job.h"
 #include "mangospan/jobs/orders.h"
@@ -274,6 +275,10 @@
   task* ReleaseRun(runner& aRunner, const run_key& aKey, time_point aNow);
   void ReleaseAllRuns(runner& aRunner, loss_reason aReason, time_point aNow);
   bool MayStartTask(const task& aTask) const;
+  void PlanResends(time_point aNow, std::vector<order>& aOrders);
+  bool MayResendStart(const runner& aRunner,
+                      const run& aRun,
+                      time_point aNow) const;
   void PlanStarts(time_point aNow,
                   wall_time aWall,
                   std::vector<order>& aOrders);
@@ -291,7 +296,7 @@
                  const std::vector<runner*>& aPool,
                  time_point aNow,
                  std::vector<order>& aOrders);
-  void OnRunnerSilent(runner& aRunner, time_point aNow);
+  void OnRunnerSilent(const runner& aRunner);
   void OnRunnerCrashed(const runner& aRunner, time_point aNow);
   void CountCrash(const run& aRun,
                   bool aWasAlone,
@@ -317,6 +322,8 @@
                              runner& aRunner,
                              std::uint32_t aRun,
                              time_point aNow);
+  start_order NextStartOrder(runner& aRunner, run& aRun, time_point aNow);
+  void OnStartConfirmed(const start_order& aOrder, run& aRun, time_point aNow);
   void PlanStops(time_point aNow, std::vector<order>& aOrders);
   void PlanPolls(time_point aNow, std::vector<order>& aOrders);
   void PlanThrottles(std::vector<order>& aOrders);
@@ -375,6 +382,7 @@
   // The time of each job's latest failure on each runner, for recent failures.
   std::map<runner_name, std::map<job_name, time_point>> mFailuresByRunner;
   outage_detector mOutages;
+  answer_time_estimator mStartAnswerTimes;
   // Runners whose runs were given up while they could not be reached, as they
   // were then, by address.
   std::map<std::string, runner> mLostRunners;
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -117,11 +117,11 @@
 } // namespace
 
 void
-scheduler::OnRunnerSilent(runner& aRunner, time_point aNow)
+scheduler::OnRunnerSilent(const runner& aRunner)
 {
-  aRunner.mSilentSince = aNow;
   if (aRunner.mContacted) { // else it may have been silent for long
-    mOutages.Add({ aNow, aRunner.mInfo.mName, aRunner.mInfo.mRack });
+    mOutages.Add(
+      { aRunner.mSilentSince, aRunner.mInfo.mName, aRunner.mInfo.mRack });
   }
 }
 
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -27,10 +27,17 @@
 // A runner that has not answered for this many poll intervals may have started
 // again unnoticed.
 constexpr int kQuietPollIntervals = 3;
+// The number of times that the order to start one run is sent.
+constexpr int kMaxStartAttempts = 10;
 // The longest time for which a runner that has both best-effort and
 // latency-sensitive tasks delays its answer to a poll, so that the latency of
 // the latter is reported this often.
 constexpr milliseconds kSharedRunnerPollWait{ 600 };
+// The same for a runner that has left orders unanswered lately, so that a lost
+// answer is noticed soon.
+constexpr milliseconds kUnreliableRunnerPollWait{ 50 };
+// The least time within which the answer of such a runner is expected.
+constexpr milliseconds kMinPollAnswerTimeout{ 100 };
 
 } // namespace
 
@@ -49,6 +56,7 @@
   ReleaseRunsOfDeadRunners(aNow);
   FailJobsOfCrashingTasks(aWall);
   PlanStops(aNow, orders);
+  PlanResends(aNow, orders);
   if (mMayStart) {
     PlanStarts(aNow, aWall, orders);
   }
@@ -353,16 +361,69 @@
   newRun.mPhaseSince = aNow;
   newRun.mProgressAt = aNow;
   newRun.mExpiry = aRunner.ClockAt(aNow) + mSettings.mStartValidity;
+  newRun.mCheckpoint = startedTask.mCheckpoint;
   aRunner.ExtendLease(newRun.mExpiry, aNow);
   ++aRunner.mStartsInFlight;
   mRunnersByJob[aCandidate.mJob->mName].insert(aRunner.mInfo.mName);
-  const run& added = aRunner.Add(std::move(newRun));
-  return { aRunner.mInfo.mName,
-           added.mTask,
-           aRun,
-           aCandidate.mJob->mSpec.mPayload,
-           startedTask.mCheckpoint,
-           added.mExpiry };
+  return NextStartOrder(aRunner, aRunner.Add(std::move(newRun)), aNow);
+}
+
+// Returns the start order of the run, to be sent at once. Each order of a run
+// is the same but for the number of the attempt.
+start_order
+scheduler::NextStartOrder(runner& aRunner, run& aRun, time_point aNow)
+{
+  ++aRun.mStartAttempts;
+  ++aRun.mUnansweredStarts;
+  aRun.mStartSentAt = aNow;
+  return { aRunner.mInfo.mName, aRun.mTask,
+           aRun.mNumber,        mJobs.at(aRun.mTask.mJob).mSpec.mPayload,
+           aRun.mCheckpoint,    aRun.mExpiry,
+           aRun.mStartAttempts };
+}
+
+// Sends start orders again that have no answer after the usual time, and counts
+// the unanswered ones.
+void
+scheduler::PlanResends(time_point aNow, std::vector<order>& aOrders)
+{
+  const auto delay = mStartAnswerTimes.ResendDelay();
+  for (auto& [runnerName, each] : mRunners) {
+    each.mStartsInFlight = 0;
+    for (auto& [key, live] : each.Runs()) {
+      if (!IsStarting(live)) {
+        continue;
+      }
+      ++each.mStartsInFlight;
+      if (aNow - live.mStartSentAt < delay ||
+          !MayResendStart(each, live, aNow)) {
+        continue;
+      }
+      each.mAnswerRecord.OnUnanswered(aNow);
+      LogEvent(log_level::kInfo,
+               "task.start_resent",
+               { { "task", key.first },
+                 { "run", static_cast<std::uint64_t>(key.second) },
+                 { "runner", runnerName.Str() },
+                 { "attempt", live.mStartAttempts + 1 } });
+      aOrders.emplace_back(NextStartOrder(each, live, aNow));
+    }
+  }
+}
+
+// Returns whether the start order of the run may be sent once more. A runner
+// that does not answer polls would not answer it either.
+bool
+scheduler::MayResendStart(const runner& aRunner,
+                          const run& aRun,
+                          time_point aNow) const
+{
+  const job* const foundJob = Find(aRun.mTask.mJob);
+  return mMayStart && foundJob != nullptr && !IsFinal(foundJob->mState) &&
+         !aRun.mStopWanted && !aRun.mIsOfEarlierBoot &&
+         aRun.mStartAttempts < kMaxStartAttempts && aRunner.mListed &&
+         !aRunner.mInfo.mDraining && !aRunner.mIsUnresponsive &&
+         aRunner.ClockAt(aNow) < aRun.mExpiry;
 }
 
 void
@@ -423,7 +484,7 @@
 // Returns for how long the runner may delay its answer to the poll. While it
 // delays it, runs of a boot that this owner does not know may end, and the poll
 // would acknowledge them unseen; so it answers at once if it has been quiet. So
-// does a runner whose answer tells whether a task may start again.
+// does a runner whose answer tells whether a run has begun.
 milliseconds
 scheduler::PollWait(const runner& aRunner,
                     const poll_order& aPoll,
@@ -433,12 +494,16 @@
     aNow - aRunner.ClockReadAt() > kQuietPollIntervals * PollInterval();
   const bool hasUnsettledRun = std::any_of(
     aRunner.Runs().begin(), aRunner.Runs().end(), [](const auto& aEntry) {
-      return aEntry.second.mIsOfEarlierBoot &&
-             aEntry.second.mPhase != run_phase::kListed;
+      const run& each = aEntry.second;
+      return each.mPhase == run_phase::kUnknown ||
+             (each.mIsOfEarlierBoot && each.mPhase != run_phase::kListed);
     });
   if (hasUnsettledRun || (aPoll.mAcknowledged > 0 && wasQuiet)) {
     return milliseconds(0);
   }
+  if (aRunner.mAnswerRecord.IsUnreliable(aNow)) {
+    return kUnreliableRunnerPollWait;
+  }
   return HasMixedTasks(aRunner) ? kSharedRunnerPollWait : mSettings.mPollWait;
 }
 
@@ -454,7 +519,7 @@
   }
   aRunner.mAckDueAt = aNow + kIdleAckDelay;
   const bool isReachable =
-    aRunner.mContacted && aRunner.mIsInRoster && aRunner.mFailedPolls == 0;
+    aRunner.mContacted && aRunner.mIsInRoster && aRunner.IsAnswering();
   if (isReachable && !aRunner.Runs().empty()) {
     // Only the lease of a runner that answers is extended, so that the tasks of
     // an unreachable runner can soon start elsewhere.
@@ -464,8 +529,15 @@
       aRunner.ExtendLease(*poll.mLeaseUntil, aNow);
     }
   }
+  if (aRunner.mAnswerRecord.IsUnreliable(aNow)) {
+    const auto usual = std::chrono::duration_cast<milliseconds>(
+      2 * mStartAnswerTimes.ResendDelay());
+    poll.mAnswerTimeout =
+      std::clamp(usual, kMinPollAnswerTimeout, poll.mAnswerTimeout);
+  }
   aRunner.mPollInFlight = true;
-  aRunner.mNextPollAt = aNow + (isReachable ? PollInterval() : kPollRetryDelay);
+  aRunner.mNextPollAt =
+    aNow + (aRunner.mIsUnresponsive ? kPollRetryDelay : PollInterval());
   return poll;
 }
 
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -19,6 +19,9 @@
 // no further start for this long. A runner that has rebooted is polled after
 // this.
 constexpr milliseconds kRunnerRetryDelay{ 300 };
+// A runner is unresponsive after this many polls in a row without an answer.
+// Fewer lost answers neither give up its lease nor show in the stored roster.
+constexpr int kLostAnswersToBeUnresponsive = 8;
 // The latency and CPU usage that a runner reports cover half a second, so the
 // CPU limit of its best-effort tasks is updated at this interval.
 constexpr milliseconds kThrottleInterval{ 500 };
@@ -56,7 +59,6 @@
     return;
   }
   runner& targetRunner = found->second;
-  targetRunner.mStartsInFlight = std::max(0, targetRunner.mStartsInFlight - 1);
   const run_key key{ aOrder.mTask.Text(), aOrder.mRun };
   run* const foundRun = targetRunner.Find(key);
   if (aOutcome != order_outcome::kDone) {
@@ -71,32 +73,58 @@
     mFenced = true;
     return;
   }
+  if (aOutcome != order_outcome::kUnknown) {
+    targetRunner.mAnswerRecord.OnAnswered();
+  }
   if (foundRun == nullptr) {
     return;
   }
+  if (aOutcome != order_outcome::kUnknown) {
+    foundRun->mUnansweredStarts = std::max(0, foundRun->mUnansweredStarts - 1);
+  }
   if (aOutcome == order_outcome::kDone) {
-    if (foundRun->mPhase == run_phase::kOrdered) {
-      foundRun->mPhase = run_phase::kStarted;
-      foundRun->mPhaseSince = aNow;
-    }
-    job* const foundJob = FindMutable(aOrder.mTask.mJob);
-    if (foundJob != nullptr && foundJob->mState == job_state::kQueued) {
-      foundJob->mState = job_state::kRunning;
-    }
+    OnStartConfirmed(aOrder, *foundRun, aNow);
     return;
   }
-  if (aOutcome == order_outcome::kUnknown) {
+  if (!IsStarting(*foundRun)) {
+    return; // another order has started the run
+  }
+  if (foundRun->mUnansweredStarts > 0) {
+    // The next polls show whether the run began.
     if (foundRun->mPhase == run_phase::kOrdered) {
       foundRun->mPhase = run_phase::kUnknown;
       foundRun->mPhaseSince = aNow;
     }
-    return; // the next polls show whether the run began
+    return;
   }
   ReleaseRun(targetRunner, key, aNow);
   targetRunner.mQuarantinedUntil =
     std::max(targetRunner.mQuarantinedUntil, aNow + kRunnerRetryDelay);
 }
 
+// Notes that the runner has answered a start order of the run as done.
+void
+scheduler::OnStartConfirmed(const start_order& aOrder,
+                            run& aRun,
+                            time_point aNow)
+{
+  if (aOrder.mAttempt == 1) {
+    mStartAnswerTimes.Add(aNow - aRun.mOrderedAt);
+  }
+  if (IsStarting(aRun)) {
+    // If the runner has started again, it may have answered before that, and
+    // execute another order of the run now.
+    const bool isUncertain =
+      aRun.mIsOfEarlierBoot && aRun.mUnansweredStarts > 0;
+    aRun.mPhase = isUncertain ? run_phase::kUnknown : run_phase::kStarted;
+    aRun.mPhaseSince = aNow;
+  }
+  job* const foundJob = FindMutable(aOrder.mTask.mJob);
+  if (foundJob != nullptr && foundJob->mState == job_state::kQueued) {
+    foundJob->mState = job_state::kRunning;
+  }
+}
+
 void
 scheduler::OnStop(const stop_order& aOrder,
                   order_outcome aOutcome,
@@ -182,14 +210,15 @@
 
 // Removes and returns the runs of a runner that has started again which may
 // belong to its new boot. The runs that the previous boot has listed have ended
-// with it. One that no report has listed yet may have begun in either boot, or
-// its order may still reach the new one, since an order names only the runner.
+// with it. One that no report has listed yet may have begun in either boot, and
+// an order that is not answered may still reach the new one, since an order
+// names only the runner.
 std::vector<run>
 scheduler::TakeUnsettledRuns(runner& aRunner, time_point aNow)
 {
   std::vector<run> taken;
   for (const auto& [key, each] : aRunner.Runs()) {
-    if (each.mPhase != run_phase::kListed) {
+    if (each.mPhase != run_phase::kListed || each.mUnansweredStarts > 0) {
       taken.push_back(each);
     }
   }
@@ -200,6 +229,9 @@
     }
     each.mIsOfEarlierBoot = true;
     each.mStopConfirmedAt = time_point{};
+    if (each.mUnansweredStarts > 0 && each.mPhase != run_phase::kOrdered) {
+      each.mPhase = run_phase::kUnknown;
+    }
   }
   return taken;
 }
@@ -222,7 +254,6 @@
   runner rebooted(std::move(aInfo));
   rebooted.mListed = aRunner.mListed;
   rebooted.mCordoned = aRunner.mCordoned;
-  rebooted.mStartsInFlight = aRunner.mStartsInFlight;
   if (aRunner.mMayHoldInheritedRuns && aNow < InheritedLeasesEnd()) {
     // The new boot takes orders of earlier owners until this one reaches it.
     rebooted.mMayHoldInheritedRuns = true;
@@ -254,10 +285,22 @@
                         order_outcome aOutcome,
                         time_point aNow)
 {
-  if (aRunner.mFailedPolls++ > 0) {
+  if (aOutcome == order_outcome::kUnknown) {
+    aRunner.mAnswerRecord.OnUnanswered(aNow);
+  }
+  if (aRunner.mFailedPolls++ == 0) {
+    aRunner.mSilentSince = aNow;
+  }
+  if (aRunner.mIsUnresponsive) {
+    return;
+  }
+  const bool isCertain = aOutcome != order_outcome::kUnknown;
+  if (!isCertain && aRunner.mFailedPolls < kLostAnswersToBeUnresponsive) {
+    aRunner.mNextPollAt = aNow;
     return;
   }
-  OnRunnerSilent(aRunner, aNow);
+  aRunner.mIsUnresponsive = true;
+  OnRunnerSilent(aRunner);
   // The next roster says by when the runs on this runner have ended.
   mRosterVersion += aRunner.mIsInRoster ? 1 : 0;
   LogEvent(log_level::kInfo,
@@ -270,7 +313,8 @@
 void
 scheduler::OnPollAnswered(runner& aRunner, const poll_order& aOrder)
 {
-  if (aRunner.mFailedPolls > 0) {
+  aRunner.mAnswerRecord.OnAnswered();
+  if (aRunner.mIsUnresponsive) {
     // The lease may be extended again once a roster that says so is stored.
     ++mRosterVersion;
     aRunner.mIsInRoster = false;
@@ -280,6 +324,7 @@
   }
   aRunner.mFailedPolls = 0;
   aRunner.mSilentSince = time_point{};
+  aRunner.mIsUnresponsive = false;
   if (!aRunner.mContacted) {
     aRunner.mContacted = true;
     mRosterVersion += aRunner.mIsInRoster ? 0 : 1;
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -66,6 +66,12 @@
   return std::uniform_real_distribution<double>(0, 1)(mRandom) < aProbability;
 }
 
+milliseconds
+fake_world::LateDelay()
+{
+  return milliseconds(std::uniform_int_distribution<int>(300, 12'000)(mRandom));
+}
+
 milliseconds
 fake_world::RandomDelay()
 {
@@ -220,10 +226,11 @@
     Schedule(kOrderTimeout, unanswered);
     return;
   }
-  const bool isLate = Chance(mRates.mAppliedLate);
+  const auto late = mLateOrders.find(name);
+  const bool isLate =
+    Chance(late == mLateOrders.end() ? mRates.mAppliedLate : late->second);
   const bool isLost = isLate || Chance(mRates.mAnswerLost);
-  std::uniform_int_distribution<int> lateDelay(300, 12'000);
-  Schedule(isLate ? milliseconds(lateDelay(mRandom)) : RandomDelay(),
+  Schedule(isLate ? LateDelay() : RandomDelay(),
            [this, aOrder, term, name, boot, isLate, isLost] {
              // A runner that starts again keeps its name, and takes what is
              // sent to that name.
@@ -295,18 +302,23 @@
     });
     return;
   }
-  if (!target.mIsReachable || Chance(mRates.mAnswerLost)) {
-    if (target.mIsReachable) {
+  const auto late = mLateOrders.find(aOrder.mRunner.Str());
+  const bool isLate = late != mLateOrders.end() && Chance(late->second);
+  if (!target.mIsReachable || isLate || Chance(mRates.mAnswerLost)) {
+    if (isLate) {
+      DeliverLate(aOrder);
+    } else if (target.mIsReachable) {
       Schedule(RandomDelay(), [this, aOrder, term, &target] {
         target.Poll(aOrder, term, mNow);
       });
     }
-    Schedule(aOrder.mWait + kOrderTimeout, [this, aOrder, term, sentAt] {
-      NotifyOwner(term, [&](scheduler& aOwner) {
-        aOwner.OnPoll(
-          aOrder, order_outcome::kUnknown, nullptr, sentAt, mNow, Wall());
+    Schedule(
+      aOrder.mWait + aOrder.mAnswerTimeout, [this, aOrder, term, sentAt] {
+        NotifyOwner(term, [&](scheduler& aOwner) {
+          aOwner.OnPoll(
+            aOrder, order_outcome::kUnknown, nullptr, sentAt, mNow, Wall());
+        });
       });
-    });
     return;
   }
   // The runner's report is taken at once and delivered after at most one tick,
@@ -335,6 +347,19 @@
   });
 }
 
+void
+fake_world::DeliverLate(const poll_order& aOrder)
+{
+  fake_runner& target = *mRunners.at(aOrder.mRunner.Str());
+  const std::int64_t boot = target.Info().mBoot;
+  Schedule(LateDelay(), [this, aOrder, term = mTerm, boot, &target] {
+    if (target.Info().mBoot == boot &&
+        !OutcomeWithoutRunner(aOrder.mRunner.Str())) {
+      target.Poll(aOrder, term, mNow);
+    }
+  });
+}
+
 void
 fake_world::WriteToStore()
 {
@@ -452,6 +477,12 @@
   mRunners.at(aRunner)->mIsReachable = aIsReachable;
 }
 
+void
+fake_world::SetLateOrders(const std::string& aRunner, double aProbability)
+{
+  mLateOrders[aRunner] = aProbability;
+}
+
 void
 fake_world::Crash(const std::string& aRunner)
 {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -59,6 +59,9 @@
   // Keeps service discovery from reporting anything new for `aFor`.
   void FreezeDiscovery(std::chrono::milliseconds aFor);
   void SetReachable(const std::string& aRunner, bool aIsReachable);
+  // Sets the probability that a start order to the runner, or a poll, gets no
+  // answer and is executed late; replaces `fault_rates::mAppliedLate` there.
+  void SetLateOrders(const std::string& aRunner, double aProbability);
   // Ends all runs of the runner, which starts again at once under its name.
   void Crash(const std::string& aRunner);
   // Ends all runs of the runner, which refuses connections for `aFor` and then
@@ -118,6 +121,8 @@
   void Schedule(std::chrono::milliseconds aDelay,
                 std::function<void()> aAction);
   bool Chance(double aProbability);
+  // Returns the time after which an unanswered order is executed.
+  std::chrono::milliseconds LateDelay();
   std::chrono::milliseconds RandomDelay();
   wall_time Wall() const;
   void Elect();
@@ -128,6 +133,7 @@
   void Deliver(const stop_order& aOrder);
   void Deliver(const throttle_order& aOrder);
   void Deliver(const poll_order& aOrder);
+  void DeliverLate(const poll_order& aOrder);
   void NotifyOwner(std::uint64_t aTerm,
                    const std::function<void(scheduler&)>& aNotify);
   void WriteToStore();
@@ -153,6 +159,7 @@
   std::uint64_t mSequence = 0;
   std::priority_queue<event> mEvents;
   std::map<std::string, std::unique_ptr<fake_runner>> mRunners;
+  std::map<std::string, double> mLateOrders; // probabilities by runner
   std::set<std::string> mUnlisted;
   std::set<std::string> mDown;     // runners that have crashed and are not back
   std::set<std::string> mReplaced; // at whose address another one answers
