One malformed answer or record does not end a node

Seen by reading, for the report of other operators that one malformed message took a process down.

Ruled out by reading: reports of runners, listings of hosts, records of runners, of waves and of the configuration, instructions to pools (decoded within try), names of callers' jobs (hexadecimal).

--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -30,22 +30,24 @@
   }.dump();
 }
 
+// Returns nothing if the record is malformed.
 std::optional<owner_record>
 Decode(const platform::record& aRecord)
 {
-  const json body = json::parse(aRecord.mValue, nullptr, false);
-  if (!body.is_object() || !body.contains("term")) {
+  try {
+    const json body = json::parse(aRecord.mValue);
+    return owner_record{ body.at("term").get<std::uint64_t>(),
+                         body.value("node", std::string()),
+                         body.value("address", std::string()),
+                         body.value("lack", 0.0),
+                         aRecord.mRevision,
+                         boot_id{ body.value("boot", std::uint64_t{ 0 }) },
+                         platform::lease_id{
+                           body.value("lease", std::uint64_t{ 0 }) },
+                         milliseconds(0) };
+  } catch (const json::exception&) {
     return std::nullopt;
   }
-  return owner_record{ body.value("term", std::uint64_t{ 0 }),
-                       body.value("node", std::string()),
-                       body.value("address", std::string()),
-                       body.value("lack", 0.0),
-                       aRecord.mRevision,
-                       boot_id{ body.value("boot", std::uint64_t{ 0 }) },
-                       platform::lease_id{
-                         body.value("lease", std::uint64_t{ 0 }) },
-                       milliseconds(0) };
 }
 
 } // namespace
--- a/mangospan/node/election_test.cc
+++ b/mangospan/node/election_test.cc
@@ -71,6 +71,27 @@
   EXPECT_TRUE(weak->IsLeaseValid());
 }
 
+// A record that can not be read names no owner, and is no reason to end.
+TEST_F(election_test, MalformedRecordIsIgnored)
+{
+  const auto node = Join("node", 0.5);
+  const std::string key = election::TermKey(JobsSubject(kSurvey));
+  platform::revision revision = 1;
+  for (const char* const each : { "",
+                                  "{",
+                                  "[]",
+                                  "7",
+                                  R"({"term":"first"})",
+                                  R"({"term":3,"node":7})",
+                                  R"({"term":3,"lack":"much"})",
+                                  R"({"term":3,"lease":[1]})" }) {
+    node->OnRecord({ key, each, ++revision });
+  }
+  node->OnSynced();
+  RunUntilElected("node");
+  EXPECT_EQ(mTerm.mTerm, 1U);
+}
+
 // When two nodes schedule their claims at the same time, the node on the host
 // with sufficient capacity must win.
 TEST_F(election_test, HostWithSufficientCapacityWinsOverWeakHost)
--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -1,5 +1,7 @@
 #include "mangospan/node/job_http.h"
 
+#include <algorithm>
+#include <cctype>
 #include <charconv>
 #include <utility>
 
@@ -55,25 +57,56 @@
       .dump());
 }
 
+// Returns the reply kUnknown if the response is malformed.
 job_reply
-Decode(const http::response& aResponse)
+Decode(const std::string& aPeer, const http::response& aResponse)
 {
-  job_reply out;
-  out.mKind = KindOf(aResponse.mStatus);
-  const json body = json::parse(aResponse.mBody, nullptr, false);
-  if (!body.is_object()) {
-    out.mKind = reply_kind::kUnknown;
+  job_reply unknown;
+  unknown.mKind = reply_kind::kUnknown;
+  try {
+    job_reply out;
+    out.mKind = KindOf(aResponse.mStatus);
+    const json body = json::parse(aResponse.mBody);
+    if (!body.is_object()) {
+      return unknown;
+    }
+    const auto state = jobs::ParseJobState(body.value("state", std::string()));
+    if (state) {
+      out.mJobState = *state;
+    }
+    out.mWaitingCount = body.value("waiting", std::size_t{ 0 });
+    out.mRetryAfter =
+      milliseconds(body.value("retry_after_ms", std::int64_t{ 0 }));
+    out.mReason = ParseRefusalReason(body.value("reason", std::string()));
     return out;
+  } catch (const std::exception& failure) {
+    LogError("forward.malformed_response",
+             { error_code::kUnknownResult,
+               "job.decode_reply",
+               aPeer,
+               failure.what() });
+    return unknown;
   }
-  const auto state = jobs::ParseJobState(body.value("state", std::string()));
-  if (state) {
-    out.mJobState = *state;
-  }
-  out.mWaitingCount = body.value("waiting", std::size_t{ 0 });
-  out.mRetryAfter =
-    milliseconds(body.value("retry_after_ms", std::int64_t{ 0 }));
-  out.mReason = ParseRefusalReason(body.value("reason", std::string()));
-  return out;
+}
+
+// Returns a response with the text of the error, whose bytes that are no UTF-8
+// are replaced: it may quote a malformed request.
+http::response
+ErrorResponse(int aStatus, const error& aError)
+{
+  return http::JsonResponse(aStatus,
+                            json{ { "message", Describe(aError) } }.dump(
+                              -1, ' ', false, json::error_handler_t::replace));
+}
+
+// Returns whether the name can be stored and logged as it is.
+bool
+IsUsableName(std::string_view aName)
+{
+  return !aName.empty() &&
+         std::all_of(aName.begin(), aName.end(), [](unsigned char aEach) {
+           return std::isgraph(aEach) != 0;
+         });
 }
 
 milliseconds
@@ -185,7 +218,7 @@
                [peer = mAddress, handler = std::move(aHandler)](
                  const result<http::response>& aResult) {
                  if (aResult.has_value()) {
-                   handler(Decode(aResult.assume_value()));
+                   handler(Decode(peer, aResult.assume_value()));
                    return;
                  }
                  LogError("forward.failed", aResult.assume_error());
@@ -260,6 +293,10 @@
     return;
   }
   const jobs::job_name job{ std::string(path.substr(kJobsPath.size())) };
+  if (!IsUsableName(job.Str())) {
+    aRespond(http::JsonResponse(400, R"({"message":"malformed name"})"));
+    return;
+  }
   if (aRequest.mMethod == "GET") {
     aService.Read(job, timeout, answer);
   } else if (aRequest.mMethod == "DELETE") {
@@ -267,8 +304,7 @@
   } else if (aRequest.mMethod == "POST") {
     auto spec = jobs::DecodeSpec(aRequest.mBody);
     if (spec.has_error()) {
-      aRespond(http::JsonResponse(
-        400, json{ { "message", Describe(spec.assume_error()) } }.dump()));
+      aRespond(ErrorResponse(400, spec.assume_error()));
       return;
     }
     aService.Submit(job, spec.assume_value(), timeout, answer);
@@ -357,9 +393,7 @@
   if (state.has_error()) {
     const bool isOlderTerm =
       state.assume_error().mCode == error_code::kConflict;
-    aRespond(http::JsonResponse(
-      isOlderTerm ? 409 : 503,
-      json{ { "message", Describe(state.assume_error()) } }.dump()));
+    aRespond(ErrorResponse(isOlderTerm ? 409 : 503, state.assume_error()));
     return;
   }
   aRespond(http::JsonResponse(200, Encode(state.assume_value())));
