A runner that leaves two polls unanswered is no capacity of its pool

Cause: with orders repeated at once a runner counted as usable for the fleet until eight polls in a row were lost, some seconds after a zone was cut off; a host that takes its place was ordered that much later. Now the pool does without it from the second lost answer on, as placement does; only the roster waits for more.

--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -134,7 +134,8 @@
                         std::size_t aOccurrence,
                         std::size_t aStep) const;
   // Returns whether the runner answers polls, up to a lost answer. Otherwise it
-  // gets no new runs, and its lease is not extended.
+  // gets no new runs, its lease is not extended, and its pool has to do without
+  // it.
   bool IsAnswering() const;
   // Returns whether the runner carries the label.
   bool HasLabel(const std::string& aLabel) const;
@@ -161,7 +162,8 @@
   time_point mNextPollAt{};   // The earliest time of the next poll.
   int mFailedPolls = 0;       // The number of consecutive failed polls.
   time_point mSilentSince{};  // When they began; the epoch if there are none.
-  // Polls have failed so often that the runner is taken to be unreachable.
+  // Polls have failed so often that the runner is taken to be unreachable,
+  // which the stored roster tells a successor.
   bool mIsUnresponsive = false;
   bool mIsReserved = false; // For a task that has to run alone.
   // The runner gets no new runs before this time, because tasks of several jobs
--- a/mangospan/jobs/scheduler_demand.cc
+++ b/mangospan/jobs/scheduler_demand.cc
@@ -124,7 +124,7 @@
   }
   for (const auto& [name, each] : mRunners) {
     const auto found = demands.find(each.mInfo.mService);
-    if (found != demands.end() && each.mListed && !each.mIsUnresponsive) {
+    if (found != demands.end() && each.mListed && each.IsAnswering()) {
       found->second.mOccupiedRunners += each.Runs().empty() ? 0 : 1;
       found->second.mPerHost = each.mInfo.mCapacity;
     }
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -489,7 +489,7 @@
   for (const auto& [runnerName, each] : mScheduler.Runners()) {
     runner_state state;
     state.mAreRunsKnown = mScheduler.KnowsRunsOf(runnerName, aNow);
-    state.mIsUnschedulable = each.mIsUnresponsive || each.mInfo.mDraining ||
+    state.mIsUnschedulable = !each.IsAnswering() || each.mInfo.mDraining ||
                              aNow < each.mQuarantinedUntil;
     state.mCanGetRuns = each.mContacted && each.mIsInRoster;
     state.mIsCordoned = each.mCordoned;
