A repeated poll grants no longer lease than the lost one

Cause: since one lost answer ends no lease, the poll that repeats a lost one extended the lease anew, up to 2 s after it. The tasks of a runner that is gone start elsewhere only once its lease is over, so they came back that much later.

Change: the repeated poll grants the lease that the lost one would have granted. Test: lost_poll_test.

--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -158,10 +158,11 @@
   bool mIsInRoster = false;
   // An earlier owner has used the runner, so its runs may still be live there.
   bool mMayHoldInheritedRuns = false;
-  bool mPollInFlight = false; // A poll was sent and is not yet answered.
-  time_point mNextPollAt{};   // The earliest time of the next poll.
-  int mFailedPolls = 0;       // The number of consecutive failed polls.
-  time_point mSilentSince{};  // When they began; the epoch if there are none.
+  runner_time mGrantedLease{ 0 }; // The end of the lease in the latest poll.
+  bool mPollInFlight = false;     // A poll was sent and is not yet answered.
+  time_point mNextPollAt{};       // The earliest time of the next poll.
+  int mFailedPolls = 0;           // The number of consecutive failed polls.
+  time_point mSilentSince{}; // When they began; the epoch if there are none.
   // Polls have failed so often that the runner is taken to be unreachable,
   // which the stored roster tells a successor.
   bool mIsUnresponsive = false;
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -525,7 +525,12 @@
     // an unreachable runner can soon start elsewhere.
     poll.mWait = PollWait(aRunner, poll, aNow);
     if (mMayStart) {
-      poll.mLeaseUntil = aRunner.ClockAt(aNow) + mSettings.mLease;
+      // A repeated poll grants what the lost one would have granted, and no
+      // more: the runner may be gone.
+      if (aRunner.mFailedPolls == 0) {
+        aRunner.mGrantedLease = aRunner.ClockAt(aNow) + mSettings.mLease;
+      }
+      poll.mLeaseUntil = aRunner.mGrantedLease;
       aRunner.ExtendLease(*poll.mLeaseUntil, aNow);
     }
   }
--- a/mangospan/jobs/unanswered_orders_test.cc
+++ b/mangospan/jobs/unanswered_orders_test.cc
@@ -1,6 +1,7 @@
 // Orders that get no answer and are executed seconds later, in virtual time.
 // One in ten start orders holds up most of the wide jobs, and an end that is
 // not reported holds up the next step.
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <vector>
@@ -178,5 +179,29 @@
   ExpectAllCompleted();
 }
 
+// A poll that is repeated since the last one got no answer must not extend the
+// lease further: the tasks of a runner that is gone wait for its end.
+TEST(lost_poll_test, RepeatedPollGrantsNoLongerLease)
+{
+  fake_world world(1, fault_rates{});
+  world.AddRunner("r0", "s", kCapacity);
+  world.RunFor(milliseconds(300));
+  world.Submit("a1", WideJob(seconds(30)));
+  world.RunFor(seconds(2));
+  world.SetReachable("r0", false);
+  world.RunFor(seconds(4));
+  const auto& polls = world.PollsOf("r0");
+  EXPECT_FALSE(polls.back().mLeaseUntil);
+  runner_time granted{ 0 };
+  for (const poll_order& each : polls) {
+    granted = std::max(granted, each.mLeaseUntil.value_or(granted));
+  }
+  const auto withLastGrant =
+    std::count_if(polls.begin(), polls.end(), [&](const poll_order& aPoll) {
+      return aPoll.mLeaseUntil == granted;
+    });
+  EXPECT_EQ(withLastGrant, 2); // the lost poll, and the one that repeats it
+}
+
 } // namespace
 } // namespace mangospan::jobs
