--- a/mangospan/jobs/answer_times.h
+++ b/mangospan/jobs/answer_times.h
@@ -1,4 +1,5 @@
-// How fast and how reliably runners answer start orders.
+// How fast runners answer start orders, and how reliably start orders and
+// polls.
 //
 // A start order can be sent again without harm, since a runner starts a run at
 // most once. So an order that has no answer after the usual time is sent again,
