--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -67,9 +67,6 @@
     job_reply out;
     out.mKind = KindOf(aResponse.mStatus);
     const json body = json::parse(aResponse.mBody);
-    if (!body.is_object()) {
-      return unknown;
-    }
     const auto state = jobs::ParseJobState(body.value("state", std::string()));
     if (state) {
       out.mJobState = *state;
