--- a/mangospan/http/internal/session.cc
+++ b/mangospan/http/internal/session.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "mangospan/base/log.h"
 #include "mangospan/http/address.h"
 #include "mangospan/http/internal/header_check.h"
 
@@ -154,6 +155,9 @@
   }
   mPhase = phase::kClosed;
   if (mDispatched) {
+    if (mContext->mDestroyed) {
+      LogUnanswered();
+    }
     mDispatched = false;
     --mContext->mActiveRequests;
   }
@@ -165,6 +169,20 @@
   }
 }
 
+void
+session::LogUnanswered() const
+{
+  const auto age = std::chrono::steady_clock::now() - mDispatchedAt;
+  LogEvent(log_level::kWarning,
+           "http.request_unanswered",
+           { { "target", std::string(mParser->get().target()) },
+             { "peer", mRemoteAddress },
+             { "age_ms",
+               static_cast<std::int64_t>(
+                 std::chrono::duration_cast<std::chrono::milliseconds>(age)
+                   .count()) } });
+}
+
 // When the timer expires, it sets `mTimedOut` and cancels the socket's
 // operations. The stream timeouts of Boost.Beast are not used because they
 // close the socket, so that a 408 response could not be sent.
@@ -349,6 +367,7 @@
   mKeepAlive = mParser->get().keep_alive();
   mRequest.mBody = std::move(mParser->get().body());
   mDispatched = true;
+  mDispatchedAt = std::chrono::steady_clock::now();
   ++mContext->mActiveRequests;
   mContext->mHandler(std::move(mRequest),
                      [self = shared_from_this()](response aResponse) {
--- a/mangospan/http/internal/session.h
+++ b/mangospan/http/internal/session.h
@@ -80,6 +80,8 @@
   void Write(response aResponse);
   void OnWritten(const error_type& aError);
   void CloseGracefully();
+  // Logs that the request in progress gets no response.
+  void LogUnanswered() const;
   void DiscardInput(std::size_t aMaxBytes);
   void StartTimer(std::chrono::milliseconds aTimeout);
 
@@ -100,6 +102,7 @@
   bool mKeepAlive = false;
   bool mTimedOut = false;
   bool mDispatched = false;
+  std::chrono::steady_clock::time_point mDispatchedAt{}; // of the last request
   bool mHasHadRequest = false;
 };
 
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -398,10 +398,16 @@
 {
   mIsStopping = true;
   const auto pending = std::make_shared<std::size_t>(mPartitions.size() + 1);
-  const auto retired = [this, pending, done = std::move(aDone)] {
+  const auto retired = [this,
+                        pending,
+                        startedAt = mClock.Now(),
+                        done = std::move(aDone)] {
     if (--*pending > 0) {
       return;
     }
+    LogEvent(log_level::kInfo,
+             "stop.handed_over",
+             { { "took_ms", ToMilliseconds(mClock.Now() - startedAt) } });
     mStopTimer.expires_after(kDrainTime);
     mStopTimer.async_wait([done](const boost::system::error_code&) { done(); });
   };
