A stop has one schedule: every request that was read is answered in time

Cause: three limits that did not know of each other. A node accepted connections for 2.5 s after its hand-over, then waited 2.0 s for responses and exited; a request may take 2.5 s. One that was read in the last half second and waited its whole time was cut. Besides, the exit came 150 ms after the last response without a look at requests that had been read meanwhile, and nothing bounded the stop by the time at which the platform kills the process.

Now stop_schedule gives all of it from one number, stop_timeout_ms, which the deployment fills in: until when connections are accepted, when every request has its response, and the exit. Requests that are read while the node stops get the time that is left, or a refusal at once if that is too little; what is still in progress when it is due is answered with 504; the process exits once all connections are closed.

--- a/mangospan/http/internal/session.cc
+++ b/mangospan/http/internal/session.cc
@@ -147,6 +147,16 @@
   }
 }
 
+bool
+session::AnswerIfActive(const response& aResponse)
+{
+  if (mPhase != phase::kHandling) {
+    return false;
+  }
+  Respond(aResponse);
+  return true;
+}
+
 void
 session::Close()
 {
--- a/mangospan/http/internal/session.h
+++ b/mangospan/http/internal/session.h
@@ -52,6 +52,9 @@
   // Closes the connection if it is waiting for the first byte of a request and
   // none has arrived. If there was no request yet, waits for one a little.
   void CloseIfIdle();
+  // Answers the request that the handler has not answered yet. Returns false if
+  // there is none.
+  bool AnswerIfActive(const response& aResponse);
   // Closes the connection immediately, also while a request is in progress.
   void Close();
 
--- a/mangospan/http/server.cc
+++ b/mangospan/http/server.cc
@@ -87,6 +87,15 @@
     mSessions.clear();
   }
 
+  std::size_t AnswerActiveRequests(const response& aResponse)
+  {
+    std::size_t count = 0;
+    for (const auto& each : Sessions()) {
+      count += each->AnswerIfActive(aResponse) ? 1 : 0;
+    }
+    return count;
+  }
+
   std::size_t ActiveRequests() const { return mContext->mActiveRequests; }
   std::size_t OpenConnections() const { return mSessions.size(); }
 
@@ -218,6 +227,12 @@
   mImpl->StopAccepting();
 }
 
+std::size_t
+server::AnswerActiveRequests(const response& aResponse)
+{
+  return mImpl->AnswerActiveRequests(aResponse);
+}
+
 std::size_t
 server::ActiveRequests() const
 {
--- a/mangospan/http/server.h
+++ b/mangospan/http/server.h
@@ -73,6 +73,11 @@
   // to requests in progress are still sent, with "Connection: close".
   void StopAccepting();
 
+  // Answers each request that was passed to the handler and has no response
+  // yet; one that the handler gives later is dropped. Returns how many there
+  // were.
+  std::size_t AnswerActiveRequests(const response& aResponse);
+
   // Returns the number of requests passed to the handler whose response has not
   // been written completely.
   std::size_t ActiveRequests() const;
--- a/mangospan/http/server_test.cc
+++ b/mangospan/http/server_test.cc
@@ -396,6 +396,25 @@
   EXPECT_NE(caller.ReadToEnd().find("Connection: close"), std::string::npos);
 }
 
+TEST_F(http_server, ActiveRequestsAreAnsweredOnceBeforeTheHandlerAnswers)
+{
+  Start();
+  raw_caller busy(mPort);
+  busy.Write("GET /later HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(Eventually([this] { return !mDeferredResponders.empty(); }));
+  EXPECT_EQ(Run([this] {
+              mServer->StopAccepting();
+              return mServer->AnswerActiveRequests(JsonResponse(504, "early"));
+            }),
+            1U);
+  Run([this] { mDeferredResponders.front()(JsonResponse(200, "late")); });
+  const std::string answer = busy.ReadToEnd();
+  EXPECT_TRUE(StartsWith(answer, "HTTP/1.1 504 ")) << answer;
+  EXPECT_NE(answer.find("early"), std::string::npos) << answer;
+  EXPECT_EQ(answer.find("late"), std::string::npos) << answer;
+  EXPECT_EQ(Run([this] { return mServer->ActiveRequests(); }), 0U);
+}
+
 TEST_F(http_server, ListenFailsForMalformedAndBoundAddresses)
 {
   Start();
--- /dev/null
+++ b/mangospan/node/caller_drain.cc
@@ -0,0 +1,116 @@
+#include "mangospan/node/caller_drain.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+
+#include "mangospan/base/log.h"
+
+namespace mangospan::node {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr milliseconds kPollInterval{ 40 };
+
+std::int64_t
+CountMilliseconds(time_point::duration aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
+// The response to a request that is still in progress when it is due. It may
+// have had an effect.
+http::response
+UnknownResultResponse()
+{
+  return http::JsonResponse(
+    504, R"({"message":"the node stops, the result is not known"})");
+}
+
+} // namespace
+
+caller_drain::caller_drain(boost::asio::io_context& aIo,
+                           const clock_source& aClock,
+                           http::server& aServer)
+  : mClock(aClock)
+  , mServer(aServer)
+  , mTimer(aIo)
+{
+}
+
+void
+caller_drain::Start(const stop_schedule& aSchedule, std::function<void()> aDone)
+{
+  mSchedule = aSchedule;
+  mDone = std::move(aDone);
+  mServer.AnnounceStop();
+  After(aSchedule.AcceptUntil() - mClock.Now(), &caller_drain::StopAccepting);
+}
+
+void
+caller_drain::StopAccepting()
+{
+  mServer.StopAccepting();
+  LogEvent(
+    log_level::kInfo,
+    "stop.accepting_ended",
+    { { "open_connections",
+        static_cast<std::uint64_t>(mServer.OpenConnections()) },
+      { "unanswered", static_cast<std::uint64_t>(mServer.ActiveRequests()) } });
+  Poll();
+}
+
+// A connection on which a request is still on its way counts as open, one whose
+// response is still on its way to the caller as well.
+void
+caller_drain::Poll()
+{
+  const time_point now = mClock.Now();
+  if (mServer.OpenConnections() == 0 || now >= mSchedule->ExitBy()) {
+    Finish();
+    return;
+  }
+  if (now >= mSchedule->AnswerBy() && !mIsRestAnswered) {
+    AnswerRest();
+  }
+  After(kPollInterval, &caller_drain::Poll);
+}
+
+void
+caller_drain::AnswerRest()
+{
+  mIsRestAnswered = true;
+  const std::size_t count =
+    mServer.AnswerActiveRequests(UnknownResultResponse());
+  if (count > 0) {
+    LogEvent(log_level::kWarning,
+             "stop.answered_unfinished",
+             { { "requests", static_cast<std::uint64_t>(count) } });
+  }
+}
+
+void
+caller_drain::Finish()
+{
+  LogEvent(
+    log_level::kInfo,
+    "stopped",
+    { { "unanswered", static_cast<std::uint64_t>(mServer.ActiveRequests()) },
+      { "took_ms", CountMilliseconds(mClock.Now() - mSchedule->Begin()) } });
+  mDone();
+}
+
+void
+caller_drain::After(time_point::duration aDelay, void (caller_drain::*aStep)())
+{
+  mTimer.expires_after(std::max(time_point::duration(0), aDelay));
+  mTimer.async_wait([this, aStep](const boost::system::error_code& aAbort) {
+    if (!aAbort) {
+      (this->*aStep)();
+    }
+  });
+}
+
+} // namespace mangospan::node
--- a/mangospan/node/job_service_test.cc
+++ b/mangospan/node/job_service_test.cc
@@ -15,7 +15,8 @@
                            refusal_reason::kHandover,
                            refusal_reason::kStoreUnavailable,
                            refusal_reason::kOtherService,
-                           refusal_reason::kNoSuchQueue }) {
+                           refusal_reason::kNoSuchQueue,
+                           refusal_reason::kStopping }) {
     EXPECT_EQ(ParseRefusalReason(Name(each)), each);
   }
   EXPECT_EQ(ParseRefusalReason("of a newer version"), refusal_reason::kNone);
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -23,9 +23,6 @@
 // A watch without a change confirms the catalog as of when it was sent, and the
 // next one takes as long again. Both have to end within `kMaxCatalogAge`.
 constexpr milliseconds kCatalogWatchWait{ 900 };
-// Time until the load balancer sends no more callers: it stops after two failed
-// readiness checks, a second apart.
-constexpr milliseconds kDrainTime{ 2'500 };
 // Time between the first claims of one node for two subjects.
 constexpr milliseconds kFirstClaimStagger{ 60 };
 // Share of the orders accepted by the host service that this node uses. The
@@ -81,7 +78,6 @@
   , mMetrics(aMetrics)
   , mStore(aIo, aPorts.mStore, [this] { OnStoreAnswersAgain(); })
   , mCheckTimer(aIo)
-  , mStopTimer(aIo)
 {
 }
 
@@ -393,28 +389,24 @@
   return out.dump();
 }
 
-void
-node_process::Stop(std::function<void()> aDone)
+stop_schedule
+node_process::Stop()
 {
-  mIsStopping = true;
+  const time_point begin = mClock.Now();
+  mStopSchedule.emplace(begin, mSettings.mStopTimeout);
   const auto pending = std::make_shared<std::size_t>(mPartitions.size() + 1);
-  const auto retired = [this,
-                        pending,
-                        startedAt = mClock.Now(),
-                        done = std::move(aDone)] {
-    if (--*pending > 0) {
-      return;
+  const auto retired = [this, pending, begin] {
+    if (--*pending == 0) {
+      LogEvent(log_level::kInfo,
+               "stop.handed_over",
+               { { "took_ms", ToMilliseconds(mClock.Now() - begin) } });
     }
-    LogEvent(log_level::kInfo,
-             "stop.handed_over",
-             { { "took_ms", ToMilliseconds(mClock.Now() - startedAt) } });
-    mStopTimer.expires_after(kDrainTime);
-    mStopTimer.async_wait([done](const boost::system::error_code&) { done(); });
   };
   for (auto& [service, each] : mPartitions) {
     each.Retire(retired);
   }
   mFleetElection->Retire(retired);
+  return *mStopSchedule;
 }
 
 } // namespace mangospan::node
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -34,6 +34,7 @@
 #include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
 #include "mangospan/node/settings.h"
+#include "mangospan/node/stop_schedule.h"
 
 namespace mangospan::node {
 
@@ -65,8 +66,9 @@
   // Joins the elections. Called by `Start()`.
   void Join();
   // Stops gracefully: reports not ready, hands over everything that this node
-  // owns, answers the requests in flight, then calls `aDone`.
-  void Stop(std::function<void()> aDone);
+  // owns, and answers every request within the schedule that it returns. Call
+  // once.
+  stop_schedule Stop();
 
   // Submits a job, and again while the result is unknown; see submission.h.
   // `aCallerWaits` is the time for which the caller still waits, if it says so.
@@ -107,7 +109,7 @@
   // Returns whether the catalog was confirmed recently, so that a queue that it
   // does not list can be reported as missing.
   bool IsCatalogCurrent() const;
-  bool IsStopping() const { return mIsStopping; }
+  bool IsStopping() const { return mStopSchedule.has_value(); }
   // Returns whether the load balancer should send callers to this node: it is
   // not stopping, its catalog is current, at least one owner of jobs has served
   // recently, and so has every owner that is known.
@@ -131,6 +133,10 @@
   // does not exist.
   partition& FindOrAddPartition(const service_name& aService);
   job_service_finder Finder();
+  // Returns how long a request may take, at most `aTimeout`; nullopt if the
+  // node exits too soon to answer it.
+  std::optional<std::chrono::milliseconds> LimitTimeout(
+    std::chrono::milliseconds aTimeout) const;
   using job_call = void (job_service::*)(const jobs::job_name&,
                                          std::chrono::milliseconds,
                                          reply_handler);
@@ -175,9 +181,8 @@
   std::unique_ptr<jobs::catalog> mCatalog;
   std::map<std::string, wave_request> mWaves;
   timer mCheckTimer;
-  timer mStopTimer;
   unavailable_job_service mUnavailableJobs{ UnavailableReply() };
-  bool mIsStopping = false;
+  std::optional<stop_schedule> mStopSchedule; // set once the node stops
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/node_process_owners.cc
+++ b/mangospan/node/node_process_owners.cc
@@ -70,7 +70,7 @@
 node_process::RequestYieldOfSmallerHost()
 {
   const std::size_t ownedCount = CountOwnedSubjects();
-  if (ownedCount > kMaxOwnedSubjects || mIsStopping || !IsCatalogCurrent()) {
+  if (ownedCount > kMaxOwnedSubjects || IsStopping() || !IsCatalogCurrent()) {
     return;
   }
   const double shortfall = CapacityShortfall(ElectionSettings());
@@ -118,7 +118,7 @@
   const time_point now = mClock.Now();
   const auto replace = [&](election& aElection) {
     const auto known = aElection.CurrentOwner();
-    if (known && !mIsStopping &&
+    if (known && !IsStopping() &&
         now - aElection.TermObservedAt() >= kMinTenure &&
         mPeerReachability.IsCutOff(known->mAddress, now)) {
       aElection.ReplaceOwner();
@@ -173,7 +173,7 @@
     }
     isAnyOwnerServing = isAnyOwnerServing || isOwnerServing;
   }
-  return !mIsStopping && IsCatalogCurrent() && isAnyOwnerServing;
+  return !IsStopping() && IsCatalogCurrent() && isAnyOwnerServing;
 }
 
 http::response
--- a/mangospan/node/node_process_requests.cc
+++ b/mangospan/node/node_process_requests.cc
@@ -9,6 +9,21 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// The reply to a request that comes too late to be answered before the exit.
+job_reply
+StoppingReply()
+{
+  job_reply out;
+  out.mKind = reply_kind::kUnavailable;
+  out.mReason = refusal_reason::kStopping;
+  out.mRetryAfter = kHandoverRetryAfter;
+  return out;
+}
+
+} // namespace
+
 job_service_finder
 node_process::Finder()
 {
@@ -17,6 +32,13 @@
   };
 }
 
+std::optional<milliseconds>
+node_process::LimitTimeout(milliseconds aTimeout) const
+{
+  return mStopSchedule ? mStopSchedule->LimitTimeout(aTimeout, mClock.Now())
+                       : aTimeout;
+}
+
 std::vector<service_name>
 node_process::SearchOrder(const jobs::queue_policy& aQueue) const
 {
@@ -36,6 +58,11 @@
                      milliseconds aTimeout,
                      reply_handler aHandler)
 {
+  const auto timeout = LimitTimeout(aTimeout);
+  if (!timeout) {
+    aHandler(StoppingReply());
+    return;
+  }
   if (aCallerWaits) {
     aSpec.mElapsed = mCallerPatience.ElapsedSinceFirstTry(
       aSpec.mQueue, *aCallerWaits, mClock.Now());
@@ -47,7 +74,7 @@
                              : FindOrAddPartition(policy->mService).Jobs();
   };
   std::make_shared<submission>(mIo, mClock, finder, aJob, std::move(aSpec))
-    ->Start(aTimeout, std::move(aHandler));
+    ->Start(*timeout, std::move(aHandler));
 }
 
 void
@@ -57,6 +84,11 @@
                      milliseconds aTimeout,
                      reply_handler aHandler)
 {
+  const auto timeout = LimitTimeout(aTimeout);
+  if (!timeout) {
+    aHandler(StoppingReply());
+    return;
+  }
   SearchJob(
     mClock,
     Finder(),
@@ -65,7 +97,7 @@
       job_service& aService, milliseconds aRemaining, reply_handler aReply) {
       (aService.*aCall)(aJob, aRemaining, std::move(aReply));
     },
-    aTimeout,
+    *timeout,
     std::move(aHandler));
 }
 
@@ -92,8 +124,13 @@
                            milliseconds aTimeout,
                            reply_handler aHandler)
 {
+  const auto timeout = LimitTimeout(aTimeout);
+  if (!timeout) {
+    aHandler(StoppingReply());
+    return;
+  }
   node::CountWaiting(
-    Finder(), SearchOrder(aQueue), aQueue.mName, aTimeout, std::move(aHandler));
+    Finder(), SearchOrder(aQueue), aQueue.mName, *timeout, std::move(aHandler));
 }
 
 job_service&
