An entry that stops by its timeout answers what is in progress

Found while looking for the cause of LOST elsewhere: an entry of the own installation that reached stop_timeout_ms with requests in flight logged how many there were and closed their connections. Callers could not tell whether they had run.

StopThatTimesOutAnswersRequestsInFlight failed before: no answer came.

--- a/mangospan/entry/answers.cc
+++ b/mangospan/entry/answers.cc
@@ -104,6 +104,17 @@
                     milliseconds(aStatus == 503 ? 1'000 : 0) });
 }
 
+http::response
+UnfinishedAnswer()
+{
+  return ToAnswer({ 504,
+                    Name(request::request_outcome::kUnknown),
+                    Name(request::refusal_code::kStopping),
+                    "stop",
+                    "",
+                    milliseconds(0) });
+}
+
 http::response
 TicketsAnswer(const std::vector<std::string>& aTickets)
 {
--- a/mangospan/entry/answers.h
+++ b/mangospan/entry/answers.h
@@ -27,6 +27,11 @@
 http::response
 NotRunAnswer(int aStatus, const std::string& aCode, const std::string& aStep);
 
+// For a request that is still in progress when this entry exits; an endpoint
+// may have run it.
+http::response
+UnfinishedAnswer();
+
 // The tickets as {"tickets":[...]}.
 http::response
 TicketsAnswer(const std::vector<std::string>& aTickets);
--- a/mangospan/entry/entry_process.cc
+++ b/mangospan/entry/entry_process.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "mangospan/base/log.h"
+#include "mangospan/entry/answers.h"
 
 namespace mangospan::entry {
 
@@ -434,6 +435,7 @@
              { { "open", static_cast<std::uint64_t>(mPipe.Open()) } });
   }
   mServer.StopAccepting();
+  mServer.AnswerActiveRequests(UnfinishedAnswer());
   mTickTimer.cancel();
   Report();
   for (const auto& [connection, peer] : mPeers) {
--- a/mangospan/entry/entry_process_test.cc
+++ b/mangospan/entry/entry_process_test.cc
@@ -392,6 +392,21 @@
   EXPECT_NE(Heard<wire::goodbye>(), nullptr);
 }
 
+TEST_F(entry_daemon, StopThatTimesOutAnswersRequestsInFlight)
+{
+  MakeReady();
+  std::optional<result<http::response>> inFlight;
+  Send(Post("/permits/later"), inFlight);
+  ASSERT_TRUE(Eventually([this] { return mLater.size() == 1; }));
+  bool isDone = false;
+  mEntry->Stop([&isDone] { isDone = true; });
+  mClock.mShift += mSettings.mStopTimeout;
+  ASSERT_TRUE(Eventually([&isDone] { return isDone; }));
+  ASSERT_TRUE(inFlight && inFlight->has_value());
+  EXPECT_EQ(inFlight->assume_value().mStatus, 504);
+  EXPECT_EQ(inFlight->assume_value().Get("Mangospan-Outcome"), "unknown");
+}
+
 TEST_F(entry_daemon, DumpsStateAndCutsTraffic)
 {
   MakeReady();
