--- a/mangospan/base/time.cc
+++ b/mangospan/base/time.cc
@@ -14,6 +14,12 @@
                     std::chrono::nanoseconds(spec.tv_nsec));
 }
 
+std::int64_t
+CountMilliseconds(std::chrono::nanoseconds aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
 time_point
 system_clock_source::Now() const
 {
--- a/mangospan/base/time.h
+++ b/mangospan/base/time.h
@@ -10,6 +10,7 @@
 #define MANGOSPAN_BASE_TIME_H
 
 #include <chrono>
+#include <cstdint>
 
 namespace mangospan {
 
@@ -28,6 +29,10 @@
 
 using time_point = boot_clock::time_point;
 
+// Returns the whole milliseconds of a time, as logs and messages state it.
+std::int64_t
+CountMilliseconds(std::chrono::nanoseconds aTime);
+
 // Where a component gets the time from; injected through constructors.
 class clock_source
 {
--- a/mangospan/http/internal/session.cc
+++ b/mangospan/http/internal/session.cc
@@ -12,6 +12,7 @@
 #include <boost/beast/http/write.hpp>
 
 #include "mangospan/base/log.h"
+#include "mangospan/base/time.h"
 #include "mangospan/http/address.h"
 #include "mangospan/http/internal/header_check.h"
 
@@ -187,10 +188,7 @@
            "http.request_unanswered",
            { { "target", std::string(mParser->get().target()) },
              { "peer", mRemoteAddress },
-             { "age_ms",
-               static_cast<std::int64_t>(
-                 std::chrono::duration_cast<std::chrono::milliseconds>(age)
-                   .count()) } });
+             { "age_ms", CountMilliseconds(age) } });
 }
 
 // When the timer expires, it sets `mTimedOut` and cancels the socket's
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -9,7 +9,6 @@
 
 namespace {
 
-using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 // Run numbers reserved for each term. No task is started this many times within
@@ -260,10 +259,7 @@
     LogEvent(log_level::kInfo,
              "job.cancelled",
              { { "job", aJob.Str() },
-               { "age_ms",
-                 static_cast<std::int64_t>(
-                   duration_cast<milliseconds>(aNow - foundJob->mAcceptedAt)
-                     .count()) } });
+               { "age_ms", CountMilliseconds(aNow - foundJob->mAcceptedAt) } });
     FinishJob(*foundJob, job_state::kCancelled, aWall);
   }
   return true;
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -283,10 +283,7 @@
         { "step", static_cast<std::uint64_t>(aCandidate.mStep) },
         { "tasks", placed },
         { "waiting", waiting },
-        { "age_ms",
-          static_cast<std::int64_t>(std::chrono::duration_cast<milliseconds>(
-                                      aNow - aCandidate.mJob->mAcceptedAt)
-                                      .count()) } });
+        { "age_ms", CountMilliseconds(aNow - aCandidate.mJob->mAcceptedAt) } });
   }
   return waiting == 0;
 }
--- a/mangospan/node/caller_drain.cc
+++ b/mangospan/node/caller_drain.cc
@@ -14,12 +14,6 @@
 
 constexpr milliseconds kPollInterval{ 40 };
 
-std::int64_t
-CountMilliseconds(time_point::duration aTime)
-{
-  return std::chrono::duration_cast<milliseconds>(aTime).count();
-}
-
 // The response to a request that is still in progress when it is due. It may
 // have had an effect.
 http::response
--- a/mangospan/node/mirror.cc
+++ b/mangospan/node/mirror.cc
@@ -12,12 +12,6 @@
 
 namespace {
 
-std::int64_t
-ToMilliseconds(time_point::duration aTime)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
-}
-
 } // namespace
 
 mirror::mirror(boost::asio::io_context& aIo,
@@ -225,8 +219,8 @@
       { "peer", aError.mPeer },
       { "message", aError.mMessage },
       { "failed_calls", mFailedCalls },
-      { "took_ms", ToMilliseconds(mClock.Now() - aSentAt) },
-      { "unconfirmed_ms", ToMilliseconds(mClock.Now() - mConfirmedAt) } });
+      { "took_ms", CountMilliseconds(mClock.Now() - aSentAt) },
+      { "unconfirmed_ms", CountMilliseconds(mClock.Now() - mConfirmedAt) } });
 }
 
 void
@@ -240,7 +234,7 @@
            "store.regained",
            { { "prefix", mPrefix },
              { "failed_calls", mFailedCalls },
-             { "lost_ms", ToMilliseconds(mClock.Now() - mFailingSince) } });
+             { "lost_ms", CountMilliseconds(mClock.Now() - mFailingSince) } });
 }
 
 void
@@ -257,7 +251,7 @@
       { "records", static_cast<std::uint64_t>(aListing.mRecords.size()) },
       { "bytes", static_cast<std::uint64_t>(bytes) },
       { "revision", aListing.mRevision },
-      { "took_ms", ToMilliseconds(mClock.Now() - aSentAt) } });
+      { "took_ms", CountMilliseconds(mClock.Now() - aSentAt) } });
 }
 
 void
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -48,12 +48,6 @@
   return std::hash<std::string>()(aNode + "/" + aSubject) % kRanks;
 }
 
-std::int64_t
-ToMilliseconds(time_point::duration aTime)
-{
-  return std::chrono::duration_cast<milliseconds>(aTime).count();
-}
-
 mirror_settings
 OperatorMirrorSettings()
 {
@@ -334,9 +328,9 @@
              { "revision", aRecord.mRevision },
              { "queues", static_cast<std::uint64_t>(mCatalog->mQueues.size()) },
              { "bytes", static_cast<std::uint64_t>(aRecord.mValue.size()) },
-             { "decode_ms", ToMilliseconds(decodedAt - startedAt) },
-             { "apply_ms", ToMilliseconds(mClock.Now() - decodedAt) },
-             { "confirmed_age_ms", ToMilliseconds(CatalogAge()) } });
+             { "decode_ms", CountMilliseconds(decodedAt - startedAt) },
+             { "apply_ms", CountMilliseconds(mClock.Now() - decodedAt) },
+             { "confirmed_age_ms", CountMilliseconds(CatalogAge()) } });
 }
 
 std::vector<service_name>
@@ -399,7 +393,7 @@
     if (--*pending == 0) {
       LogEvent(log_level::kInfo,
                "stop.handed_over",
-               { { "took_ms", ToMilliseconds(mClock.Now() - begin) } });
+               { { "took_ms", CountMilliseconds(mClock.Now() - begin) } });
     }
   };
   for (auto& [service, each] : mPartitions) {
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -21,12 +21,6 @@
 // An owner that has not been seen serving for longer counts as missing.
 constexpr milliseconds kOwnerMissingAfter{ 1'000 };
 
-std::int64_t
-CountMilliseconds(time_point::duration aTime)
-{
-  return std::chrono::duration_cast<milliseconds>(aTime).count();
-}
-
 // The reply while the owner is known and can not be reached: nothing has been
 // sent, and another owner is elected within a second or so.
 job_reply
--- a/mangospan/node/pool_watch.cc
+++ b/mangospan/node/pool_watch.cc
@@ -167,13 +167,10 @@
   if (target.mIsSilent) {
     target.mIsSilent = false;
     const auto silence = mClock.Now() - target.mRequestedAt;
-    LogEvent(
-      log_level::kInfo,
-      "pool.told_again",
-      { { "service", aPool.Str() },
-        { "silent_ms",
-          static_cast<std::int64_t>(
-            std::chrono::duration_cast<milliseconds>(silence).count()) } });
+    LogEvent(log_level::kInfo,
+             "pool.told_again",
+             { { "service", aPool.Str() },
+               { "silent_ms", CountMilliseconds(silence) } });
   }
   target.mState = aResult.assume_value();
   target.mRequestedAt = aSentAt;
--- a/mangospan/node/state_dump.cc
+++ b/mangospan/node/state_dump.cc
@@ -7,7 +7,6 @@
 namespace mangospan::node {
 
 using nlohmann::json;
-using std::chrono::milliseconds;
 
 namespace {
 
@@ -33,9 +32,7 @@
   return { { "queue", aJob.mSpec.mQueue.Str() },
            { "state", jobs::Name(aJob.mState) },
            { "stored", aJob.IsStored() },
-           { "age_ms",
-             std::chrono::duration_cast<milliseconds>(aNow - aJob.mAcceptedAt)
-               .count() },
+           { "age_ms", CountMilliseconds(aNow - aJob.mAcceptedAt) },
            { "tasks_live", live },
            { "tasks_waiting_for_room", waiting },
            { "tasks_waiting_for_steps", blocked } };
