Records are written in the order in which they changed, not by name

The owner of an overloaded queue chose new and ended jobs for its next write by the order of their names. Once more came than a write carries, those with the last names were never stored: their callers got a 504 after 2.5 s, came again and waited again.

JobIsStoredBeforeThoseThatCameLater failed before. Those which are served no longer depend on names; there are as many as the owner can write.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -202,7 +202,7 @@
   }
   mJobs.emplace(aJob, std::move(newJob));
   mActiveJobs.insert(aJob);
-  mUnstoredJobs.insert(aJob);
+  mUnstoredJobs.Add(aJob);
   return { submit_outcome::kPending, milliseconds(0) };
 }
 
@@ -238,7 +238,7 @@
   if (found != mJobs.end() && found->second.mStoredVersion == 0) {
     mJobs.erase(found);
     mActiveJobs.erase(aJob);
-    mUnstoredJobs.erase(aJob);
+    mUnstoredJobs.Remove(aJob);
   }
 }
 
@@ -308,10 +308,11 @@
 scheduler::HasUnstoredJobs(const std::set<job_name>& aExcept,
                            bool aUrgentOnly) const
 {
-  return std::any_of(
-    mUnstoredJobs.begin(), mUnstoredJobs.end(), [&](const job_name& aJob) {
-      return (!aUrgentOnly || IsWriteUrgent(aJob)) && aExcept.count(aJob) == 0;
-    });
+  const auto& unstored = mUnstoredJobs.InOrder();
+  return std::any_of(unstored.begin(), unstored.end(), [&](const auto& aEntry) {
+    const job_name& each = aEntry.second;
+    return (!aUrgentOnly || IsWriteUrgent(each)) && aExcept.count(each) == 0;
+  });
 }
 
 std::vector<job_name>
@@ -319,7 +320,7 @@
 {
   std::vector<job_name> urgent;
   std::vector<job_name> others;
-  for (const job_name& each : mUnstoredJobs) {
+  for (const auto& [number, each] : mUnstoredJobs.InOrder()) {
     (IsWriteUrgent(each) ? urgent : others).push_back(each);
   }
   // The other records fill up a write that is due anyway.
@@ -340,7 +341,7 @@
       std::max(foundJob->mStoredVersion, each.mVersion);
     foundJob->mRevision = each.mRevision;
     if (foundJob->IsStored()) {
-      mUnstoredJobs.erase(each.mJob);
+      mUnstoredJobs.Remove(each.mJob);
     }
   }
   for (auto& [runnerName, each] : mRunners) {
@@ -495,7 +496,7 @@
 scheduler::MarkChanged(job& aJob)
 {
   ++aJob.mVersion;
-  mUnstoredJobs.insert(aJob.mName);
+  mUnstoredJobs.Add(aJob.mName);
 }
 
 void
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -37,6 +37,7 @@
 #include "mangospan/jobs/pool_autoscaler.h"
 #include "mangospan/jobs/runner.h"
 #include "mangospan/jobs/spec.h"
+#include "mangospan/jobs/unstored_jobs.h"
 
 namespace mangospan::jobs {
 
@@ -206,7 +207,7 @@
 
   // Returns up to `aMaxCount` jobs whose record differs from the stored one.
   // Urgent records come first: those of new and of ended jobs, since callers
-  // wait for them.
+  // wait for them. Of these, and of the others, the ones that wait longest.
   std::vector<job_name> UnstoredJobs(std::size_t aMaxCount) const;
   // Returns whether any job outside `aExcept` has a record that differs from
   // the stored one; with `aUrgentOnly`, whether any such record is urgent.
@@ -375,8 +376,8 @@
   const std::uint32_t mRunNumberBase; // run numbers of this term are above it
   catalog mCatalog;
   std::map<job_name, job> mJobs;
-  std::set<job_name> mActiveJobs;   // jobs that have not ended
-  std::set<job_name> mUnstoredJobs; // jobs with changes that are not stored
+  std::set<job_name> mActiveJobs; // jobs that have not ended
+  unstored_jobs mUnstoredJobs;
   std::map<runner_name, runner> mRunners;
   std::map<job_name, std::set<runner_name>> mRunnersByJob;
   // The time of each job's latest failure on each runner, for recent failures.
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -92,6 +92,24 @@
   EXPECT_EQ(world.StateOf("a1"), job_state::kCompleted);
 }
 
+// More jobs come than can be written. The first one must not wait behind those
+// that came later, whatever their names.
+TEST(scheduler_test, JobIsStoredBeforeThoseThatCameLater)
+{
+  fake_world world(1, fault_rates{});
+  AddRunners(world, 3);
+  world.RunFor(milliseconds(200));
+  world.Submit("f1", Job({ Tasks(1, 500, milliseconds(200)) }));
+  for (int i = 0; i < 1'000; ++i) {
+    world.Submit("a" + std::to_string(i),
+                 Job({ Tasks(1, 500, milliseconds(200)) }));
+    if (i % 20 == 19) {
+      world.RunFor(milliseconds(20));
+    }
+  }
+  EXPECT_EQ(world.StartsOf("f1.0.0.0"), 1U);
+}
+
 // A runner reports the end of a run again until it is acknowledged, also to the
 // next owner. Counting it twice would fail the job before its four attempts.
 TEST(scheduler_test, CountsAFailureOnceWhenASuccessorSeesItAgain)
