A stop that runs late answers before it exits, and waits for its hand-over

Found in a review of the schedule of a stop:

- A process that ran its timers only after the whole schedule (a loop that was busy for 0.3 s) finished without answering what was in progress.
It answers first now, and gives the bytes one more interval.
- With a short stop_timeout_ms, an idle node could exit before its hand-over was done, so that the next owner waited for the lease.
The exit waits for it within the schedule; connections are accepted until a second before the end of answering rather than 2.5 s before it.
- A forwarded call ends a little after its timeout; the schedule has room for it.
- A request that arrived while a busy process let the idle time of its connection run out is read, not cut.
- An entry began to answer at stop_timeout_ms, when it may be killed; it begins early enough now.
- The log names each request that is answered at the end of a stop, and in_progress tells what is normal when accepting ends from `unanswered`.

--- a/mangospan/entry/entry_process.cc
+++ b/mangospan/entry/entry_process.cc
@@ -414,7 +414,10 @@
   const auto passed = mClock.Now() - mStopBegan;
   const bool isIdle =
     mPipe.Open() == 0 && mPipeline.Idle() && mServer.ActiveRequests() == 0;
-  if ((isIdle && passed >= kStopNotice) || passed >= mSettings.mStopTimeout) {
+  // The rest of the stop takes a last tick and the goodbye.
+  const bool isTimedOut =
+    passed + kTickPeriod + kGoodbyeTime >= mSettings.mStopTimeout;
+  if ((isIdle && passed >= kStopNotice) || isTimedOut) {
     FinishStop();
     return;
   }
--- a/mangospan/http/internal/session.cc
+++ b/mangospan/http/internal/session.cc
@@ -154,6 +154,7 @@
   if (mPhase != phase::kHandling) {
     return false;
   }
+  LogActiveRequest("http.request_unfinished");
   Respond(aResponse);
   return true;
 }
@@ -166,8 +167,8 @@
   }
   mPhase = phase::kClosed;
   if (mDispatched) {
-    if (mContext->mDestroyed) {
-      LogUnanswered();
+    if (mContext->mDestroyed) { // otherwise, the caller has disconnected
+      LogActiveRequest("http.request_unanswered");
     }
     mDispatched = false;
     --mContext->mActiveRequests;
@@ -181,11 +182,11 @@
 }
 
 void
-session::LogUnanswered() const
+session::LogActiveRequest(const char* aEvent) const
 {
   const auto age = std::chrono::steady_clock::now() - mDispatchedAt;
   LogEvent(log_level::kWarning,
-           "http.request_unanswered",
+           aEvent,
            { { "target", std::string(mParser->get().target()) },
              { "peer", mRemoteAddress },
              { "age_ms", CountMilliseconds(age) } });
@@ -237,7 +238,10 @@
     return;
   }
   if (aError) {
-    if (mTimedOut && mPhase == phase::kReading) {
+    error_type failure;
+    if (mTimedOut && mPhase == phase::kIdle && mSocket.available(failure) > 0) {
+      ReadHeader(); // a request has arrived while the process was busy
+    } else if (mTimedOut && mPhase == phase::kReading) {
       RejectRequest(408, "request-timeout", "the request came too slowly");
     } else {
       Close();
--- a/mangospan/http/internal/session.h
+++ b/mangospan/http/internal/session.h
@@ -83,8 +83,8 @@
   void Write(response aResponse);
   void OnWritten(const error_type& aError);
   void CloseGracefully();
-  // Logs that the request in progress gets no response.
-  void LogUnanswered() const;
+  // Logs what happens to the request that the handler has not answered.
+  void LogActiveRequest(const char* aEvent) const;
   void DiscardInput(std::size_t aMaxBytes);
   void StartTimer(std::chrono::milliseconds aTimeout);
 
--- a/mangospan/node/caller_drain.cc
+++ b/mangospan/node/caller_drain.cc
@@ -27,9 +27,11 @@
 
 caller_drain::caller_drain(boost::asio::io_context& aIo,
                            const clock_source& aClock,
-                           http::server& aServer)
+                           http::server& aServer,
+                           std::function<bool()> aIsHandedOver)
   : mClock(aClock)
   , mServer(aServer)
+  , mIsHandedOver(std::move(aIsHandedOver))
   , mTimer(aIo)
 {
 }
@@ -47,12 +49,12 @@
 caller_drain::StopAccepting()
 {
   mServer.StopAccepting();
-  LogEvent(
-    log_level::kInfo,
-    "stop.accepting_ended",
-    { { "open_connections",
-        static_cast<std::uint64_t>(mServer.OpenConnections()) },
-      { "unanswered", static_cast<std::uint64_t>(mServer.ActiveRequests()) } });
+  LogEvent(log_level::kInfo,
+           "stop.accepting_ended",
+           { { "open_connections",
+               static_cast<std::uint64_t>(mServer.OpenConnections()) },
+             { "in_progress",
+               static_cast<std::uint64_t>(mServer.ActiveRequests()) } });
   Poll();
 }
 
@@ -62,7 +64,10 @@
 caller_drain::Poll()
 {
   const time_point now = mClock.Now();
-  if (mServer.OpenConnections() == 0 || now >= mSchedule->ExitBy()) {
+  const bool isClosed = mServer.OpenConnections() == 0 && mIsHandedOver();
+  // Responses get one more interval to be sent if the process runs late.
+  const bool isOver = mIsRestAnswered && now >= mSchedule->ExitBy();
+  if (isClosed || isOver) {
     Finish();
     return;
   }
--- a/mangospan/node/caller_drain.h
+++ b/mangospan/node/caller_drain.h
@@ -18,14 +18,16 @@
 class caller_drain
 {
 public:
-  // The references must outlive the drain.
+  // The references must outlive the drain. `aIsHandedOver` returns whether the
+  // node owns nothing any more.
   caller_drain(boost::asio::io_context& aIo,
                const clock_source& aClock,
-               http::server& aServer);
+               http::server& aServer,
+               std::function<bool()> aIsHandedOver);
 
-  // Stops accepting connections in time and calls `aDone` once all are closed,
-  // or at the end of the schedule. A request that has no response when it is
-  // due is answered with 504. Call once.
+  // Stops accepting connections in time and calls `aDone` once all are closed
+  // and the node is handed over, or at the end of the schedule. A request that
+  // has no response when it is due is answered with 504. Call once.
   void Start(const stop_schedule& aSchedule, std::function<void()> aDone);
 
 private:
@@ -37,6 +39,7 @@
 
   const clock_source& mClock;
   http::server& mServer;
+  const std::function<bool()> mIsHandedOver;
   timer mTimer;
   std::optional<stop_schedule> mSchedule;
   std::function<void()> mDone;
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -391,6 +391,7 @@
   const auto pending = std::make_shared<std::size_t>(mPartitions.size() + 1);
   const auto retired = [this, pending, begin] {
     if (--*pending == 0) {
+      mIsHandedOver = true;
       LogEvent(log_level::kInfo,
                "stop.handed_over",
                { { "took_ms", CountMilliseconds(mClock.Now() - begin) } });
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -65,10 +65,12 @@
   status Start();
   // Joins the elections. Called by `Start()`.
   void Join();
-  // Stops gracefully: reports not ready, hands over everything that this node
-  // owns, and answers every request within the schedule that it returns. Call
-  // once.
+  // Stops gracefully: reports not ready and hands over everything that this
+  // node owns. Requests get the time that the returned schedule leaves; see
+  // `caller_drain`. Call once.
   stop_schedule Stop();
+  // Returns whether the hand-over of a stop has ended.
+  bool IsHandedOver() const { return mIsHandedOver; }
 
   // Submits a job, and again while the result is unknown; see submission.h.
   // `aCallerWaits` is the time for which the caller still waits, if it says so.
@@ -183,6 +185,7 @@
   timer mCheckTimer;
   unavailable_job_service mUnavailableJobs{ UnavailableReply() };
   std::optional<stop_schedule> mStopSchedule; // set once the node stops
+  bool mIsHandedOver = false;
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/stop_schedule.cc
+++ b/mangospan/node/stop_schedule.cc
@@ -17,6 +17,11 @@
 constexpr milliseconds kSendTime{ 300 };
 // The time that a request is given at least.
 constexpr milliseconds kMinRequestTimeout{ 300 };
+// A request that another node handles is answered a little after its timeout.
+constexpr milliseconds kForwardReserve{ 100 };
+// In a short stop, connections are accepted until most requests that come over
+// them still have enough time.
+constexpr milliseconds kUsualRequestTime{ 1'000 };
 
 } // namespace
 
@@ -24,7 +29,7 @@
   : mBegin(aBegin)
   , mExitBy(aBegin + std::max(milliseconds(0), aStopTimeout - kExitReserve))
   , mAnswerBy(std::max(aBegin, mExitBy - kSendTime))
-  , mAcceptUntil(std::clamp(mAnswerBy - kMaxRequestTimeout,
+  , mAcceptUntil(std::clamp(mAnswerBy - kUsualRequestTime,
                             aBegin,
                             aBegin + kLoadBalancerDelay))
 {
@@ -33,7 +38,8 @@
 std::optional<milliseconds>
 stop_schedule::LimitTimeout(milliseconds aTimeout, time_point aNow) const
 {
-  const auto left = std::chrono::duration_cast<milliseconds>(mAnswerBy - aNow);
+  const auto left = std::chrono::duration_cast<milliseconds>(
+    mAnswerBy - kForwardReserve - aNow);
   if (left < kMinRequestTimeout) {
     return std::nullopt;
   }
