A poll that acknowledges ends does not wait at the runner

What callers and runners saw (TWICE): tasks that were done, and whose ends were acknowledged, started again, after their start orders had been settled as not executed.

Cause: a runner that starts again under its name counts ends from 1. A poll that carries a number of the earlier boot and waits at the new one acknowledges what ends there meanwhile, though no owner has seen it. The owner then finds runs that no report lists, takes them for never begun, and starts their tasks again. The wait was left out only for a runner that had been quiet for three poll intervals; a crash between two polls was not covered, nor a poll that is repeated at once since the last one got no answer.

Now a poll that acknowledges ends never waits, and a runner that has runs is asked without a number first if it has not answered lately.

Evidence: in the tests' world polls were answered within a tick, so no schedule could show it. PollThatAcknowledgesEndsDoesNotWait and PollAfterOneWithoutAnAnswerAcknowledgesNothing failed before.

What remains: a lost poll with a number that is executed seconds later, in the next boot, still acknowledges ends there unseen.

--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -329,6 +329,7 @@
   void PlanPolls(time_point aNow, std::vector<order>& aOrders);
   void PlanThrottles(std::vector<order>& aOrders);
   std::chrono::nanoseconds PollInterval() const;
+  bool MayAcknowledge(const runner& aRunner, time_point aNow) const;
   std::chrono::milliseconds PollWait(const runner& aRunner,
                                      const poll_order& aPoll,
                                      time_point aNow) const;
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -478,24 +478,34 @@
     mSettings.mPollInterval, mSettings.mPollIntervalPerRunner * runners);
 }
 
-// Returns for how long the runner may delay its answer to the poll. While it
-// delays it, runs of a boot that this owner does not know may end, and the poll
-// would acknowledge them unseen; so it answers at once if it has been quiet. So
-// does a runner whose answer tells whether a run has begun.
+// Returns whether a poll of the runner may acknowledge ends. Their numbers
+// would acknowledge other ends if the runner has started again and runs of its
+// new boot have ended already, so a runner with runs has to have answered
+// lately.
+bool
+scheduler::MayAcknowledge(const runner& aRunner, time_point aNow) const
+{
+  const bool wasQuiet =
+    aNow - aRunner.ClockReadAt() > kQuietPollIntervals * PollInterval();
+  return aRunner.Runs().empty() || (aRunner.mFailedPolls == 0 && !wasQuiet);
+}
+
+// Returns for how long the runner may delay its answer to the poll. A poll that
+// acknowledges ends does not wait: runs of a boot that this owner does not know
+// may end meanwhile, and would be acknowledged unseen. Nor does one whose
+// answer tells whether a run has begun.
 milliseconds
 scheduler::PollWait(const runner& aRunner,
                     const poll_order& aPoll,
                     time_point aNow) const
 {
-  const bool wasQuiet =
-    aNow - aRunner.ClockReadAt() > kQuietPollIntervals * PollInterval();
   const bool hasUnsettledRun = std::any_of(
     aRunner.Runs().begin(), aRunner.Runs().end(), [](const auto& aEntry) {
       const run& each = aEntry.second;
       return each.mPhase == run_phase::kUnknown ||
              (each.mIsOfEarlierBoot && each.mPhase != run_phase::kListed);
     });
-  if (hasUnsettledRun || (aPoll.mAcknowledged > 0 && wasQuiet)) {
+  if (hasUnsettledRun || aPoll.mAcknowledged > 0) {
     return milliseconds(0);
   }
   if (aRunner.mAnswerRecord.IsUnreliable(aNow)) {
@@ -509,9 +519,9 @@
 {
   poll_order poll;
   poll.mRunner = aRunner.mInfo.mName;
-  // Once acknowledged, the runner has forgotten these ends. Their numbers would
-  // acknowledge other ends if the runner has started again.
-  if (aRunner.mHighestStoredEnd > aRunner.mHighestAckedEnd) {
+  // Once acknowledged, the runner has forgotten these ends.
+  if (aRunner.mHighestStoredEnd > aRunner.mHighestAckedEnd &&
+      MayAcknowledge(aRunner, aNow)) {
     poll.mAcknowledged = aRunner.mHighestStoredEnd;
   }
   aRunner.mAckDueAt = aNow + kIdleAckDelay;
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -513,6 +513,53 @@
   EXPECT_EQ(acknowledging->mWait.count(), 0);
 }
 
+// A runner may have started again since its last answer, and its next boot
+// counts ends from 1. While a poll waits there, runs may end that nobody has
+// seen.
+TEST(scheduler_test, PollThatAcknowledgesEndsDoesNotWait)
+{
+  fake_world world(1, fault_rates{});
+  RunOneLongRunningTask(world);
+  for (int i = 0; i < 10; ++i) {
+    world.Submit("a" + std::to_string(i + 2),
+                 Job({ Tasks(1, 500, milliseconds(100)) }));
+    world.RunFor(milliseconds(200));
+  }
+  std::size_t acknowledging = 0;
+  for (const poll_order& each : world.PollsOf("r0")) {
+    if (each.mAcknowledged > 0) {
+      ++acknowledging;
+      EXPECT_EQ(each.mWait.count(), 0);
+    }
+  }
+  EXPECT_GT(acknowledging, 0U);
+}
+
+TEST(scheduler_test, PollAfterOneWithoutAnAnswerAcknowledgesNothing)
+{
+  fake_world world(1, fault_rates{});
+  RunOneLongRunningTask(world);
+  world.Submit("a2", Job({ Tasks(1, 500, milliseconds(100)) }));
+  world.RunFor(milliseconds(60));
+  world.CutOwnerFromStore(milliseconds(600)); // the end is stored after this
+  world.RunFor(milliseconds(400));
+  world.SetReachable("r0", false);
+  const std::size_t before = world.PollsOf("r0").size();
+  world.RunFor(seconds(3));
+  const auto& polls = world.PollsOf("r0");
+  ASSERT_GT(polls.size(), before + 2);
+  for (std::size_t i = before + 1; i < polls.size(); ++i) {
+    EXPECT_EQ(polls[i].mAcknowledged, 0U) << i;
+  }
+  world.SetReachable("r0", true);
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.StateOf("a2"), job_state::kCompleted);
+  EXPECT_TRUE(
+    std::any_of(polls.begin(), polls.end(), [](const poll_order& aEach) {
+      return aEach.mAcknowledged > 0;
+    }));
+}
+
 // The earlier owner may have ordered a run to stop that still shows as live, so
 // its successor does not know yet how many tasks are unavailable.
 TEST(scheduler_test,
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -296,9 +296,7 @@
   mPolls[aOrder.mRunner.Str()].push_back(aOrder);
   if (const auto outcome = OutcomeWithoutRunner(aOrder.mRunner.Str())) {
     Schedule(RandomDelay(), [this, aOrder, term, sentAt, outcome] {
-      NotifyOwner(term, [&](scheduler& aOwner) {
-        aOwner.OnPoll(aOrder, *outcome, nullptr, sentAt, mNow, Wall());
-      });
+      AnswerPoll({ aOrder, term, sentAt }, *outcome, nullptr);
     });
     return;
   }
@@ -314,36 +312,51 @@
     }
     Schedule(
       aOrder.mWait + aOrder.mAnswerTimeout, [this, aOrder, term, sentAt] {
-        NotifyOwner(term, [&](scheduler& aOwner) {
-          aOwner.OnPoll(
-            aOrder, order_outcome::kUnknown, nullptr, sentAt, mNow, Wall());
-        });
+        AnswerPoll({ aOrder, term, sentAt }, order_outcome::kUnknown, nullptr);
       });
     return;
   }
-  // The runner's report is taken at once and delivered after at most one tick,
-  // so that the report of an end is at most one tick late.
   Schedule(RandomDelay(), [this, aOrder, term, sentAt, &target] {
-    if (OutcomeWithoutRunner(aOrder.mRunner.Str())) {
-      NotifyOwner(term, [&](scheduler& aOwner) {
-        aOwner.OnPoll(
-          aOrder, order_outcome::kUnknown, nullptr, sentAt, mNow, Wall());
-      });
-      return;
-    }
-    const auto report = target.Poll(aOrder, term, mNow);
-    Schedule(std::min<milliseconds>(aOrder.mWait, kTick) + RandomDelay(),
-             [this, aOrder, term, sentAt, report] {
-               NotifyOwner(term, [&](scheduler& aOwner) {
-                 aOwner.OnPoll(aOrder,
-                               report ? order_outcome::kDone
-                                      : order_outcome::kFenced,
-                               report ? &*report : nullptr,
-                               sentAt,
-                               mNow,
-                               Wall());
-               });
-             });
+    AwaitReport({ aOrder, term, sentAt }, target.Info().mBoot, mNow);
+  });
+}
+
+// Answers the poll, which has reached the runner at `aArrivedAt`, once a run
+// has ended or the wait is over. A runner that starts again meanwhile resets
+// the connection.
+void
+fake_world::AwaitReport(const sent_poll& aPoll,
+                        std::int64_t aBoot,
+                        time_point aArrivedAt)
+{
+  const poll_order& order = aPoll.mOrder;
+  fake_runner& target = *mRunners.at(order.mRunner.Str());
+  if (OutcomeWithoutRunner(order.mRunner.Str()) ||
+      target.Info().mBoot != aBoot) {
+    AnswerPoll(aPoll, order_outcome::kUnknown, nullptr);
+    return;
+  }
+  const auto report = target.Poll(order, aPoll.mTerm, mNow);
+  if (report && report->mEnded.empty() && mNow < aArrivedAt + order.mWait) {
+    Schedule(kTick, [this, aPoll, aBoot, aArrivedAt] {
+      AwaitReport(aPoll, aBoot, aArrivedAt);
+    });
+    return;
+  }
+  Schedule(RandomDelay(), [this, aPoll, report] {
+    AnswerPoll(aPoll,
+               report ? order_outcome::kDone : order_outcome::kFenced,
+               report ? &*report : nullptr);
+  });
+}
+
+void
+fake_world::AnswerPoll(const sent_poll& aPoll,
+                       order_outcome aOutcome,
+                       const poll_report* aReport)
+{
+  NotifyOwner(aPoll.mTerm, [&](scheduler& aOwner) {
+    aOwner.OnPoll(aPoll.mOrder, aOutcome, aReport, aPoll.mSentAt, mNow, Wall());
   });
 }
 
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -118,6 +118,14 @@
     bool mIsAcknowledgedDone = false;
   };
 
+  // A poll that the owner of the term has sent.
+  struct sent_poll
+  {
+    poll_order mOrder;
+    std::uint64_t mTerm = 0;
+    time_point mSentAt;
+  };
+
   void Schedule(std::chrono::milliseconds aDelay,
                 std::function<void()> aAction);
   bool Chance(double aProbability);
@@ -134,6 +142,12 @@
   void Deliver(const throttle_order& aOrder);
   void Deliver(const poll_order& aOrder);
   void DeliverLate(const poll_order& aOrder);
+  void AwaitReport(const sent_poll& aPoll,
+                   std::int64_t aBoot,
+                   time_point aArrivedAt);
+  void AnswerPoll(const sent_poll& aPoll,
+                  order_outcome aOutcome,
+                  const poll_report* aReport);
   void NotifyOwner(std::uint64_t aTerm,
                    const std::function<void(scheduler&)>& aNotify);
   void WriteToStore();
