A late record of a runner's earlier boot ends no runs

What runners would have seen (TWICE): a task that runs is started a second time beside it.

Cause: a poll may tell an owner of a runner's new boot before service discovery does. A record of the earlier boot that came after that put the earlier boot back; the next report then looked like one more new boot, all runs there were given up, and their tasks started elsewhere while they ran. A record without a boot made the owner forget which one it knew, so that a new boot could pass unnoticed.

A record of an earlier boot is ignored now, and one without a boot changes nothing about it.

Evidence: found by reading, while the other cause of TWICE was traced. LateRecordOfAnEarlierBootEndsNoRuns failed before: three starts in place of two, and two runs beside each other.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -122,11 +122,15 @@
     return;
   }
   runner& known = found->second;
-  if (known.mInfo.mBoot != 0 && aInfo.mBoot > known.mInfo.mBoot) {
+  const std::int64_t knownBoot = known.mInfo.mBoot;
+  if (knownBoot != 0 && aInfo.mBoot > knownBoot) {
     OnBootChanged(known, aInfo, aNow);
     known.mListed = true;
     return;
   }
+  if (aInfo.mBoot != 0 && aInfo.mBoot < knownBoot) {
+    return; // a poll has told of the new boot before service discovery
+  }
   if (known.mInfo.mDraining != aInfo.mDraining) {
     LogEvent(
       log_level::kInfo,
@@ -134,6 +138,7 @@
       { { "runner", aInfo.mName.Str() }, { "draining", aInfo.mDraining } });
   }
   known.mInfo = aInfo;
+  known.mInfo.mBoot = knownBoot != 0 ? knownBoot : aInfo.mBoot;
   known.mListed = true;
 }
 
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -560,6 +560,25 @@
     }));
 }
 
+// A poll may tell of the new boot of a runner before service discovery does.
+TEST(scheduler_test, LateRecordOfAnEarlierBootEndsNoRuns)
+{
+  fake_world world(1, fault_rates{});
+  RunOneLongRunningTask(world);
+  const runner_info earlier = world.Runner("r0").Info();
+  world.FreezeDiscovery(seconds(5));
+  world.Crash("r0");
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 2U);
+  world.AddRunner("r1", "s", kRunnerCapacity);
+  world.Owner()->OnRunnerListed(world.Runner("r1").Info(), world.Now());
+  world.RunFor(milliseconds(200));
+  world.Owner()->OnRunnerListed(earlier, world.Now());
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 2U);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
 // The earlier owner may have ordered a run to stop that still shows as live, so
 // its successor does not know yet how many tasks are unavailable.
 TEST(scheduler_test,
