A repeated upkeep order does not end the host's next runner

Cause: an order to a host whose answer was lost, or that a new owner of the fleet repeats, is answered as done if it was executed before. The controller then reported the runner dead that was listed when the order was sent, which by then is the next one. The owner of the pool drops it; its record does not change, so it is not listed again.

Now the answer alone reports nothing: a listing that was requested after it and shows the host without that runner does (ended_runners). A runner that is still there two seconds later has come after the order.

Evidence: RepeatedUpkeepDoesNotReportTheNewRunnerDead failed before: the new runner was reported dead. RunnerThatUpkeepHasEndedIsReportedDead passed before and passes.

--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -285,6 +285,10 @@
     }
     self->mHosts = std::move(aResult).assume_value();
     self->mListedAt = sentAt;
+    for (const host_entry& each :
+         self->mEndedRunners.TakeEnded(self->mHosts, sentAt)) {
+      self->mPoolWatch->ReportDead(each.mPool, each.mRunner);
+    }
   });
 }
 
@@ -510,7 +514,7 @@
       const time_point now = self->mDeps.mClock.Now();
       if (aOutcome == host_order_outcome::kDone) {
         self->mAutoscaler.OnMovePending(aOrder, now);
-        self->mPoolWatch->ReportDead(host.mPool, host.mRunner);
+        self->mEndedRunners.OnOrderDone(host, now);
       } else if (aOutcome != host_order_outcome::kUnknown) {
         self->mAutoscaler.OnMoveNotExecuted(aOrder.mHost);
       }
@@ -542,7 +546,7 @@
       switch (aOutcome) {
         case host_order_outcome::kDone:
           self->mMaintenancePlanner.OnExecuted(aOrder, now);
-          self->mPoolWatch->ReportDead(host.mPool, host.mRunner);
+          self->mEndedRunners.OnOrderDone(host, now);
           self->mWaveRecords->StoreMaintainedHosts(
             aOrder.mWave,
             self->mMaintenancePlanner.MaintainedHosts(aOrder.mWave));
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -27,6 +27,7 @@
 #include "mangospan/jobs/maintenance_planner.h"
 #include "mangospan/jobs/pool_autoscaler.h"
 #include "mangospan/node/election.h"
+#include "mangospan/node/ended_runners.h"
 #include "mangospan/node/host_orders.h"
 #include "mangospan/node/pool_link.h"
 #include "mangospan/node/pool_watch.h"
@@ -137,6 +138,7 @@
   time_point mListedAt{};
   std::vector<host_entry> mHosts;
   std::set<host_name> mMaintenanceInFlight;
+  ended_runners mEndedRunners;
   jobs::maintenance_planner mMaintenancePlanner;
   jobs::pool_autoscaler mAutoscaler;
   bool mIsListing = false;
--- a/mangospan/node/fleet_controller_test.cc
+++ b/mangospan/node/fleet_controller_test.cc
@@ -1,13 +1,16 @@
 #include "mangospan/node/fleet_controller.h"
 
 #include <algorithm>
-#include <optional>
+#include <functional>
+#include <memory>
+#include <set>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <gtest/gtest.h>
 
+#include "mangospan/base/timer.h"
 #include "mangospan/node/election.h"
 #include "mangospan/node/testing/memory_store.h"
 #include "mangospan/node/testing/runner_records.h"
@@ -18,6 +21,8 @@
 using jobs::runner_name;
 using std::chrono::milliseconds;
 
+constexpr milliseconds kOrderTimeout{ 600 };
+
 const service_name kHot{ "hot" };
 const service_name kCold{ "cold" };
 
@@ -50,13 +55,33 @@
     mMovedHosts.push_back(aHost);
   }
   void Maintain(const order_fence& /*aFence*/,
-                const host_name& /*aHost*/,
+                const host_name& aHost,
                 std::uint64_t /*aWave*/,
-                host_order_handler /*aHandler*/) override
+                host_order_handler aHandler) override
+  {
+    ++mMaintainCount;
+    const host_order_outcome outcome =
+      mOnMaintain ? mOnMaintain(aHost) : host_order_outcome::kNotExecuted;
+    const auto answered = std::make_shared<timer>(
+      mIo,
+      outcome == host_order_outcome::kUnknown ? kOrderTimeout
+                                              : milliseconds(0));
+    answered->async_wait(
+      [answered, outcome, aHandler](
+        const boost::system::error_code& /*aError*/) { aHandler(outcome); });
+  }
+  host_entry& Entry(const host_name& aHost)
   {
+    return *std::find_if(
+      mHosts.begin(), mHosts.end(), [&aHost](const host_entry& aEntry) {
+        return aEntry.mHost == aHost;
+      });
   }
 
   std::vector<host_name> mMovedHosts;
+  int mMaintainCount = 0;
+  // Executes a maintenance order.
+  std::function<host_order_outcome(const host_name&)> mOnMaintain;
 
 private:
   boost::asio::io_context& mIo;
@@ -87,6 +112,8 @@
                 pool_state_handler aHandler) override
   {
     ++mExchangeCount;
+    mDeadRunners.insert(aInstructions.mDeadRunners.begin(),
+                        aInstructions.mDeadRunners.end());
     pool_state& state = mStates[aPool];
     for (auto& [name, each] : state.mRunners) {
       each.mIsCordoned = mAlwaysReportsCordoned ||
@@ -105,6 +132,7 @@
   bool mAnswersForCold = true;         // replies for the cold pool
   bool mIsCordonRequested = false;
   int mExchangeCount = 0;
+  std::set<runner_name> mDeadRunners; // that were reported
 
 private:
   boost::asio::io_context& mIo;
@@ -236,5 +264,52 @@
   EXPECT_GE(mHosts.mMovedHosts.size(), 2U);
 }
 
+// An upkeep whose answer was lost is ordered again once its host is back up.
+// The runner that is there by then must not be reported dead: it would get no
+// work as long as its record does not change.
+TEST_F(fleet_controller_test, RepeatedUpkeepDoesNotReportTheNewRunnerDead)
+{
+  mPools.mStates[kHot].mLoad.mRequested = { 0, 0, 0 };
+  const host_name host{ "h2" };
+  const runner_name returned{ "r2-new" };
+  timer returning(mIo);
+  mHosts.mOnMaintain = [&](const host_name&) {
+    if (mHosts.mMaintainCount > 1) {
+      return host_order_outcome::kDone; // as it is already
+    }
+    mHosts.Entry(host).mState = host_state::kMaintenance;
+    mHosts.Entry(host).mRunner = runner_name{};
+    returning.expires_after(milliseconds(1'000));
+    returning.async_wait([&](const boost::system::error_code& /*aError*/) {
+      mHosts.Entry(host).mState = host_state::kUp;
+      mHosts.Entry(host).mRunner = returned;
+      mPools.mStates[kCold].mRunners[returned] =
+        mPools.mStates[kCold].mRunners[runner_name{ "r2" }];
+    });
+    return host_order_outcome::kUnknown;
+  };
+  Start();
+  mController->OnWave({ 1, { host }, std::chrono::seconds(60), 1 });
+  RunUntil([this] { return mHosts.mMaintainCount > 1; });
+  const int exchanges = mPools.mExchangeCount;
+  RunUntil([&] { return mPools.mExchangeCount > exchanges + 20; });
+  EXPECT_EQ(mPools.mDeadRunners.count(returned), 0U);
+}
+
+TEST_F(fleet_controller_test, RunnerThatUpkeepHasEndedIsReportedDead)
+{
+  mPools.mStates[kHot].mLoad.mRequested = { 0, 0, 0 };
+  const host_name host{ "h2" };
+  mHosts.mOnMaintain = [&](const host_name&) {
+    mHosts.Entry(host).mState = host_state::kMaintenance;
+    mHosts.Entry(host).mRunner = runner_name{};
+    return host_order_outcome::kDone;
+  };
+  Start();
+  mController->OnWave({ 1, { host }, std::chrono::seconds(60), 1 });
+  RunUntil([this] { return !mPools.mDeadRunners.empty(); });
+  EXPECT_EQ(mPools.mDeadRunners, std::set<runner_name>{ runner_name{ "r2" } });
+}
+
 } // namespace
 } // namespace mangospan::node
