One function refuses requests that come too late in a stop

The same lines stood in three places of node_process_requests.cc. The time that a request gets and its refusal are one step now: TimeoutOrRefuse. No behaviour changes; the tests of the node pass as before.

--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -135,10 +135,9 @@
   // does not exist.
   partition& FindOrAddPartition(const service_name& aService);
   job_service_finder Finder();
-  // Returns how long a request may take, at most `aTimeout`; nullopt if the
-  // node exits too soon to answer it.
-  std::optional<std::chrono::milliseconds> LimitTimeout(
-    std::chrono::milliseconds aTimeout) const;
+  std::optional<std::chrono::milliseconds> TimeoutOrRefuse(
+    std::chrono::milliseconds aTimeout,
+    const reply_handler& aHandler) const;
   using job_call = void (job_service::*)(const jobs::job_name&,
                                          std::chrono::milliseconds,
                                          reply_handler);
--- a/mangospan/node/node_process_requests.cc
+++ b/mangospan/node/node_process_requests.cc
@@ -32,11 +32,19 @@
   };
 }
 
+// Returns the time that the request gets, which a stop limits. Refuses it and
+// returns nothing if it would come too late to be answered before the exit.
 std::optional<milliseconds>
-node_process::LimitTimeout(milliseconds aTimeout) const
+node_process::TimeoutOrRefuse(milliseconds aTimeout,
+                              const reply_handler& aHandler) const
 {
-  return mStopSchedule ? mStopSchedule->LimitTimeout(aTimeout, mClock.Now())
-                       : aTimeout;
+  const auto timeout = mStopSchedule
+                         ? mStopSchedule->LimitTimeout(aTimeout, mClock.Now())
+                         : aTimeout;
+  if (!timeout) {
+    aHandler(StoppingReply());
+  }
+  return timeout;
 }
 
 std::vector<service_name>
@@ -58,9 +66,8 @@
                      milliseconds aTimeout,
                      reply_handler aHandler)
 {
-  const auto timeout = LimitTimeout(aTimeout);
+  const auto timeout = TimeoutOrRefuse(aTimeout, aHandler);
   if (!timeout) {
-    aHandler(StoppingReply());
     return;
   }
   if (aCallerWaits) {
@@ -84,9 +91,8 @@
                      milliseconds aTimeout,
                      reply_handler aHandler)
 {
-  const auto timeout = LimitTimeout(aTimeout);
+  const auto timeout = TimeoutOrRefuse(aTimeout, aHandler);
   if (!timeout) {
-    aHandler(StoppingReply());
     return;
   }
   SearchJob(
@@ -124,9 +130,8 @@
                            milliseconds aTimeout,
                            reply_handler aHandler)
 {
-  const auto timeout = LimitTimeout(aTimeout);
+  const auto timeout = TimeoutOrRefuse(aTimeout, aHandler);
   if (!timeout) {
-    aHandler(StoppingReply());
     return;
   }
   node::CountWaiting(
