A stop_timeout_ms of 0 or less is refused

What operators saw: a node took such a setting, and answered every request of a stop with 504 at once. The check of the own installation's daemons had been left out for a node.

--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -47,6 +47,18 @@
   return boost::outcome_v2::success();
 }
 
+status
+ReadPositiveMilliseconds(const nlohmann::json& aValue,
+                         const json::location& aWhere,
+                         milliseconds& aInto)
+{
+  BOOST_OUTCOME_TRY(ReadMilliseconds(aValue, aWhere, aInto));
+  if (aInto < milliseconds(1)) {
+    return json::Refuse(aWhere, "must be 1 or more");
+  }
+  return boost::outcome_v2::success();
+}
+
 const json::field_table<node_settings>&
 Fields()
 {
@@ -68,7 +80,7 @@
     Optional("processor_share", &s::mProcessorCores),
     Optional("max_body_bytes", &s::mMaxBodyBytes),
     Optional("max_connections", &s::mMaxConnections),
-    With("stop_timeout_ms", &s::mStopTimeout, ReadMilliseconds),
+    With("stop_timeout_ms", &s::mStopTimeout, ReadPositiveMilliseconds),
     With("host_lease_ms", &s::mMinOrderGapBetweenOwners, ReadMilliseconds),
   };
   return kFields;
