A late answer of a runner's earlier boot ends no runs

What runners would have seen (TWICE): a task that runs is started a second time beside it.

A poll is answered, the runner starts again, service discovery tells of that first, and then the answer arrives: it looked like one more new boot. Answers to polls that were sent before the present boot became known are ignored now.

LateAnswerOfAnEarlierBootEndsNoRuns failed before (three starts in place of two, two runs beside each other).

--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -160,8 +160,10 @@
   bool mMayHoldInheritedRuns = false;
   runner_time mGrantedLease{ 0 }; // The end of the lease in the latest poll.
   bool mPollInFlight = false;     // A poll was sent and is not yet answered.
-  time_point mNextPollAt{};       // The earliest time of the next poll.
-  int mFailedPolls = 0;           // The number of consecutive failed polls.
+  // When this boot became known. Answers to earlier polls tell of another one.
+  time_point mBootKnownAt{};
+  time_point mNextPollAt{};  // The earliest time of the next poll.
+  int mFailedPolls = 0;      // The number of consecutive failed polls.
   time_point mSilentSince{}; // When they began; the epoch if there are none.
   // Polls have failed so often that the runner is taken to be unreachable,
   // which the stored roster tells a successor.
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -182,6 +182,10 @@
     return;
   }
   runner& polledRunner = found->second;
+  if (aSentAt < polledRunner.mBootKnownAt) {
+    mFenced = mFenced || aOutcome == order_outcome::kFenced;
+    return;
+  }
   polledRunner.mPollInFlight = false;
   polledRunner.mNextPollAt =
     std::max(polledRunner.mNextPollAt, aNow + PollInterval());
@@ -252,6 +256,7 @@
   }
   ReleaseAllRuns(aRunner, loss_reason::kNewBoot, aNow);
   runner rebooted(std::move(aInfo));
+  rebooted.mBootKnownAt = aNow;
   rebooted.mListed = aRunner.mListed;
   rebooted.mCordoned = aRunner.mCordoned;
   if (aRunner.mMayHoldInheritedRuns && aNow < InheritedLeasesEnd()) {
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -579,6 +579,30 @@
   EXPECT_TRUE(world.Violations().empty());
 }
 
+// A poll may be answered before a runner starts again, and its answer arrive
+// after service discovery has told of the new boot.
+TEST(scheduler_test, LateAnswerOfAnEarlierBootEndsNoRuns)
+{
+  fake_world world(1, fault_rates{});
+  RunOneLongRunningTask(world);
+  poll_order poll;
+  poll.mRunner = runner_name{ "r0" };
+  const time_point sentAt = world.Now();
+  const auto report = world.Runner("r0").Poll(poll, 1, sentAt);
+  ASSERT_TRUE(report);
+  world.Crash("r0");
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 2U);
+  world.AddRunner("r1", "s", kRunnerCapacity);
+  world.RunFor(milliseconds(200));
+  world.FreezeDiscovery(seconds(5));
+  world.Owner()->OnPoll(
+    poll, order_outcome::kDone, &*report, sentAt, world.Now(), wall_time{});
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.StartsOf("a1.0.0.0"), 2U);
+  EXPECT_TRUE(world.Violations().empty());
+}
+
 // The earlier owner may have ordered a run to stop that still shows as live, so
 // its successor does not know yet how many tasks are unavailable.
 TEST(scheduler_test,
