No poll acknowledges ends after one without an answer

A runner that is cut off in the tests' world no longer answers a poll that waits there: that had become possible for as long as the poll waits.

--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -480,14 +480,14 @@
 
 // Returns whether a poll of the runner may acknowledge ends. Their numbers
 // would acknowledge other ends if the runner has started again and runs of its
-// new boot have ended already, so a runner with runs has to have answered
-// lately.
+// new boot have ended already, so it has to have answered its last poll, and
+// lately if it has runs.
 bool
 scheduler::MayAcknowledge(const runner& aRunner, time_point aNow) const
 {
   const bool wasQuiet =
     aNow - aRunner.ClockReadAt() > kQuietPollIntervals * PollInterval();
-  return aRunner.Runs().empty() || (aRunner.mFailedPolls == 0 && !wasQuiet);
+  return aRunner.mFailedPolls == 0 && (aRunner.Runs().empty() || !wasQuiet);
 }
 
 // Returns for how long the runner may delay its answer to the poll. A poll that
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -336,6 +336,14 @@
     AnswerPoll(aPoll, order_outcome::kUnknown, nullptr);
     return;
   }
+  if (!target.mIsReachable) {
+    const time_point givenUpAt =
+      aPoll.mSentAt + order.mWait + order.mAnswerTimeout;
+    Schedule(
+      std::chrono::duration_cast<milliseconds>(givenUpAt - mNow),
+      [this, aPoll] { AnswerPoll(aPoll, order_outcome::kUnknown, nullptr); });
+    return;
+  }
   const auto report = target.Poll(order, aPoll.mTerm, mNow);
   if (report && report->mEnded.empty() && mNow < aArrivedAt + order.mWait) {
     Schedule(kTick, [this, aPoll, aBoot, aArrivedAt] {
