A host that is listed as not up has no runner

If a listing names the runner of a host that is moving or in maintenance, that runner was never reported as ended, and its runs waited for the end of its lease. From the review; the stand-ins name none, so no test shows it.

--- a/mangospan/node/ended_runners.cc
+++ b/mangospan/node/ended_runners.cc
@@ -34,7 +34,8 @@
         return aHost.mHost == each.mHost.mHost;
       });
     const bool isEnded = aListedAt > each.mDoneAt && listed != aHosts.end() &&
-                         listed->mRunner != each.mHost.mRunner;
+                         (listed->mState != host_state::kUp ||
+                          listed->mRunner != each.mHost.mRunner);
     if (isEnded) {
       ended.push_back(each.mHost);
     }
--- a/mangospan/node/ended_runners.h
+++ b/mangospan/node/ended_runners.h
@@ -21,8 +21,8 @@
   // answered as done at `aNow`.
   void OnOrderDone(const host_entry& aHost, time_point aNow);
   // Returns the entries, as passed to `OnOrderDone`, of the hosts that a
-  // listing which was requested at `aListedAt` shows without their runners.
-  // Returns each entry once.
+  // listing which was requested at `aListedAt` shows as not up or with other
+  // runners. Returns each entry once.
   std::vector<host_entry> TakeEnded(const std::vector<host_entry>& aHosts,
                                     time_point aListedAt);
 
