A full report of a runner settles no run

What callers would have seen (TWICE): a task that is done starts again after the store or the runner's answers had been away for long.

Cause: a runner lists at most 500 ended runs. With more that are not acknowledged, a run that has ended is in neither list of the report, was taken for gone without an end, and its task started again. Such a report settles nothing now; the next ones list the other ends.

ReportThatIsFullSettlesNoRun failed before (the run was given up). The runners of the tests' world list 500 ends at most, too.

--- a/mangospan/jobs/orders.h
+++ b/mangospan/jobs/orders.h
@@ -7,6 +7,7 @@
 #define MANGOSPAN_JOBS_ORDERS_H
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -84,7 +85,10 @@
   std::string mCheckpoint; // The latest saved progress; empty if none.
 };
 
-// A runner's answer to a poll: all runs that are live, and all ended runs that
+// A report lists at most this many ended runs, the oldest ones.
+constexpr std::size_t kMaxReportedEnds = 500;
+
+// A runner's answer to a poll: all runs that are live, and the ended runs that
 // have not been acknowledged.
 struct poll_report
 {
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -458,6 +458,9 @@
                                time_point aSentAt,
                                time_point aNow)
 {
+  if (aReport.mEnded.size() >= kMaxReportedEnds) {
+    return; // a run that is not listed may have ended, too
+  }
   std::set<std::pair<std::string_view, std::uint32_t>> listed;
   for (const live_run& each : aReport.mLive) {
     listed.emplace(each.mTask, each.mRun);
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -603,6 +603,25 @@
   EXPECT_TRUE(world.Violations().empty());
 }
 
+// The end of a run may be among those that the next report lists.
+TEST(scheduler_test, ReportThatIsFullSettlesNoRun)
+{
+  fake_world world(1, fault_rates{});
+  RunOneLongRunningTask(world);
+  poll_order poll;
+  poll.mRunner = runner_name{ "r0" };
+  poll_report report;
+  report.mClock = seconds(100);
+  report.mBoot = world.Runner("r0").Info().mBoot;
+  for (std::size_t i = 0; i < kMaxReportedEnds; ++i) {
+    report.mEnded.push_back(
+      { i + 1, "a2.0.0." + std::to_string(i), 1, run_end::kDone, "" });
+  }
+  world.Owner()->OnPoll(
+    poll, order_outcome::kDone, &report, world.Now(), world.Now(), wall_time{});
+  EXPECT_EQ(world.Owner()->Runners().at(poll.mRunner).Runs().size(), 1U);
+}
+
 // The earlier owner may have ordered a run to stop that still shows as live, so
 // its successor does not know yet how many tasks are unavailable.
 TEST(scheduler_test,
--- a/mangospan/jobs/testing/fake_runner.cc
+++ b/mangospan/jobs/testing/fake_runner.cc
@@ -152,7 +152,9 @@
   for (const auto& [task, each] : mRuns) {
     report.mLive.push_back({ task, each.mNumber, "", 100, 0 });
   }
-  report.mEnded = mEnded;
+  report.mEnded.assign(mEnded.begin(),
+                       mEnded.begin() + static_cast<std::ptrdiff_t>(std::min(
+                                          mEnded.size(), kMaxReportedEnds)));
   return report;
 }
 
