A host stays cordoned while a move of it is unanswered

Cause: a listing that was requested after a move was announced, and that shows the host up, ended the wait for it, though the call was still under way (a call may take longer than the 0.4 s between two listings) or had got no answer. The host's runner was given back, got runs, and then the move was executed.

Now a move without an answer counts as under way: until it is answered, and for two seconds more if the answer was lost.

RunnerStaysCordonedWhileItsMoveIsUnanswered failed before. The other tests of fleet_controller pass.

--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -16,6 +16,8 @@
 constexpr milliseconds kListInterval{ 400 };
 // An order usually takes effect within this time.
 constexpr milliseconds kOrderPropagationTime{ 150 };
+// An order without an answer may still be executed within this time.
+constexpr milliseconds kLateOrderTime{ 2'000 };
 // The clocks of two hosts differ by less than this.
 constexpr milliseconds kMaxClockSkew{ 300 };
 constexpr milliseconds kReadTimeout{ 1'000 };
@@ -163,6 +165,7 @@
   for (const jobs::move_order& each : aMoves) {
     mAutoscaler.OnMovePending(each, mDeps.mClock.Now());
     mPendingMoves.erase(each.mHost);
+    mUnansweredMoves.insert_or_assign(each.mHost, each);
   }
   for (auto it = mOrders.begin(); it != mOrders.end();) {
     it = now - it->second.mOrderedAt < 2 * mSettings.mMinOrderGapBetweenOwners
@@ -212,6 +215,7 @@
     if (mayOrder) {
       Move(each);
     } else {
+      mUnansweredMoves.erase(each.mHost);
       mAutoscaler.OnMoveNotExecuted(each.mHost);
     }
   }
@@ -368,10 +372,11 @@
     return; // the listing may not show the predecessor's last orders yet
   }
   const time_point now = mDeps.mClock.Now();
-  for (const auto& [host, each] : mPendingMoves) {
-    mAutoscaler.OnMovePending(
-      each,
-      now); // not ordered yet, so it cannot have arrived
+  // A listing does not show yet whether these hosts have moved.
+  for (const auto* const moves : { &mPendingMoves, &mUnansweredMoves }) {
+    for (const auto& [host, each] : *moves) {
+      mAutoscaler.OnMovePending(each, now);
+    }
   }
   const std::vector<jobs::host_view> views = HostViews();
   const jobs::maintenance_decision maintenance =
@@ -508,6 +513,7 @@
                { { "host", aOrder.mHost.Str() },
                  { "pool", aOrder.mPool.Str() },
                  { "outcome", Name(aOutcome) } });
+      self->mUnansweredMoves.erase(aOrder.mHost);
       if (self->mIsStopped) {
         return;
       }
@@ -515,7 +521,9 @@
       if (aOutcome == host_order_outcome::kDone) {
         self->mAutoscaler.OnMovePending(aOrder, now);
         self->mEndedRunners.OnOrderDone(host, now);
-      } else if (aOutcome != host_order_outcome::kUnknown) {
+      } else if (aOutcome == host_order_outcome::kUnknown) {
+        self->mAutoscaler.OnMovePending(aOrder, now + kLateOrderTime);
+      } else {
         self->mAutoscaler.OnMoveNotExecuted(aOrder.mHost);
       }
     });
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -127,6 +127,8 @@
   const std::shared_ptr<wave_records> mWaveRecords;
   // Hosts chosen to move whose runner may still get or hold runs.
   std::map<host_name, jobs::move_order> mPendingMoves;
+  // Moves that are announced or sent and have no answer yet.
+  std::map<host_name, jobs::move_order> mUnansweredMoves;
   // The last order to each host, by this fleet owner or an earlier one.
   host_orders mOrders;
   std::set<host_name> mOrderedByPredecessor;
--- a/mangospan/node/fleet_controller_test.cc
+++ b/mangospan/node/fleet_controller_test.cc
@@ -246,6 +246,23 @@
   EXPECT_TRUE(mHosts.mMovedHosts.empty());
 }
 
+// A move that is not answered yet may still be executed, and end what its
+// runner has got meanwhile, though listings show the host where it was.
+TEST_F(fleet_controller_test, RunnerStaysCordonedWhileItsMoveIsUnanswered)
+{
+  Start();
+  RunUntil([this] { return !mHosts.mMovedHosts.empty(); });
+  const runner_name leaving = mHosts.Entry(mHosts.mMovedHosts.front()).mRunner;
+  const int exchanges = mPools.mExchangeCount;
+  bool isCordoned = true;
+  RunUntil([&] {
+    isCordoned =
+      isCordoned && mPools.mStates[kCold].mRunners[leaving].mIsCordoned;
+    return mPools.mExchangeCount > exchanges + 30;
+  });
+  EXPECT_TRUE(isCordoned);
+}
+
 // An order of an earlier fleet owner that is older than the platform's host
 // lease must not block a move, even after the order was removed from the
 // record.
