Ignored news of a runner's earlier boot is logged; maintenance has one name

A record or an answer that is ignored left no line in the log, so an operator could not tell it from one that did not come. runner.late_record and runner.late_answer say it now.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -129,7 +129,11 @@
     return;
   }
   if (aInfo.mBoot != 0 && aInfo.mBoot < knownBoot) {
-    return; // a poll has told of the new boot before service discovery
+    // A poll has told of the new boot before service discovery.
+    LogEvent(log_level::kInfo,
+             "runner.late_record",
+             { { "runner", aInfo.mName.Str() } });
+    return;
   }
   if (known.mInfo.mDraining != aInfo.mDraining) {
     LogEvent(
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -183,6 +183,10 @@
   }
   runner& polledRunner = found->second;
   if (aSentAt < polledRunner.mBootKnownAt) {
+    LogEvent(
+      log_level::kInfo,
+      "runner.late_answer",
+      { { "runner", aOrder.mRunner.Str() }, { "outcome", Name(aOutcome) } });
     mFenced = mFenced || aOutcome == order_outcome::kFenced;
     return;
   }
--- a/mangospan/node/fleet_controller_test.cc
+++ b/mangospan/node/fleet_controller_test.cc
@@ -281,10 +281,10 @@
   EXPECT_GE(mHosts.mMovedHosts.size(), 2U);
 }
 
-// An upkeep whose answer was lost is ordered again once its host is back up.
-// The runner that is there by then must not be reported dead: it would get no
-// work as long as its record does not change.
-TEST_F(fleet_controller_test, RepeatedUpkeepDoesNotReportTheNewRunnerDead)
+// A maintenance order whose answer was lost is ordered again once its host is
+// back up. The runner that is there by then must not be reported dead: it would
+// get no work as long as its record does not change.
+TEST_F(fleet_controller_test, RepeatedMaintenanceDoesNotReportTheNewRunnerDead)
 {
   mPools.mStates[kHot].mLoad.mRequested = { 0, 0, 0 };
   const host_name host{ "h2" };
@@ -313,7 +313,7 @@
   EXPECT_EQ(mPools.mDeadRunners.count(returned), 0U);
 }
 
-TEST_F(fleet_controller_test, RunnerThatUpkeepHasEndedIsReportedDead)
+TEST_F(fleet_controller_test, RunnerThatMaintenanceHasEndedIsReportedDead)
 {
   mPools.mStates[kHot].mLoad.mRequested = { 0, 0, 0 };
   const host_name host{ "h2" };
