--- a/review/standins/main.cc
+++ b/review/standins/main.cc
@@ -230,6 +230,44 @@
                    " cancels of accepted jobs have no confirmation");
 }
 
+// A gang of eight is submitted, which fits on one runner twice over; without
+// the disruption it is a gang of six.
+int
+PlayGang(const case_options& aOptions)
+{
+  constexpr milliseconds kWork{ 2'000 };
+  constexpr milliseconds kFinish{ 14'000 }; // `finish_s`
+  constexpr milliseconds kIdle{ 3'000 };
+  constexpr int kGang = 8;
+  constexpr int kSmallGang = 6;
+  const std::string jobName = "00000000000000e1";
+  review::world_options options = aOptions.mWorld;
+  options.mLastLabel = "b";
+  review::world world(options);
+  if (!world.Start().has_value()) {
+    return NotRun(world, "the nodes are not ready");
+  }
+  world.SetWork(jobName, kWork);
+  const json step{ { "count", aOptions.mHasTrouble ? kGang : kSmallGang },
+                   { "cpu", 200 },
+                   { "task-memory-mb", 256 },
+                   { "estimated-ms", kWork.count() },
+                   { "gang", true },
+                   { "requirements", "b" } };
+  const json body{ { "specification", "a reconciliation of all parts" },
+                   { "steps", json::array({ step }) } };
+  if (world.Submit(jobName, body) != 200) {
+    return NotRun(world, "the job was not accepted");
+  }
+  const bool hasBegun = world.RunUntil(
+    [&] { return world.CountRuns(jobName + ".0.0.0") > 0; }, kFinish + kIdle);
+  world.RunFor(kWork + milliseconds(1'000));
+  static_cast<void>(world.StateOf(jobName));
+  return Verdict(world,
+                 !hasBegun,
+                 "LOST: nothing of an accepted job runs, with all room free");
+}
+
 } // namespace
 
 int
@@ -239,7 +277,7 @@
   std::string name;
   int trouble = 1;
   CLI::App app{ "Plays the script of one case of the review." };
-  app.add_option("--case", name, "crashes, queue or record")->required();
+  app.add_option("--case", name, "crashes, queue, record or gang")->required();
   app.add_option("--program", options.mWorld.mProgram, "the node")->required();
   app.add_option("--folder", options.mWorld.mFolder, "for logs")->required();
   app.add_option("--record", options.mWorld.mRecord, "the file")->required();
@@ -251,6 +289,7 @@
     { "crashes", PlayCrashes },
     { "queue", PlayRemovedQueue },
     { "record", PlayLargeRecord },
+    { "gang", PlayGang },
   };
   const auto found = plays.find(name);
   if (found == plays.end()) {
