A successor counts leases from its election, not by the time of day

What callers saw: tasks ran twice at the same time (TWICE). While a runner was cut off, the owner of its service was stopped in the planned way; a successor whose time of day was 2 s ahead started the runner's tasks again 0.86 s before their lease was over.

Cause: the roster gave the end of a lease as a time of day, and the successor compared it with its own, with 500 ms for a difference. Nothing bounds that difference. Ruled out: a wrong estimate of the runner's clock (no fault without jumps), and a successor that does not know the runner (it waits, too short by the jump less 500 ms, as the log shows).

The roster now holds the time that was left when it was written, and the successor counts it from its election. Why this works: the election fences the writes of earlier owners, so a roster that is read was written before it; the time never ends too soon, and at most the age of the record is added. The roster is stored anew once a lease is over, so that later owners don't wait for it. A roster of an earlier version counts with the longest lease.

--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -12,6 +12,12 @@
 
 namespace {
 
+constexpr const char* kRunsEndWithinKey = "dead_in_ms";
+// Rosters of earlier versions hold a time of day, which is not used.
+constexpr const char* kRunsEndByKey = "dead_by_ms";
+// Longer than every lease, so that the longest lease counts.
+constexpr milliseconds kUnknownRunsEnd{ std::chrono::hours(1) };
+
 error
 Malformed(const char* aStep, const std::string& aMessage)
 {
@@ -306,8 +312,8 @@
   json out = json::array();
   for (const roster_entry& each : aRunners) {
     json entry = RunnerToJson(each.mInfo);
-    if (each.mDeadBy) {
-      entry["dead_by_ms"] = ToMilliseconds(*each.mDeadBy);
+    if (each.mRunsEndWithin) {
+      entry[kRunsEndWithinKey] = each.mRunsEndWithin->count();
     }
     out.push_back(std::move(entry));
   }
@@ -321,9 +327,11 @@
     std::vector<roster_entry> out;
     for (const json& each : json::parse(aText)) {
       roster_entry entry{ RunnerFromJson(each), std::nullopt };
-      if (each.contains("dead_by_ms")) {
-        entry.mDeadBy =
-          FromMilliseconds(each.at("dead_by_ms").get<std::int64_t>());
+      if (each.contains(kRunsEndWithinKey)) {
+        entry.mRunsEndWithin =
+          milliseconds(each.at(kRunsEndWithinKey).get<std::int64_t>());
+      } else if (each.contains(kRunsEndByKey)) {
+        entry.mRunsEndWithin = kUnknownRunsEnd;
       }
       out.push_back(std::move(entry));
     }
--- a/mangospan/jobs/codec_test.cc
+++ b/mangospan/jobs/codec_test.cc
@@ -89,23 +89,36 @@
   EXPECT_FALSE(ValidateSpec(spec).empty());
 }
 
-// Guards against a roster that loses the time by which the runs on an
-// unresponsive runner have ended, or sets one for a runner whose lease is
-// extended.
-TEST(codec_test, RosterKeepsTimeByWhichRunnersAreDead)
+// Guards against a roster that loses the time within which the runs on an
+// unresponsive runner end, or sets one for a runner whose lease is extended.
+TEST(codec_test, RosterKeepsTimeWithinWhichRunsEnd)
 {
   runner_info info;
   info.mName = runner_name{ "r" };
   info.mCapacity = { 4'000, 1'024, 2 };
-  const wall_time deadBy{ milliseconds(77) };
+  const milliseconds within{ 77 };
   const auto decoded =
-    DecodeRoster(EncodeRoster({ { info, std::nullopt }, { info, deadBy } }));
+    DecodeRoster(EncodeRoster({ { info, std::nullopt }, { info, within } }));
   ASSERT_TRUE(decoded.has_value());
-  EXPECT_FALSE(decoded.value()[0].mDeadBy.has_value());
-  EXPECT_EQ(decoded.value()[1].mDeadBy, deadBy);
+  EXPECT_FALSE(decoded.value()[0].mRunsEndWithin.has_value());
+  EXPECT_EQ(decoded.value()[1].mRunsEndWithin, within);
   EXPECT_EQ(decoded.value()[1].mInfo.mCapacity.mGpus, 2);
 }
 
+// Guards against a task that runs twice after an update: the time of day in a
+// roster of an earlier version says nothing about this host's, but the lease is
+// not extended without another roster.
+TEST(codec_test, RosterOfEarlierVersionHasLongestLease)
+{
+  const auto decoded = DecodeRoster(
+    R"([{"runner":"r","service":"s","address":"a:1","zone":"z","rack":"k",)"
+    R"("labels":[],"capacity":{"cpu":1,"memory_mb":1,"gpus":0},"boot":1,)"
+    R"("dead_by_ms":1700000000000}])");
+  ASSERT_TRUE(decoded.has_value());
+  ASSERT_TRUE(decoded.value()[0].mRunsEndWithin.has_value());
+  EXPECT_GE(*decoded.value()[0].mRunsEndWithin, std::chrono::seconds(20));
+}
+
 // Guards against task ids that are split wrongly. The three numbers are read
 // from the end of the text; the rest is the name of the job.
 TEST(codec_test, ParseTaskIdReadsNumbersFromTheEnd)
--- a/mangospan/jobs/orders.h
+++ b/mangospan/jobs/orders.h
@@ -46,9 +46,11 @@
 struct roster_entry
 {
   runner_info mInfo;
-  // The time by which every run on the runner has ended, because the owner no
-  // longer extends its lease. Unset while the owner extends the lease.
-  std::optional<wall_time> mDeadBy;
+  // The longest time for which runs on the runner may go on from the writing of
+  // the roster, because the owner no longer extends its lease. Unset while the
+  // owner extends the lease. Not a time of day: that of the next owner's host
+  // may be ahead by any amount, or jump.
+  std::optional<std::chrono::milliseconds> mRunsEndWithin;
 };
 
 // A run that a runner reports as live.
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -154,8 +154,10 @@
   bool mListed = true; // Service discovery lists the runner.
   // The runner has answered this owner, so it refuses orders of earlier owners.
   bool mContacted = false;
-  // The stored roster lists the runner with `mDeadBy` unset.
+  // The stored roster lists the runner with `mRunsEndWithin` unset.
   bool mIsInRoster = false;
+  // By the stored roster, runs may be live on the runner.
+  bool mMayBeLiveInRoster = false;
   // An earlier owner has used the runner, so its runs may still be live there.
   bool mMayHoldInheritedRuns = false;
   runner_time mGrantedLease{ 0 }; // The end of the lease in the latest poll.
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -23,8 +23,12 @@
 // A run that an earlier owner has ordered to stop shows as live for up to this
 // time after the takeover.
 constexpr milliseconds kPredecessorStopTime{ 1'500 };
-// The clocks of two hosts differ by less than this in their time of day.
-constexpr milliseconds kMaxWallClockSkew{ 500 };
+
+bool
+MayBeLive(const roster_entry& aEntry)
+{
+  return !aEntry.mRunsEndWithin || aEntry.mRunsEndWithin->count() > 0;
+}
 
 // Describes each step in one word, for the log: the number of tasks, the CPU
 // that each needs in thousandths of a core, and L for long-running, F for
@@ -62,15 +66,18 @@
   for (const roster_entry& each : aRoster) {
     const auto added = mRunners.emplace(each.mInfo.mName, runner(each.mInfo));
     runner& known = added.first->second;
-    // The stored roster may say by when every run on the runner has ended. Its
-    // lease is extended again only after a roster without that time is stored.
-    known.mIsInRoster = !each.mDeadBy;
+    // The stored roster may say within what time every run on the runner ends.
+    // Its lease is extended again only after a roster without that time is
+    // stored.
+    known.mIsInRoster = !each.mRunsEndWithin;
+    known.mMayBeLiveInRoster = MayBeLive(each);
     known.mMayHoldInheritedRuns = true;
     known.mListed = !added.second;
     time_point deadAt = InheritedLeasesEnd();
-    if (each.mDeadBy) {
-      deadAt =
-        std::min(deadAt, aNow + (*each.mDeadBy - aWall) + kMaxWallClockSkew);
+    if (each.mRunsEndWithin) {
+      // The roster was written before this owner was elected, since the
+      // election fences the writes of earlier owners.
+      deadAt = std::min(deadAt, mOwnership.mSince + *each.mRunsEndWithin);
     }
     known.SetDeadAt(deadAt);
   }
@@ -379,7 +386,7 @@
 }
 
 std::vector<roster_entry>
-scheduler::Roster(time_point aNow, wall_time aWall) const
+scheduler::Roster(time_point aNow) const
 {
   std::vector<roster_entry> roster;
   for (const auto& [runnerName, each] : mRunners) {
@@ -392,8 +399,8 @@
     const bool isExtended =
       mMayStart && each.mContacted && !each.mIsUnresponsive;
     if (!isExtended) {
-      entry.mDeadBy = aWall + std::chrono::duration_cast<wall_time::duration>(
-                                std::max(each.DeadAt(), aNow) - aNow);
+      entry.mRunsEndWithin =
+        std::chrono::ceil<milliseconds>(std::max(each.DeadAt(), aNow) - aNow);
     }
     roster.push_back(std::move(entry));
   }
@@ -407,7 +414,11 @@
   mStoredRosterVersion = aVersion;
   for (const roster_entry& each : aRoster) {
     const auto found = mRunners.find(each.mInfo.mName);
-    if (found != mRunners.end() && !each.mDeadBy &&
+    if (found == mRunners.end()) {
+      continue;
+    }
+    found->second.mMayBeLiveInRoster = MayBeLive(each);
+    if (!each.mRunsEndWithin &&
         found->second.mInfo.mAddress == each.mInfo.mAddress) {
       found->second.mIsInRoster = true;
     }
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -221,7 +221,7 @@
   // Returns the runners in use, for the successor. A runner gets its first run
   // only once a roster that names it is stored, so that a successor knows of
   // the runner even if service discovery no longer lists it.
-  std::vector<roster_entry> Roster(time_point aNow, wall_time aWall) const;
+  std::vector<roster_entry> Roster(time_point aNow) const;
   // Changes whenever the roster has to be stored anew.
   std::uint64_t RosterVersion() const { return mRosterVersion; }
   // The newest version of the roster that is known to be stored.
@@ -270,6 +270,7 @@
   bool MayStartInheritedJobs(const service_name& aService,
                              time_point aNow) const;
   void ReleaseRunsOfDeadRunners(time_point aNow);
+  void ReportEndInRoster(runner& aRunner);
   // Returns null if there is no such task.
   task* FindTask(const task_id& aTask);
   // Returns the task of the run, if it needs another run.
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -99,8 +99,8 @@
     if (isUnreachable && aNow >= each.DeadAt()) {
       RememberLostRunner(each, aNow);
       ReleaseAllRuns(each, loss_reason::kLeaseOver, aNow);
+      ReportEndInRoster(each);
       if (!each.mListed) {
-        mRosterVersion += each.mIsInRoster ? 1 : 0;
         it = mRunners.erase(it);
         continue;
       }
@@ -109,6 +109,17 @@
   }
 }
 
+// Has the roster stored anew if by the stored one runs may be live on the
+// runner: a successor would wait for the lease anew.
+void
+scheduler::ReportEndInRoster(runner& aRunner)
+{
+  if (aRunner.mMayBeLiveInRoster) {
+    aRunner.mMayBeLiveInRoster = false;
+    ++mRosterVersion;
+  }
+}
+
 void
 scheduler::ReleaseAllRuns(runner& aRunner, loss_reason aReason, time_point aNow)
 {
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -263,6 +263,7 @@
   rebooted.mBootKnownAt = aNow;
   rebooted.mListed = aRunner.mListed;
   rebooted.mCordoned = aRunner.mCordoned;
+  rebooted.mMayBeLiveInRoster = aRunner.mMayBeLiveInRoster;
   if (aRunner.mMayHoldInheritedRuns && aNow < InheritedLeasesEnd()) {
     // The new boot takes orders of earlier owners until this one reaches it.
     rebooted.mMayHoldInheritedRuns = true;
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -150,6 +150,47 @@
   EXPECT_GT(world.StartsOf("a1.0.0.0"), 1U);
 }
 
+// Keeps a task from running twice: the time of day of a successor may be ahead
+// of its predecessor's, or jump. It must not take the lease of an unreachable
+// runner for over before it is.
+TEST(scheduler_test, SuccessorWhoseTimeOfDayIsAheadWaitsForLease)
+{
+  fake_world world(5, fault_rates{});
+  AddRunners(world, 1);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ Tasks(1, 500, seconds(20)) }));
+  world.RunFor(seconds(1));
+  AddRunners(world, 3);
+  world.SetReachable("r0", false);
+  world.RunFor(seconds(2));
+  world.HandOver(milliseconds(300));
+  world.StepTimeOfDay(seconds(10));
+  world.RunFor(seconds(40));
+  EXPECT_TRUE(world.Violations().empty()) << world.Violations().front();
+  EXPECT_GT(world.StartsOf("a1.0.0.0"), 1U);
+}
+
+// Keeps an owner from waiting for a lease that was over long before it was
+// elected: the roster tells that, too.
+TEST(scheduler_test, SuccessorDoesNotWaitForLeaseThatIsOver)
+{
+  fake_world world(5, fault_rates{});
+  AddRunners(world, 3);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ Tasks(2, 500, seconds(30)) }));
+  world.RunFor(seconds(1));
+  world.SetReachable("r0", false);
+  world.RunFor(seconds(15));
+  world.KillOwner(milliseconds(1'900));
+  world.RunFor(seconds(2));
+  world.Submit("a2", Job({ Tasks(1, 500, milliseconds(300)) }));
+  world.RunFor(milliseconds(100));
+  world.KillOwner(milliseconds(100));
+  world.RunFor(seconds(2));
+  EXPECT_EQ(world.StateOf("a2"), job_state::kCompleted);
+  EXPECT_TRUE(world.Violations().empty()) << world.Violations().front();
+}
+
 // On a handover, the first owner stores by when each lease ends. The second
 // owner extends leases beyond that time, so it must first store a roster
 // without it. Otherwise the third owner would start the task while it still
@@ -322,7 +363,8 @@
 
 // Checks the scheduler's invariants and that every accepted job ends, under
 // random faults: owners killed or cut off from the store, runners unreachable,
-// crashed or unlisted, answers lost, orders executed seconds late.
+// crashed or unlisted, answers lost, orders executed seconds late, jumps of the
+// time of day.
 class scheduler_schedules_test : public ::testing::TestWithParam<int>
 {};
 
@@ -336,7 +378,7 @@
   const auto randomInt = [&random](int aFrom, int aTo) {
     return std::uniform_int_distribution<int>(aFrom, aTo)(random);
   };
-  switch (randomInt(0, 7)) {
+  switch (randomInt(0, 8)) {
     case 0:
       aWorld.KillOwner(milliseconds(randomInt(100, 3'000)));
       break;
@@ -358,6 +400,9 @@
     case 5:
       aWorld.Cancel("a" + std::to_string(randomInt(0, aNumber)));
       break;
+    case 7:
+      aWorld.StepTimeOfDay(milliseconds(randomInt(-5'000, 5'000)));
+      break;
     default:
       break;
   }
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -81,8 +81,8 @@
 wall_time
 fake_world::Wall() const
 {
-  return wall_time(
-    std::chrono::duration_cast<wall_time::duration>(mNow.time_since_epoch()));
+  return wall_time(std::chrono::duration_cast<wall_time::duration>(
+    mNow.time_since_epoch() + mTimeOfDayOffset));
 }
 
 void
@@ -394,7 +394,7 @@
     texts[each.Str()] = { one.mVersion, EncodeRecord(one) };
   }
   const std::uint64_t rosterVersion = mOwner->RosterVersion();
-  const auto roster = mOwner->Roster(mNow, Wall());
+  const auto roster = mOwner->Roster(mNow);
   const bool hasRoster = rosterVersion != mOwner->StoredRosterVersion();
   if (texts.empty() && !hasRoster) {
     return;
@@ -469,7 +469,7 @@
 {
   if (mOwner) {
     mOwner->SetMayStart(false);
-    mStoredRoster = EncodeRoster(mOwner->Roster(mNow, Wall()));
+    mStoredRoster = EncodeRoster(mOwner->Roster(mNow));
     KillOwner(aElectionDelay);
   }
 }
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -56,6 +56,9 @@
   // Cuts the owner off from the store for `aFor`: it can neither write nor
   // confirm its ownership nor hear of runners, but continues to act.
   void CutOwnerFromStore(std::chrono::milliseconds aFor);
+  // Makes the time of day of this owner and of later ones jump by `aBy`. The
+  // clocks that measure durations go on.
+  void StepTimeOfDay(std::chrono::milliseconds aBy) { mTimeOfDayOffset += aBy; }
   // Keeps service discovery from reporting anything new for `aFor`.
   void FreezeDiscovery(std::chrono::milliseconds aFor);
   void SetReachable(const std::string& aRunner, bool aIsReachable);
@@ -170,6 +173,7 @@
   std::mt19937_64 mRandom;
   const fault_rates mRates;
   time_point mNow{ std::chrono::hours(1) };
+  std::chrono::milliseconds mTimeOfDayOffset{ 0 };
   std::uint64_t mSequence = 0;
   std::priority_queue<event> mEvents;
   std::map<std::string, std::unique_ptr<fake_runner>> mRunners;
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -57,8 +57,7 @@
   mIsHandingOver = true;
   mScheduler.SetMayStart(false);
   written_roster roster;
-  roster.mText =
-    jobs::EncodeRoster(mScheduler.Roster(mDeps.mClock.Now(), WallNow()));
+  roster.mText = jobs::EncodeRoster(mScheduler.Roster(mDeps.mClock.Now()));
   platform::transaction change = mFence.Begin();
   change.mWrites.push_back({ RosterKey(), roster.mText, std::nullopt });
   mDeps.mStore.Commit(
@@ -223,7 +222,7 @@
   mIsRosterInFlight = true;
   written_roster& roster = aWritten.mRoster;
   roster.mVersion = mScheduler.RosterVersion();
-  roster.mRunners = mScheduler.Roster(mDeps.mClock.Now(), WallNow());
+  roster.mRunners = mScheduler.Roster(mDeps.mClock.Now());
   roster.mText = jobs::EncodeRoster(roster.mRunners);
   aChange.mExpectations.push_back({ RosterKey(), mRosterRevision });
   aChange.mWrites.push_back({ RosterKey(), roster.mText, std::nullopt });
