A new fleet owner counts the gap after earlier orders from its start

Cause: the record of orders gave a time of day, which the next owner compared with its own, with 300 ms for a difference.

The record now holds the time for which each host was still reserved when it was written. The next owner counts that from its start, which is later, and adds the time within which an announced order is sent. A record of an earlier version counts with the longest time. Why this works: the announcement is fenced by the term, so a record that is read was written before the election.

Evidence: HostOfEarlierOwnersOrderWaitsWhateverTimeOfDay failed before (the successor, 10 s ahead, ordered both hosts again within 2.9 s). The tests of the fleet controller run in virtual time now, in which the time of day can jump; HostWithExpiredEarlierOrderMayMove says "reserved no longer" in the new form.

--- a/mangospan/base/timer.cc
+++ b/mangospan/base/timer.cc
@@ -7,6 +7,7 @@
 // Asio reads the clock of a timer through a static member, so it can not come
 // through a constructor.
 const clock_source* gVirtualClock = nullptr;
+std::chrono::milliseconds gTimeOfDayOffset{ 0 }; // in virtual time
 
 } // namespace
 
@@ -41,6 +42,13 @@
 virtual_time_scope::~virtual_time_scope()
 {
   gVirtualClock = nullptr;
+  gTimeOfDayOffset = std::chrono::milliseconds(0);
+}
+
+void
+virtual_time_scope::StepTimeOfDay(std::chrono::milliseconds aBy)
+{
+  gTimeOfDayOffset += aBy;
 }
 
 std::chrono::system_clock::time_point
@@ -49,7 +57,7 @@
   if (gVirtualClock != nullptr) {
     return std::chrono::system_clock::time_point(
       std::chrono::duration_cast<std::chrono::system_clock::duration>(
-        gVirtualClock->Now().time_since_epoch()));
+        gVirtualClock->Now().time_since_epoch() + gTimeOfDayOffset));
   }
   return std::chrono::system_clock::now();
 }
--- a/mangospan/base/timer.h
+++ b/mangospan/base/timer.h
@@ -53,6 +53,9 @@
   ~virtual_time_scope();
   virtual_time_scope(const virtual_time_scope&) = delete;
   virtual_time_scope& operator=(const virtual_time_scope&) = delete;
+
+  // Makes the time of day jump by `aBy`. The clock of the timers goes on.
+  void StepTimeOfDay(std::chrono::milliseconds aBy);
 };
 
 // Returns the time of day.
--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -18,8 +18,6 @@
 constexpr milliseconds kOrderPropagationTime{ 150 };
 // An order without an answer may still be executed within this time.
 constexpr milliseconds kLateOrderTime{ 2'000 };
-// The clocks of two hosts differ by less than this.
-constexpr milliseconds kMaxClockSkew{ 300 };
 constexpr milliseconds kReadTimeout{ 1'000 };
 constexpr milliseconds kAnnounceTimeout{ 500 };
 
@@ -99,22 +97,49 @@
         LogError("hosts.malformed_orders", orders.assume_error());
         return;
       }
-      self->mOrders = std::move(orders).assume_value();
-      for (const auto& [host, each] : self->mOrders) {
-        self->mOrderedByPredecessor.insert(host);
-      }
+      self->OnOrdersLoaded(orders.assume_value());
     });
 }
 
+// The record was written before this node was elected. Its writer may have sent
+// the orders until the announcement's timeout.
+void
+fleet_controller::OnOrdersLoaded(const host_orders& aOrders)
+{
+  for (const auto& [host, each] : aOrders) {
+    const time_point sentBy =
+      mStartedAt + kAnnounceTimeout + kOrderPropagationTime;
+    mOrders[host] = { sentBy + each.mReservedFor, each.mRunner, true };
+  }
+}
+
 bool
 fleet_controller::IsOrderAccepted(const host_name& aHost) const
 {
   const auto ordered = mOrders.find(aHost);
-  if (mOrderedByPredecessor.count(aHost) == 0 || ordered == mOrders.end()) {
-    return true;
+  return ordered == mOrders.end() || !ordered->second.mIsOfPredecessor ||
+         mDeps.mClock.Now() >= ordered->second.mReservedUntil;
+}
+
+void
+fleet_controller::ForgetOldOrders(time_point aNow)
+{
+  for (auto it = mOrders.begin(); it != mOrders.end();) {
+    const time_point forgetAt =
+      it->second.mReservedUntil + mSettings.mMinOrderGapBetweenOwners;
+    it = aNow < forgetAt ? std::next(it) : mOrders.erase(it);
+  }
+}
+
+host_orders
+fleet_controller::EncodableOrders(time_point aNow) const
+{
+  host_orders out;
+  for (const auto& [host, each] : mOrders) {
+    const auto reserved = std::max(each.mReservedUntil, aNow) - aNow;
+    out[host] = { std::chrono::ceil<milliseconds>(reserved), each.mRunner };
   }
-  return WallNow() - ordered->second.mOrderedAt >=
-         mSettings.mMinOrderGapBetweenOwners + kMaxClockSkew;
+  return out;
 }
 
 std::size_t
@@ -133,8 +158,8 @@
   std::vector<jobs::maintenance_order> aMaintenance,
   std::vector<jobs::move_order> aMoves)
 {
-  const auto now = WallNow();
-  std::size_t remaining = RemainingOrders(mDeps.mClock.Now());
+  const time_point now = mDeps.mClock.Now();
+  std::size_t remaining = RemainingOrders(now);
   // The revision of the term key of each pool's owner.
   std::map<std::string, platform::revision> expected;
   const auto admit = [&](const auto& aOrder) {
@@ -146,15 +171,16 @@
       expected[election::TermKey(JobsSubject(host->mPool))] = *revision;
     }
     --remaining;
-    mRecentOrders.push_back(mDeps.mClock.Now());
-    mOrders[aOrder.mHost] = { now, host->mRunner };
-    mOrderedByPredecessor.erase(aOrder.mHost);
+    mRecentOrders.push_back(now);
+    mOrders[aOrder.mHost] = { now + mSettings.mMinOrderGapBetweenOwners,
+                              host->mRunner,
+                              false };
     return true;
   };
   const auto deferred =
     std::stable_partition(aMaintenance.begin(), aMaintenance.end(), admit);
   for (auto it = deferred; it != aMaintenance.end(); ++it) {
-    mMaintenancePlanner.OnNotExecuted(*it, mDeps.mClock.Now());
+    mMaintenancePlanner.OnNotExecuted(*it, now);
   }
   aMaintenance.erase(deferred, aMaintenance.end());
   aMoves.erase(std::stable_partition(aMoves.begin(), aMoves.end(), admit),
@@ -163,20 +189,17 @@
     return;
   }
   for (const jobs::move_order& each : aMoves) {
-    mAutoscaler.OnMovePending(each, mDeps.mClock.Now());
+    mAutoscaler.OnMovePending(each, now);
     mPendingMoves.erase(each.mHost);
     mUnansweredMoves.insert_or_assign(each.mHost, each);
   }
-  for (auto it = mOrders.begin(); it != mOrders.end();) {
-    it = now - it->second.mOrderedAt < 2 * mSettings.mMinOrderGapBetweenOwners
-           ? std::next(it)
-           : mOrders.erase(it);
-  }
+  ForgetOldOrders(now);
   platform::transaction change = mTermFence.Begin();
   for (const auto& [key, revision] : expected) {
     change.mExpectations.push_back({ key, revision });
   }
-  change.mWrites.push_back({ kHostOrdersKey, Encode(mOrders), std::nullopt });
+  change.mWrites.push_back(
+    { kHostOrdersKey, Encode(EncodableOrders(now)), std::nullopt });
   mIsAnnouncementInFlight = true;
   mDeps.mStore.Commit(
     std::move(change),
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -86,6 +86,14 @@
   void SetCatalog(const jobs::catalog& aCatalog);
 
 private:
+  // The last order to a host.
+  struct announced_order
+  {
+    time_point mReservedUntil; // no other fleet owner may order the host before
+    jobs::runner_name mRunner; // as in `host_order`
+    bool mIsOfPredecessor = false;
+  };
+
   void Tick();
   void List();
   void Reconcile();
@@ -105,6 +113,9 @@
                    const std::vector<jobs::move_order>& aMoves,
                    bool aIsAnnounced);
   void LoadOrders();
+  void OnOrdersLoaded(const host_orders& aOrders);
+  void ForgetOldOrders(time_point aNow);
+  host_orders EncodableOrders(time_point aNow) const;
   // Returns whether the host service accepts an order for the host, as far as
   // `mMinOrderGapBetweenOwners` decides it.
   bool IsOrderAccepted(const host_name& aHost) const;
@@ -130,8 +141,7 @@
   // Moves that are announced or sent and have no answer yet.
   std::map<host_name, jobs::move_order> mUnansweredMoves;
   // The last order to each host, by this fleet owner or an earlier one.
-  host_orders mOrders;
-  std::set<host_name> mOrderedByPredecessor;
+  std::map<host_name, announced_order> mOrders;
   std::deque<time_point> mRecentOrders;
   bool mAreOrdersLoaded = false;
   bool mIsAnnouncementInFlight = false;
--- a/mangospan/node/fleet_controller_test.cc
+++ b/mangospan/node/fleet_controller_test.cc
@@ -165,22 +165,39 @@
       fleet_controller_dependencies{
         mIo, mClock, mStore, mHosts, mPools, mFormat },
       fleet_controller_settings{},
-      order_fence{ "n", 1 },
+      order_fence{ "n" + std::to_string(mTerm), mTerm },
       mFleetRevision,
       [] { return true; });
     mController->SetCatalog(catalog);
     mController->Start();
   }
+  // Makes another node the owner of the fleet, which has read nothing yet.
+  void Replace()
+  {
+    mController->Stop();
+    mFleetRevision = mStore.Put(election::TermKey(FleetSubject()), "2");
+    mTerm = 2;
+    Start();
+  }
   template<typename Condition>
   void RunUntil(const Condition& aCondition)
   {
     while (!aCondition()) {
-      mIo.run_one();
+      mClock.Advance(milliseconds(1));
+      mIo.restart();
+      mIo.poll();
     }
   }
+  void RunFor(milliseconds aTime)
+  {
+    const time_point end = mClock.Now() + aTime;
+    RunUntil([this, end] { return mClock.Now() >= end; });
+  }
 
+  manual_clock mClock;
+  virtual_time_scope mScope{ mClock };
   boost::asio::io_context mIo;
-  const system_clock_source mClock{};
+  std::uint64_t mTerm = 1;
   testing::memory_store mStore{ mIo };
   testing::runner_records mFormat;
   fake_hosts mHosts{ mIo };
@@ -263,6 +280,24 @@
   EXPECT_TRUE(isCordoned);
 }
 
+// Keeps two fleet owners from ordering one host in turn: the time of day of the
+// second one may be ahead of that of the first, which says nothing of how long
+// ago the order was sent.
+TEST_F(fleet_controller_test, HostOfEarlierOwnersOrderWaitsWhateverTimeOfDay)
+{
+  Start();
+  RunUntil([this] { return !mHosts.mMovedHosts.empty(); });
+  const std::set<host_name> ordered(mHosts.mMovedHosts.begin(),
+                                    mHosts.mMovedHosts.end());
+  mHosts.mMovedHosts.clear();
+  mScope.StepTimeOfDay(std::chrono::seconds(10));
+  Replace();
+  RunFor(milliseconds(2'900));
+  for (const host_name& each : mHosts.mMovedHosts) {
+    EXPECT_EQ(ordered.count(each), 0U) << each.Str();
+  }
+}
+
 // An order of an earlier fleet owner that is older than the platform's host
 // lease must not block a move, even after the order was removed from the
 // record.
@@ -270,10 +305,8 @@
 {
   host_orders orders;
   for (int i = 2; i < 6; ++i) {
-    orders[host_name{ "h" + std::to_string(i) }] = {
-      std::chrono::system_clock::now() - std::chrono::minutes(1),
-      runner_name{ "old" }
-    };
+    orders[host_name{ "h" + std::to_string(i) }] = { milliseconds(0),
+                                                     runner_name{ "old" } };
   }
   mStore.Put(kHostOrdersKey, Encode(orders));
   Start();
--- a/mangospan/node/host_orders.cc
+++ b/mangospan/node/host_orders.cc
@@ -7,14 +7,22 @@
 using nlohmann::json;
 using std::chrono::milliseconds;
 
+namespace {
+
+constexpr const char* kReservedForKey = "reserved_ms";
+// Records of earlier versions hold a time of day, which is not used.
+constexpr const char* kOrderedAtKey = "at_ms";
+// The longest time for which a host was reserved.
+constexpr milliseconds kUnknownReservation{ 3'000 };
+
+} // namespace
+
 std::string
 Encode(const host_orders& aOrders)
 {
   json out = json::object();
   for (const auto& [host, each] : aOrders) {
-    const auto at = std::chrono::duration_cast<milliseconds>(
-      each.mOrderedAt.time_since_epoch());
-    out[host.Str()] = { { "at_ms", at.count() },
+    out[host.Str()] = { { kReservedForKey, each.mReservedFor.count() },
                         { "runner", each.mRunner.Str() } };
   }
   return out.dump();
@@ -28,7 +36,9 @@
     const json body = json::parse(aText);
     for (const auto& [host, each] : body.items()) {
       out[host_name{ host }] = {
-        jobs::wall_time(milliseconds(each.at("at_ms").get<std::int64_t>())),
+        each.contains(kOrderedAtKey)
+          ? kUnknownReservation
+          : milliseconds(each.at(kReservedForKey).get<std::int64_t>()),
         jobs::runner_name{ each.at("runner").get<std::string>() }
       };
     }
--- a/mangospan/node/host_orders.h
+++ b/mangospan/node/host_orders.h
@@ -5,6 +5,7 @@
 #ifndef MANGOSPAN_NODE_HOST_ORDERS_H
 #define MANGOSPAN_NODE_HOST_ORDERS_H
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <string_view>
@@ -21,7 +22,10 @@
 // The last order to a host: a move or maintenance.
 struct host_order
 {
-  jobs::wall_time mOrderedAt;
+  // How long from the writing of the record no other owner of the fleet may
+  // order the host. Not a time of day: that of the next owner's host may be
+  // ahead by any amount, or jump.
+  std::chrono::milliseconds mReservedFor{ 0 };
   jobs::runner_name mRunner; // on the host at that time; empty if none
 };
 
--- a/mangospan/node/owner_test.cc
+++ b/mangospan/node/owner_test.cc
@@ -202,8 +202,7 @@
 TEST_F(owner_test, RunnerOnHostOrderedAwayStaysCordoned)
 {
   const host_orders orders{ { host_name{ "h1" },
-                              { std::chrono::system_clock::now(),
-                                runner_name{ "r1" } } } };
+                              { milliseconds(3'000), runner_name{ "r1" } } } };
   mStore.Put(kHostOrdersKey, Encode(orders));
   Start();
   const auto& runners = mOwner->Scheduler().Runners();
--- a/mangospan/node/pool_link_test.cc
+++ b/mangospan/node/pool_link_test.cc
@@ -60,12 +60,13 @@
 
 TEST(host_orders_test, OrdersRoundTrip)
 {
-  const jobs::wall_time at{ milliseconds(1'700'000'000'123) };
-  const host_orders sent{ { host_name{ "h" }, { at, runner_name{ "r" } } } };
+  const milliseconds reserved{ 2'345 };
+  const host_orders sent{ { host_name{ "h" },
+                            { reserved, runner_name{ "r" } } } };
   const auto read = DecodeHostOrders(Encode(sent));
   ASSERT_TRUE(read.has_value());
   const host_order& got = read.assume_value().at(host_name{ "h" });
-  EXPECT_EQ(got.mOrderedAt, at);
+  EXPECT_EQ(got.mReservedFor, reserved);
   EXPECT_EQ(got.mRunner, runner_name{ "r" });
   EXPECT_TRUE(DecodeHostOrders(R"({"h":5})").has_error());
 }
