A jump of the time of day forgets no ended job

What callers could see: after a jump of the owner's time of day by more than the spare part of the retention, jobs that have ended are unknown (410), and one that is submitted again runs again.

It now counts from when the present owner learned of the end, on its monotonic clock. A takeover begins it anew, which keeps records longer, never shorter.

Evidence: JumpOfTheTimeOfDayForgetsNoEndedJob failed before (the job was dropped at once) and passes now.

--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -115,6 +115,9 @@
   time_point mFirstTryAt{}; // of the caller's submission; not later
   wall_time mAcceptedWallTime;
   wall_time mEndedWallTime; // When the job reached a final state.
+  // Since when the present owner knows that the job has ended. The time of day
+  // may jump, and a job that is forgotten too soon would run again.
+  time_point mEndKnownAt{};
   // The end of the objective: until then the job is worth its full value.
   time_point mObjectiveDeadline{};
   std::vector<occurrence> mOccurrences;
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -93,6 +93,7 @@
     each.mFirstTryAt = each.mAcceptedAt - each.mSpec.mElapsed;
     each.mStoredVersion = each.mVersion;
     each.mObjectiveDeadline = each.mFirstTryAt;
+    each.mEndKnownAt = aNow;
     if (!IsFinal(each.mState)) {
       mActiveJobs.insert(each.mName);
       const queue_policy* const queue = mCatalog.FindQueue(each.mSpec.mQueue);
@@ -276,7 +277,7 @@
              "job.cancelled",
              { { "job", aJob.Str() },
                { "age_ms", CountMilliseconds(aNow - foundJob->mAcceptedAt) } });
-    FinishJob(*foundJob, job_state::kCancelled, aWall);
+    FinishJob(*foundJob, job_state::kCancelled, aNow, aWall);
   }
   return true;
 }
@@ -426,7 +427,7 @@
 }
 
 std::vector<job_name>
-scheduler::RemoveExpiredJobs(wall_time aWall, std::size_t aMaxCount)
+scheduler::RemoveExpiredJobs(time_point aNow, std::size_t aMaxCount)
 {
   std::vector<job_name> expired;
   for (const auto& [jobName, each] : mJobs) {
@@ -434,7 +435,7 @@
       break;
     }
     if (IsFinal(each.mState) && each.IsStored() &&
-        aWall - each.mEndedWallTime > mSettings.mEndedJobRetention) {
+        aNow - each.mEndKnownAt > mSettings.mEndedJobRetention) {
       expired.push_back(jobName);
     }
   }
@@ -520,10 +521,14 @@
 }
 
 void
-scheduler::FinishJob(job& aJob, job_state aState, wall_time aWall)
+scheduler::FinishJob(job& aJob,
+                     job_state aState,
+                     time_point aNow,
+                     wall_time aWall)
 {
   aJob.mState = aState;
   aJob.mEndedWallTime = aWall;
+  aJob.mEndKnownAt = aNow;
   mActiveJobs.erase(aJob.mName);
   MarkChanged(aJob);
   StopRuns(aJob.mName);
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -229,9 +229,10 @@
   // Notes that the roster of version `aVersion` is stored.
   void OnRosterStored(std::uint64_t aVersion,
                       const std::vector<roster_entry>& aRoster);
-  // Removes up to `aMaxCount` jobs whose stored end is older than
-  // `scheduler_settings::mEndedJobRetention`, and returns their names.
-  std::vector<job_name> RemoveExpiredJobs(wall_time aWall,
+  // Removes up to `aMaxCount` jobs whose stored end this owner has known for
+  // longer than `scheduler_settings::mEndedJobRetention`, and returns their
+  // names.
+  std::vector<job_name> RemoveExpiredJobs(time_point aNow,
                                           std::size_t aMaxCount);
 
   // Returns whether a runner has refused an order because it has seen a higher
@@ -304,7 +305,7 @@
                   bool aWasAlone,
                   std::uint32_t aSuspicion,
                   time_point aCrashedAt);
-  void FailJobsOfCrashingTasks(wall_time aWall);
+  void FailJobsOfCrashingTasks(time_point aNow, wall_time aWall);
   void RememberLostRunner(const runner& aRunner, time_point aNow);
   void OnRunnerAtAddress(const std::string& aAddress, time_point aNow);
   void ClearSuspicion(job& aJob, task& aTask);
@@ -354,7 +355,10 @@
                    const ended_run& aEnd,
                    time_point aNow,
                    wall_time aWall);
-  void OnTaskFailed(job& aJob, const task_id& aTask, wall_time aWall);
+  void OnTaskFailed(job& aJob,
+                    const task_id& aTask,
+                    time_point aNow,
+                    wall_time aWall);
   void RecordRunnerFailure(runner& aRunner,
                            const job_name& aJob,
                            time_point aNow);
@@ -368,7 +372,7 @@
                            time_point aSentAt,
                            time_point aNow);
   void MarkChanged(job& aJob);
-  void FinishJob(job& aJob, job_state aState, wall_time aWall);
+  void FinishJob(job& aJob, job_state aState, time_point aNow, wall_time aWall);
   void StopRuns(const job_name& aJob);
   std::size_t CountUnavailable(const job& aJob, const task_id& aTask) const;
   void AcknowledgeStoredEnds(runner& aRunner);
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -215,7 +215,7 @@
 }
 
 void
-scheduler::FailJobsOfCrashingTasks(wall_time aWall)
+scheduler::FailJobsOfCrashingTasks(time_point aNow, wall_time aWall)
 {
   const auto crashing = std::move(mCrashingTasks);
   mCrashingTasks.clear();
@@ -231,7 +231,7 @@
         { "task", each.Text() },
         { "crashes",
           static_cast<std::uint64_t>(foundJob->Find(each)->mCrashes) } });
-    FinishJob(*foundJob, job_state::kFailed, aWall);
+    FinishJob(*foundJob, job_state::kFailed, aNow, aWall);
   }
 }
 
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -95,7 +95,7 @@
     if (std::find(failedRuns.begin(), failedRuns.end(), aEnd.mRun) ==
         failedRuns.end()) {
       failedRuns.push_back(aEnd.mRun);
-      OnTaskFailed(aJob, aTask, aWall);
+      OnTaskFailed(aJob, aTask, aNow, aWall);
     }
     return;
   }
@@ -122,12 +122,15 @@
              { { "job", aJob.mName.Str() },
                { "age_ms", static_cast<std::int64_t>(age.count()) },
                { "on_time", aNow <= aJob.mObjectiveDeadline } });
-    FinishJob(aJob, job_state::kCompleted, aWall);
+    FinishJob(aJob, job_state::kCompleted, aNow, aWall);
   }
 }
 
 void
-scheduler::OnTaskFailed(job& aJob, const task_id& aTask, wall_time aWall)
+scheduler::OnTaskFailed(job& aJob,
+                        const task_id& aTask,
+                        time_point aNow,
+                        wall_time aWall)
 {
   const std::size_t failures = aJob.Find(aTask)->mFailedRuns.size();
   MarkChanged(aJob);
@@ -138,7 +141,7 @@
              { { "job", aJob.mName.Str() },
                { "task", aTask.Text() },
                { "attempts", static_cast<std::uint64_t>(failures) } });
-    FinishJob(aJob, job_state::kFailed, aWall);
+    FinishJob(aJob, job_state::kFailed, aNow, aWall);
   }
 }
 
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -54,7 +54,7 @@
 {
   std::vector<order> orders;
   ReleaseRunsOfDeadRunners(aNow);
-  FailJobsOfCrashingTasks(aWall);
+  FailJobsOfCrashingTasks(aNow, aWall);
   PlanStops(aNow, orders);
   PlanResends(aNow, orders);
   if (mMayStart) {
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -191,6 +191,24 @@
   EXPECT_TRUE(world.Violations().empty()) << world.Violations().front();
 }
 
+// Keeps an ended job known for the whole of its retention: a caller that
+// repeats its submission after a jump of the time of day must not have it run
+// again.
+TEST(scheduler_test, JumpOfTheTimeOfDayForgetsNoEndedJob)
+{
+  fake_world world(5, fault_rates{});
+  AddRunners(world, 1);
+  world.RunFor(milliseconds(200));
+  world.Submit("a1", Job({ Tasks(1, 500, milliseconds(100)) }));
+  world.RunFor(seconds(2));
+  ASSERT_EQ(world.StateOf("a1"), job_state::kCompleted);
+  world.StepTimeOfDay(std::chrono::minutes(10));
+  const auto count = std::size_t{ 12 };
+  EXPECT_TRUE(world.Owner()->RemoveExpiredJobs(world.Now(), count).empty());
+  world.RunFor(std::chrono::minutes(3));
+  EXPECT_EQ(world.Owner()->RemoveExpiredJobs(world.Now(), count).size(), 1U);
+}
+
 // On a handover, the first owner stores by when each lease ends. The second
 // owner extends leases beyond that time, so it must first store a roster
 // without it. Otherwise the third owner would start the task while it still
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -439,7 +439,8 @@
 void
 owner::DeleteExpiredJobs()
 {
-  const auto expired = mScheduler.RemoveExpiredJobs(WallNow(), kJobsPerDelete);
+  const auto expired =
+    mScheduler.RemoveExpiredJobs(mDeps.mClock.Now(), kJobsPerDelete);
   if (expired.empty()) {
     return;
   }
