A record that the store refuses holds up no other

What callers saw: after one job whose record was over the store's size of a value, no cancel of its service was answered but with 504, and no job was accepted (rule Acks), until the owner's process ended.

Cause: the owner took the store's refusal for an outage. It repeated the same write, with all that waited beside it, for ever, and refused new jobs meanwhile. Ruled out: a store that is slow or away (it answers each write with 400 within milliseconds).

A write that the store answers and refuses is not an outage now. A new job is refused to its caller, unless an earlier write of it may have taken effect. The roster is treated in the same way. Writes end at 256 KB, so that large records don't add up. Why this works: a refusal has no effect, and what is refused alone is known to be the reason.

Evidence: RecordThatTheStoreRefusesHoldsUpNoOther failed before (the cancel and the job beside it had no answer in 5 s).

--- a/mangospan/node/job_service.h
+++ b/mangospan/node/job_service.h
@@ -35,6 +35,7 @@
   kStoreUnavailable, // the owner's last write to the store failed
   kOtherService,     // the queue belongs to the jobs of another service
   kNoSuchQueue,      // the catalog of the owner has no such queue
+  kRecordRefused,    // the store does not take the job's record
   kStopping,         // the node that the caller has asked is about to exit
 };
 
--- a/mangospan/node/job_service_test.cc
+++ b/mangospan/node/job_service_test.cc
@@ -16,6 +16,7 @@
                            refusal_reason::kStoreUnavailable,
                            refusal_reason::kOtherService,
                            refusal_reason::kNoSuchQueue,
+                           refusal_reason::kRecordRefused,
                            refusal_reason::kStopping }) {
     EXPECT_EQ(ParseRefusalReason(Name(each)), each);
   }
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -23,6 +23,7 @@
 #include "mangospan/node/mirror.h"
 #include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
+#include "mangospan/node/refused_records.h"
 
 namespace mangospan::daemon {
 class metrics;
@@ -155,6 +156,9 @@
   {
     std::vector<written_job> mJobs;
     written_roster mRoster;
+
+    bool HasRoster() const { return !mRoster.mText.empty(); }
+    std::size_t Count() const { return mJobs.size() + (HasRoster() ? 1 : 0); }
   };
 
   static std::string OwnedPrefix(const service_name& aService);
@@ -182,19 +186,29 @@
   void SendStop(const jobs::stop_order& aOrder);
   void SendThrottle(const jobs::throttle_order& aOrder);
   void SendPoll(const jobs::poll_order& aOrder);
+  std::set<jobs::job_name> JobsNotToWrite() const;
+  bool IsRosterWriteDue() const;
   bool IsWriteNeeded() const;
   void ScheduleWrite();
   void Write();
+  bool AddJobWrite(const jobs::job& aJob,
+                   platform::transaction& aChange,
+                   written_records& aWritten);
   void OnWriteAnswered(std::uint64_t aNumber,
                        const result<platform::commit_outcome>& aResult);
   void ClearInFlight(const written_records& aWritten);
+  void NotePossiblyStored(const written_records& aWritten);
   void OnCommitResult(const written_records& aWritten,
                       const result<platform::commit_outcome>& aResult);
+  void OnWriteRefused(const written_records& aWritten, const error& aError);
+  void OnRecordRefused(const written_job& aWritten, const error& aError);
+  void OnJobsStored(const std::vector<jobs::stored_job>& aStored);
   void OnConflict(const written_records& aWritten,
                   const std::vector<platform::record>& aPresent);
   void OnOwnedByOtherService(const jobs::job_name& aJob,
                              const service_name& aService);
   void DeleteExpiredJobs();
+  void AnswerAll(const jobs::job_name& aJob, const job_reply& aReply);
   void AnswerWaiters();
   bool AnswerIfStored(const jobs::job_name& aJob, const waiter& aWaiter);
   void CheckFence();
@@ -227,8 +241,13 @@
   std::map<std::uint64_t, written_records> mWritesInFlight; // by number
   std::uint64_t mWriteCount = 0;
   std::set<jobs::job_name> mJobsBeingWritten;
+  refused_records mRefusedRecords;
+  // Jobs that have not been stored since some write of them had no answer.
+  std::set<jobs::job_name> mPossiblyStored;
   bool mIsRosterInFlight = false;
-  int mFailedWrites = 0; // consecutive failures
+  bool mMustRosterBeAlone = false; // after a write with it was refused
+  time_point mNextRosterWriteAt{}; // later than now after it was refused
+  int mFailedWrites = 0;           // consecutive failures
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/owner_test.cc
+++ b/mangospan/node/owner_test.cc
@@ -176,6 +176,33 @@
   EXPECT_EQ(mStore.Value("mangospan/homes/a1"), "");
 }
 
+// Keeps one record that the store does not take from holding up the others:
+// cancels got no answer and no job was accepted (rule Acks).
+TEST_F(owner_test, RecordThatTheStoreRefusesHoldsUpNoOther)
+{
+  Start();
+  EXPECT_EQ(Submit("a1", kQueue), reply_kind::kOk);
+  mStore.mMaxValueBytes = 2'000;
+  jobs::job_spec large = OneTask(kQueue);
+  large.mPayload = std::string(3'000, 'x');
+  std::optional<job_reply> largeReply;
+  mOwner->Submit(job_name{ "large" },
+                 large,
+                 kTimeout,
+                 [&](const job_reply& aReply) { largeReply = aReply; });
+  std::optional<reply_kind> cancelReply;
+  mOwner->Cancel(job_name{ "a1" }, kTimeout, [&](const job_reply& aReply) {
+    cancelReply = aReply.mKind;
+  });
+  EXPECT_EQ(Submit("a2", kQueue), reply_kind::kOk);
+  RunUntil([&] { return largeReply.has_value() && cancelReply.has_value(); });
+  EXPECT_EQ(*cancelReply, reply_kind::kOk);
+  EXPECT_EQ(largeReply->mKind, reply_kind::kRefused);
+  EXPECT_EQ(largeReply->mReason, refusal_reason::kRecordRefused);
+  EXPECT_EQ(mOwner->Scheduler().Find(job_name{ "large" }), nullptr);
+  EXPECT_TRUE(mOwner->CanWrite());
+}
+
 TEST_F(owner_test, JobsThatExceedOneWriteAreWrittenConcurrently)
 {
   Start();
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -24,6 +24,19 @@
 constexpr std::size_t kEntriesPerNewJob = 4;
 constexpr std::size_t kEntriesPerJob = 2;
 constexpr std::size_t kJobsPerDelete = 12;
+// A write with records of more than these bytes in total has only one.
+constexpr std::size_t kMaxBytesPerWrite = std::size_t{ 256 } * 1024;
+// A caller whose job the store does not take is told to wait for so long.
+constexpr std::chrono::milliseconds kRefusedRecordRetryAfter{ 60'000 };
+
+// Returns whether the store has answered that it does not take the write, which
+// repeating it would not change.
+bool
+IsRefusal(const error& aError)
+{
+  return aError.mCode == error_code::kInvalidArgument ||
+         aError.mCode == error_code::kTooLarge;
+}
 
 std::string
 HomeKey(const jobs::job_name& aJob)
@@ -175,18 +188,42 @@
   Tick();
 }
 
+// Returns the jobs that a write in flight carries, and those whose present
+// record the store has refused.
+std::set<jobs::job_name>
+owner::JobsNotToWrite() const
+{
+  std::set<jobs::job_name> out = mJobsBeingWritten;
+  const time_point now = mDeps.mClock.Now();
+  for (const jobs::job_name& each : mRefusedRecords.Jobs()) {
+    const jobs::job* const found = mScheduler.Find(each);
+    if (found != nullptr &&
+        mRefusedRecords.IsHeldBack(each, found->mVersion, now)) {
+      out.insert(each);
+    }
+  }
+  return out;
+}
+
+bool
+owner::IsRosterWriteDue() const
+{
+  return !mIsRosterInFlight &&
+         mScheduler.RosterVersion() != mScheduler.StoredRosterVersion() &&
+         mDeps.mClock.Now() >= mNextRosterWriteAt;
+}
+
 // Returns whether there is anything to write that no write in flight carries.
 // While a write is in flight, only urgent changes of jobs count.
 bool
 owner::IsWriteNeeded() const
 {
   if (!mWritesInFlight.empty()) {
-    return mScheduler.HasUnstoredJobs(mJobsBeingWritten, /*aUrgentOnly=*/true);
+    return mScheduler.HasUnstoredJobs(JobsNotToWrite(), /*aUrgentOnly=*/true);
   }
-  const bool isRosterUnstored =
-    mScheduler.RosterVersion() != mScheduler.StoredRosterVersion();
   const bool isProgressDue = mDeps.mClock.Now() >= mNextProgressWriteAt;
-  return isRosterUnstored || mScheduler.HasUnstoredJobs({}, !isProgressDue);
+  return IsRosterWriteDue() ||
+         mScheduler.HasUnstoredJobs(JobsNotToWrite(), !isProgressDue);
 }
 
 void
@@ -215,10 +252,6 @@
 void
 owner::AddRosterWrite(platform::transaction& aChange, written_records& aWritten)
 {
-  if (mIsRosterInFlight ||
-      mScheduler.RosterVersion() == mScheduler.StoredRosterVersion()) {
-    return;
-  }
   mIsRosterInFlight = true;
   written_roster& roster = aWritten.mRoster;
   roster.mVersion = mScheduler.RosterVersion();
@@ -233,30 +266,17 @@
 {
   platform::transaction change = mFence.Begin();
   written_records written;
-  AddRosterWrite(change, written);
+  if (IsRosterWriteDue()) {
+    AddRosterWrite(change, written);
+  }
+  const std::set<jobs::job_name> excluded = JobsNotToWrite();
   const auto unstored = mScheduler.UnstoredJobs(
-    mJobsBeingWritten.size() + platform::kMaxTransactionKeys / kEntriesPerJob);
+    excluded.size() + platform::kMaxTransactionKeys / kEntriesPerJob);
   for (const jobs::job_name& each : unstored) {
-    if (mJobsBeingWritten.count(each) > 0) {
-      continue;
-    }
-    const jobs::job& one = *mScheduler.Find(each);
-    const bool isNew = one.mRevision == 0;
-    const std::size_t entries = change.mExpectations.size() +
-                                change.mWrites.size() +
-                                (isNew ? kEntriesPerNewJob : kEntriesPerJob);
-    if (entries > platform::kMaxTransactionKeys) {
+    if (excluded.count(each) == 0 &&
+        !AddJobWrite(*mScheduler.Find(each), change, written)) {
       break;
     }
-    if (isNew) {
-      change.mExpectations.push_back({ HomeKey(each), 0 });
-      change.mWrites.push_back({ HomeKey(each), mService.Str(), std::nullopt });
-    }
-    written_job record{ { each, one.mVersion, 0 }, jobs::EncodeRecord(one) };
-    change.mExpectations.push_back({ JobKey(each), one.mRevision });
-    change.mWrites.push_back({ JobKey(each), record.mText, std::nullopt });
-    mJobsBeingWritten.insert(each);
-    written.mJobs.push_back(std::move(record));
   }
   if (change.mWrites.empty()) {
     return;
@@ -273,6 +293,46 @@
                       });
 }
 
+// Adds the job's record, unless it has to be written alone or would make the
+// write too large. Returns false if the write takes no further record.
+bool
+owner::AddJobWrite(const jobs::job& aJob,
+                   platform::transaction& aChange,
+                   written_records& aWritten)
+{
+  const jobs::job_name& name = aJob.mName;
+  const bool isFirst = aWritten.Count() == 0;
+  const bool isAlone = mRefusedRecords.MustBeAlone(name);
+  const bool isNew = aJob.mRevision == 0;
+  const std::size_t entries = aChange.mExpectations.size() +
+                              aChange.mWrites.size() +
+                              (isNew ? kEntriesPerNewJob : kEntriesPerJob);
+  if (entries > platform::kMaxTransactionKeys ||
+      (aWritten.HasRoster() && mMustRosterBeAlone)) {
+    return false;
+  }
+  if (isAlone && !isFirst) {
+    return true; // another write takes it
+  }
+  written_job record{ { name, aJob.mVersion, 0 }, jobs::EncodeRecord(aJob) };
+  std::size_t bytes = aWritten.mRoster.mText.size() + record.mText.size();
+  for (const written_job& each : aWritten.mJobs) {
+    bytes += each.mText.size();
+  }
+  if (bytes > kMaxBytesPerWrite && !isFirst) {
+    return false;
+  }
+  if (isNew) {
+    aChange.mExpectations.push_back({ HomeKey(name), 0 });
+    aChange.mWrites.push_back({ HomeKey(name), mService.Str(), std::nullopt });
+  }
+  aChange.mExpectations.push_back({ JobKey(name), aJob.mRevision });
+  aChange.mWrites.push_back({ JobKey(name), record.mText, std::nullopt });
+  mJobsBeingWritten.insert(name);
+  aWritten.mJobs.push_back(std::move(record));
+  return !isAlone;
+}
+
 void
 owner::OnWriteAnswered(std::uint64_t aNumber,
                        const result<platform::commit_outcome>& aResult)
@@ -301,6 +361,7 @@
   }
   for (const auto& [number, each] : mWritesInFlight) {
     ClearInFlight(each);
+    NotePossiblyStored(each);
   }
   mWritesInFlight.clear();
   Write();
@@ -312,19 +373,30 @@
   for (const written_job& each : aWritten.mJobs) {
     mJobsBeingWritten.erase(each.mStored.mJob);
   }
-  if (!aWritten.mRoster.mText.empty()) {
+  if (aWritten.HasRoster()) {
     mIsRosterInFlight = false;
   }
 }
 
+void
+owner::NotePossiblyStored(const written_records& aWritten)
+{
+  for (const written_job& each : aWritten.mJobs) {
+    mPossiblyStored.insert(each.mStored.mJob);
+  }
+}
+
 void
 owner::OnCommitResult(const written_records& aWritten,
                       const result<platform::commit_outcome>& aResult)
 {
-  if (aResult.has_error()) {
+  if (aResult.has_error() && !IsRefusal(aResult.assume_error())) {
     if (mFailedWrites++ == 0) {
       LogError("owner.write_failed", aResult.assume_error());
     }
+    if (aResult.assume_error().mCode == error_code::kUnknownResult) {
+      NotePossiblyStored(aWritten);
+    }
     ScheduleWrite();
     return;
   }
@@ -333,6 +405,11 @@
       log_level::kInfo, "owner.writes_again", { { "failed", mFailedWrites } });
   }
   mFailedWrites = 0;
+  if (aResult.has_error()) {
+    OnWriteRefused(aWritten, aResult.assume_error());
+    ScheduleWrite();
+    return;
+  }
   if (!aResult.assume_value().mCommitted) {
     OnConflict(aWritten, aResult.assume_value().mCurrentRecords);
     return;
@@ -343,15 +420,77 @@
     stored.push_back(each.mStored);
     stored.back().mRevision = revision;
   }
-  if (!aWritten.mRoster.mText.empty()) {
+  if (aWritten.HasRoster()) {
+    mMustRosterBeAlone = false;
     mRosterRevision = revision;
     mScheduler.OnRosterStored(aWritten.mRoster.mVersion,
                               aWritten.mRoster.mRunners);
   }
-  mScheduler.OnStored(stored);
+  OnJobsStored(stored);
+  Wake();
+}
+
+void
+owner::OnJobsStored(const std::vector<jobs::stored_job>& aStored)
+{
+  for (const jobs::stored_job& each : aStored) {
+    mRefusedRecords.Remove(each.mJob);
+    mPossiblyStored.erase(each.mJob);
+  }
+  mScheduler.OnStored(aStored);
   AnswerWaiters();
   ScheduleWrite();
-  Wake();
+}
+
+// Handles a write that the store has answered and does not take, so that it had
+// no effect. Not an outage: the records that are not the reason are written
+// without the one that is.
+void
+owner::OnWriteRefused(const written_records& aWritten, const error& aError)
+{
+  if (aWritten.Count() > 1) {
+    std::vector<jobs::job_name> written;
+    for (const written_job& each : aWritten.mJobs) {
+      written.push_back(each.mStored.mJob);
+    }
+    mRefusedRecords.OnWriteRefused(written);
+    mMustRosterBeAlone = mMustRosterBeAlone || aWritten.HasRoster();
+    LogError("owner.write_refused", aError);
+    return;
+  }
+  if (aWritten.HasRoster()) {
+    mNextRosterWriteAt = mDeps.mClock.Now() + refused_records::kRetryDelay;
+    LogError("owner.roster_refused", aError);
+    return;
+  }
+  OnRecordRefused(aWritten.mJobs.front(), aError);
+}
+
+// A new job is refused, unless an earlier write of it may have taken effect.
+// Any other job goes on; its ends stay unacknowledged at the runners.
+void
+owner::OnRecordRefused(const written_job& aWritten, const error& aError)
+{
+  const jobs::job_name& name = aWritten.mStored.mJob;
+  LogEvent(log_level::kError,
+           "owner.record_refused",
+           { { "job", name.Str() },
+             { "bytes", static_cast<std::uint64_t>(aWritten.mText.size()) },
+             { "message", aError.mMessage } });
+  const jobs::job* const found = mScheduler.Find(name);
+  const bool isNew = found != nullptr && found->mStoredVersion == 0;
+  if (!isNew || mPossiblyStored.count(name) > 0) {
+    mRefusedRecords.OnRecordRefused(
+      name, aWritten.mStored.mVersion, mDeps.mClock.Now());
+    return;
+  }
+  mScheduler.RemoveUnstored(name);
+  mRefusedRecords.Remove(name);
+  job_reply refused;
+  refused.mKind = reply_kind::kRefused;
+  refused.mReason = refusal_reason::kRecordRefused;
+  refused.mRetryAfter = kRefusedRecordRetryAfter;
+  AnswerAll(name, refused);
 }
 
 // Handles a write that the store rejected. Either a newer owner has claimed the
@@ -406,9 +545,7 @@
       one->mRevision = found->second->mRevision;
     }
   }
-  mScheduler.OnStored(stored);
-  AnswerWaiters();
-  ScheduleWrite();
+  OnJobsStored(stored);
 }
 
 // Removes a job that the owner of another service accepted before its queue
@@ -423,16 +560,24 @@
              { "service", mService.Str() },
              { "home", aService.Str() } });
   mScheduler.RemoveUnstored(aJob);
+  mRefusedRecords.Remove(aJob);
+  mPossiblyStored.erase(aJob);
+  job_reply accepted;
+  accepted.mKind = reply_kind::kOk;
+  AnswerAll(aJob, accepted);
+}
+
+void
+owner::AnswerAll(const jobs::job_name& aJob, const job_reply& aReply)
+{
   const auto waiters = mWaiters.equal_range(aJob);
   std::vector<reply_handler> handlers;
   for (auto it = waiters.first; it != waiters.second; ++it) {
     handlers.push_back(it->second.mHandler);
   }
   mWaiters.erase(waiters.first, waiters.second);
-  job_reply accepted;
-  accepted.mKind = reply_kind::kOk;
   for (const reply_handler& each : handlers) {
-    each(accepted);
+    each(aReply);
   }
 }
 
--- a/mangospan/node/testing/memory_store.cc
+++ b/mangospan/node/testing/memory_store.cc
@@ -1,5 +1,6 @@
 #include "mangospan/node/testing/memory_store.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -145,6 +146,21 @@
     mHeld.push_back({ std::move(aTransaction), std::move(aHandler) });
     return;
   }
+  const bool isTooLarge =
+    std::any_of(aTransaction.mWrites.begin(),
+                aTransaction.mWrites.end(),
+                [this](const platform::key_write& aEach) {
+                  return aEach.mValue.size() > mMaxValueBytes;
+                });
+  if (isTooLarge) {
+    Answer<platform::commit_outcome>(mIo,
+                                     std::move(aHandler),
+                                     error{ error_code::kInvalidArgument,
+                                            "store.commit",
+                                            "",
+                                            "a value is too large" });
+    return;
+  }
   platform::commit_outcome out;
   out.mCommitted = true;
   for (const platform::expectation& each : aTransaction.mExpectations) {
--- a/mangospan/node/testing/memory_store.h
+++ b/mangospan/node/testing/memory_store.h
@@ -29,6 +29,8 @@
   bool mHoldsCommits = false;
   std::size_t HeldCommits() const { return mHeld.size(); }
   void ReleaseCommits();
+  // A commit that writes a larger value fails with kInvalidArgument.
+  std::size_t mMaxValueBytes = platform::kMaxValueBytes;
   // Returns the value of the key; empty if the key does not exist.
   std::string Value(const std::string& aKey) const;
 
