A job is kept by what has begun, not by all that it may ever do

What callers saw: a job of 250 bytes that asks for 200,000 occurrences was neither accepted nor refused, and blocked all writes of its service.

Cause: all occurrences of a job were kept, in memory (98 MB) and in its record (over the store's size of a value), from the start, and the check of a specification had no limit on what a record may become.

A job now keeps the occurrences that are due or have begun and are not done; done ones are ranges of numbers. What an earlier owner began is opened when a runner reports it. An owner works on at most 4,000 tasks of one repeating job at a time. A specification whose record might be over 1,000,000 bytes is refused with 400, and the answer tells the limit. Records of earlier versions are read without loss. Why this works: the size of a record is bounded by the tasks that are open, and those are bounded when the job is handed in.

--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -1,5 +1,7 @@
 #include "mangospan/jobs/codec.h"
 
+#include <algorithm>
+#include <stdexcept>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -12,6 +14,13 @@
 
 namespace {
 
+// The tasks that are done: of a job that runs once, of all occurrences.
+constexpr const char* kDoneKey = "done";
+// Of a job that repeats: the ranges of occurrences that are done, and the tasks
+// that are done of the others that have begun.
+constexpr const char* kDoneRangesKey = "done_ranges";
+constexpr const char* kBegunKey = "begun";
+constexpr const char* kCheckpointsKey = "checkpoints";
 constexpr const char* kRunsEndWithinKey = "dead_in_ms";
 // Rosters of earlier versions hold a time of day, which is not used.
 constexpr const char* kRunsEndByKey = "dead_by_ms";
@@ -128,24 +137,53 @@
   return out;
 }
 
-// Returns an array of the occurrences; each is an array of steps, and a step is
-// a string of one character for each task: '1' if it is done, otherwise '0'.
+bool
+HasDoneTask(const occurrence& aOccurrence)
+{
+  return std::any_of(aOccurrence.mSteps.begin(),
+                     aOccurrence.mSteps.end(),
+                     [](const step& aEach) { return aEach.mDoneCount > 0; });
+}
+
+// Returns an array of the steps; a step is a string of one character for each
+// task: '1' if it is done, otherwise '0'.
 json
-DoneToJson(const job& aJob)
+DoneTasksToJson(const occurrence& aOccurrence)
 {
-  json occurrences = json::array();
-  for (const occurrence& each : aJob.mOccurrences) {
-    json steps = json::array();
-    for (const step& one : each.mSteps) {
-      std::string done;
-      for (const task& oneTask : one.mTasks) {
-        done += oneTask.mDone ? '1' : '0';
-      }
-      steps.push_back(std::move(done));
+  json steps = json::array();
+  for (const step& one : aOccurrence.mSteps) {
+    std::string done;
+    for (const task& oneTask : one.mTasks) {
+      done += oneTask.mDone ? '1' : '0';
+    }
+    steps.push_back(std::move(done));
+  }
+  return steps;
+}
+
+// Adds which tasks are done. The size does not depend on the number of
+// occurrences that a job may ever have: those that have not begun add nothing.
+void
+AddDone(const job& aJob, json& aInto)
+{
+  if (aJob.mSpec.mRepetitions == 0) {
+    aInto[kDoneKey] = json::array();
+    for (const auto& [number, each] : aJob.mOccurrences) {
+      aInto[kDoneKey].push_back(DoneTasksToJson(each));
     }
-    occurrences.push_back(std::move(steps));
+    return;
+  }
+  json open = json::object();
+  for (const auto& [number, each] : aJob.mOccurrences) {
+    if (HasDoneTask(each)) {
+      open[std::to_string(number)] = DoneTasksToJson(each);
+    }
+  }
+  aInto[kDoneRangesKey] = json::array();
+  for (const auto& [first, end] : aJob.mDoneOccurrences.Ranges()) {
+    aInto[kDoneRangesKey].push_back({ first, end });
   }
-  return occurrences;
+  aInto[kBegunKey] = std::move(open);
 }
 
 // Calls `aVisit` with the id, the step and the state of every task. `Job` is
@@ -154,8 +192,8 @@
 void
 ForEachTask(Job& aJob, Visit aVisit)
 {
-  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
-    auto& steps = aJob.mOccurrences[k].mSteps;
+  for (auto& [k, each] : aJob.mOccurrences) {
+    auto& steps = each.mSteps;
     for (std::size_t s = 0; s < steps.size(); ++s) {
       for (std::size_t i = 0; i < steps[s].mTasks.size(); ++i) {
         aVisit(task_id{ aJob.mName, k, s, i }, steps[s], steps[s].mTasks[i]);
@@ -164,17 +202,49 @@
   }
 }
 
+// Reads what `DoneTasksToJson` writes.
 void
-DoneFromJson(const json& aDone, job& aJob)
+DoneTasksFromJson(const json& aSteps, std::size_t aOccurrence, job& aJob)
 {
-  ForEachTask(aJob, [&aDone](const task_id& aId, step& aStep, task& aTask) {
-    const auto& text =
-      aDone.at(aId.mOccurrence).at(aId.mStep).get_ref<const std::string&>();
-    if (aId.mIndex < text.size() && text[aId.mIndex] == '1') {
-      aTask.mDone = true;
-      ++aStep.mDoneCount;
+  for (std::size_t s = 0; s < aSteps.size(); ++s) {
+    const auto& text = aSteps[s].get_ref<const std::string&>();
+    for (std::size_t i = 0; i < text.size(); ++i) {
+      task* const found =
+        text[i] == '1' ? aJob.Find({ aJob.mName, aOccurrence, s, i }) : nullptr;
+      if (found != nullptr && !found->mDone) {
+        found->mDone = true;
+        ++aJob.mOccurrences.at(aOccurrence).mSteps[s].mDoneCount;
+      }
     }
-  });
+  }
+  aJob.CloseIfDone(aOccurrence);
+}
+
+// Reads what `AddDone` writes, and a list of all occurrences, as earlier
+// versions wrote it.
+void
+ReadDone(const json& aRecord, job& aJob)
+{
+  if (aRecord.contains(kDoneKey)) {
+    const json& done = aRecord.at(kDoneKey);
+    for (std::size_t k = 0; k < done.size(); ++k) {
+      DoneTasksFromJson(done[k], k, aJob);
+    }
+    return;
+  }
+  std::size_t before = 0;
+  for (const json& each : aRecord.at(kDoneRangesKey)) {
+    const auto first = each.at(0).get<std::size_t>();
+    const auto end = each.at(1).get<std::size_t>();
+    if (first < before || end <= first || end > aJob.mSpec.Occurrences()) {
+      throw std::invalid_argument("malformed range of occurrences");
+    }
+    aJob.mDoneOccurrences.AddRange(first, end);
+    before = end;
+  }
+  for (const auto& [number, steps] : aRecord.at(kBegunKey).items()) {
+    DoneTasksFromJson(steps, std::stoul(number), aJob);
+  }
 }
 
 // Returns the failed runs, the checkpoints and the crashes of the tasks that
@@ -201,7 +271,7 @@
       }
     });
   json out{ { "failures", std::move(failures) },
-            { "checkpoints", std::move(checkpoints) } };
+            { kCheckpointsKey, std::move(checkpoints) } };
   if (!crashes.empty()) {
     out["crashes"] = std::move(crashes);
   }
@@ -219,7 +289,7 @@
       found->mFailedRuns = failures.get<std::vector<std::uint32_t>>();
     }
   }
-  for (const auto& [text, checkpoint] : aValue.at("checkpoints").items()) {
+  for (const auto& [text, checkpoint] : aValue.at(kCheckpointsKey).items()) {
     const auto id = ParseTaskId(text);
     task* const found = id ? aJob.Find(*id) : nullptr;
     if (found != nullptr) {
@@ -260,7 +330,7 @@
   out.mState = *state;
   out.mAcceptedWallTime =
     FromMilliseconds(aValue.at("accepted_ms").get<std::int64_t>());
-  DoneFromJson(aValue.at("done"), out);
+  ReadDone(aValue, out);
   DetailsFromJson(aValue, out);
   return out;
 }
@@ -372,10 +442,16 @@
   } else {
     out["spec"] = SpecToJson(aJob.mSpec);
     out["accepted_ms"] = ToMilliseconds(aJob.mAcceptedWallTime);
-    out["done"] = DoneToJson(aJob);
+    AddDone(aJob, out);
     out.update(DetailsToJson(aJob));
   }
-  return out.dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string text = out.dump(-1, ' ', false, json::error_handler_t::replace);
+  if (text.size() > kMaxRecordBytes) {
+    // Saved progress only spares work; what is done must be stored.
+    out[kCheckpointsKey] = json::object();
+    text = out.dump(-1, ' ', false, json::error_handler_t::replace);
+  }
+  return text;
 }
 
 result<job>
--- a/mangospan/jobs/codec_test.cc
+++ b/mangospan/jobs/codec_test.cc
@@ -48,19 +48,122 @@
 {
   job original = MakeJob(job_name{ "ab" }, Spec());
   original.mState = job_state::kRunning;
-  original.mOccurrences[1].mSteps[0].mTasks[2].mDone = true;
-  original.mOccurrences[1].mSteps[0].mDoneCount = 1;
-  original.mOccurrences[0].mSteps[0].mTasks[1].mFailedRuns = { 1, 1'001 };
-  original.mOccurrences[0].mSteps[1].mTasks[0].mCheckpoint = "c";
-  const auto decoded = DecodeRecord(original.mName, EncodeRecord(original));
+  original.Find({ original.mName, 1, 0, 2 })->mDone = true;
+  original.mOccurrences.at(1).mSteps[0].mDoneCount = 1;
+  original.Find({ original.mName, 0, 0, 1 })->mFailedRuns = { 1, 1'001 };
+  original.Find({ original.mName, 0, 1, 0 })->mCheckpoint = "c";
+  auto decoded = DecodeRecord(original.mName, EncodeRecord(original));
   ASSERT_TRUE(decoded.has_value());
-  const job& record = decoded.value();
+  job& record = decoded.value();
   EXPECT_EQ(record.mState, job_state::kRunning);
-  EXPECT_TRUE(record.mOccurrences[1].mSteps[0].mTasks[2].mDone);
-  EXPECT_EQ(record.mOccurrences[1].mSteps[0].mDoneCount, 1U);
-  EXPECT_EQ(record.mOccurrences[0].mSteps[0].mTasks[1].mFailedRuns,
+  EXPECT_TRUE(record.Find({ record.mName, 1, 0, 2 })->mDone);
+  EXPECT_EQ(record.mOccurrences.at(1).mSteps[0].mDoneCount, 1U);
+  EXPECT_EQ(record.Find({ record.mName, 0, 0, 1 })->mFailedRuns,
             (std::vector<std::uint32_t>{ 1, 1'001 }));
-  EXPECT_EQ(record.mOccurrences[0].mSteps[1].mTasks[0].mCheckpoint, "c");
+  EXPECT_EQ(record.Find({ record.mName, 0, 1, 0 })->mCheckpoint, "c");
+}
+
+job_spec
+Repeating(std::size_t aRepetitions)
+{
+  job_spec out = Spec();
+  out.mRepetitions = aRepetitions;
+  return out;
+}
+
+// Guards against a record that grows with the occurrences that a job may ever
+// have: the store did not take it, and no other record was written either.
+TEST(codec_test, RecordDoesNotGrowWithOccurrencesThatHaveNotBegun)
+{
+  constexpr std::size_t kMaxBytes = 1'500;
+  const job original = MakeJob(job_name{ "ab" }, Repeating(1'000'000));
+  const std::string text = EncodeRecord(original);
+  EXPECT_LT(text.size(), kMaxBytes);
+  const auto decoded = DecodeRecord(original.mName, text);
+  ASSERT_TRUE(decoded.has_value());
+  EXPECT_TRUE(decoded.value().mOccurrences.empty());
+}
+
+// Guards against occurrences that run again, or never, after a takeover.
+TEST(codec_test, RecordKeepsDoneOccurrences)
+{
+  job original = MakeJob(job_name{ "ab" }, Repeating(1'000));
+  for (const std::size_t k : { 0, 1, 5 }) {
+    original.mDoneOccurrences.Add(k);
+  }
+  const auto decoded = DecodeRecord(original.mName, EncodeRecord(original));
+  ASSERT_TRUE(decoded.has_value());
+  const done_occurrences& done = decoded.value().mDoneOccurrences;
+  EXPECT_EQ(done.Count(), 3U);
+  EXPECT_EQ(done.Ranges().size(), 2U);
+  EXPECT_TRUE(done.Contains(1));
+  EXPECT_FALSE(done.Contains(2));
+  EXPECT_TRUE(done.Contains(5));
+}
+
+// Guards against a job that is accepted and whose record the store then does
+// not take.
+TEST(codec_test, JobWhoseRecordWouldBeTooLargeIsInvalid)
+{
+  job_spec wide = Spec();
+  wide.mSteps.assign(3, wide.mSteps[0]);
+  for (step_spec& each : wide.mSteps) {
+    each.mTaskCount = 10'000;
+  }
+  EXPECT_NE(ValidateSpec(wide).find("1000000"), std::string::npos);
+  job_spec dense = Spec();
+  dense.mSteps.assign(1'000, dense.mSteps[0]);
+  for (std::size_t i = 0; i < dense.mSteps.size(); ++i) {
+    dense.mSteps[i].mAfter.assign(i, 0);
+  }
+  EXPECT_FALSE(ValidateSpec(dense).empty());
+  EXPECT_TRUE(ValidateSpec(Repeating(1'000'000)).empty());
+}
+
+// Guards against a record of the largest valid job that the store does not
+// take, with failed runs and saved progress of all tasks.
+TEST(codec_test, LargestRecordOfValidJobIsWithinLimit)
+{
+  job_spec spec = Spec();
+  spec.mRepetitions = 0;
+  spec.mSteps.resize(1);
+  spec.mSteps[0].mTaskCount = 10'000;
+  ASSERT_TRUE(ValidateSpec(spec).empty());
+  job original = MakeJob(job_name{ "0123456789abcdef" }, spec);
+  for (std::size_t i = 0; i < spec.mSteps[0].mTaskCount; ++i) {
+    task& each = *original.Find({ original.mName, 0, 0, i });
+    each.mFailedRuns = { 10'001, 10'002, 10'003 };
+    each.mCheckpoint = std::string(100, 'c');
+  }
+  EXPECT_LE(EncodeRecord(original).size(), kMaxRecordBytes);
+}
+
+// Guards against a job that is lost, or runs again, after an update: earlier
+// versions wrote all occurrences.
+TEST(codec_test, RecordOfEarlierVersionIsReadWithoutLoss)
+{
+  job original = MakeJob(job_name{ "ab" }, Repeating(3));
+  std::string steps;
+  std::string allDone;
+  for (const step_spec& each : original.mSpec.mSteps) {
+    const std::string first = steps.empty() ? "1" : "0";
+    steps += (steps.empty() ? "\"" : ",\"") + first +
+             std::string(each.mTaskCount - 1, '0') + "\"";
+    allDone += (allDone.empty() ? "\"" : ",\"") +
+               std::string(each.mTaskCount, '1') + "\"";
+  }
+  const std::string text =
+    R"({"state":"running","accepted_ms":5,"spec":)" +
+    EncodeSpec(original.mSpec) + R"(,"done":[[)" + steps + "],[" + allDone +
+    "],[" + steps + R"(]],"failures":{"ab.2.0.1":[7]},"checkpoints":{}})";
+  auto decoded = DecodeRecord(original.mName, text);
+  ASSERT_TRUE(decoded.has_value()) << decoded.error().mMessage;
+  job& record = decoded.value();
+  EXPECT_TRUE(record.Find({ record.mName, 0, 0, 0 })->mDone);
+  EXPECT_FALSE(record.Find({ record.mName, 0, 0, 1 })->mDone);
+  EXPECT_TRUE(record.mDoneOccurrences.Contains(1));
+  EXPECT_EQ(record.Find({ record.mName, 2, 0, 1 })->mFailedRuns,
+            (std::vector<std::uint32_t>{ 7 }));
 }
 
 // Guards against malformed input that is accepted, or rejected without a
--- a/mangospan/jobs/internal/scheduler_candidate.h
+++ b/mangospan/jobs/internal/scheduler_candidate.h
@@ -22,7 +22,7 @@
   const step_spec& Spec() const { return mJob->mSpec.mSteps[mStep]; }
   std::vector<task>& Tasks() const
   {
-    return mJob->mOccurrences[mOccurrence].mSteps[mStep].mTasks;
+    return mJob->mOccurrences.at(mOccurrence).mSteps[mStep].mTasks;
   }
   task_id Id(std::size_t aIndex) const
   {
--- a/mangospan/jobs/job.cc
+++ b/mangospan/jobs/job.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <utility>
 
 namespace mangospan::jobs {
@@ -93,24 +94,91 @@
   return aState != job_state::kQueued && aState != job_state::kRunning;
 }
 
+void
+done_occurrences::AddRange(std::size_t aFirst, std::size_t aEnd)
+{
+  mCount += aEnd - aFirst;
+  const auto next = mRanges.find(aEnd);
+  if (next != mRanges.end()) {
+    aEnd = next->second;
+    mRanges.erase(next);
+  }
+  const auto after = mRanges.lower_bound(aFirst);
+  if (after != mRanges.begin() && std::prev(after)->second == aFirst) {
+    std::prev(after)->second = aEnd;
+  } else {
+    mRanges.emplace(aFirst, aEnd);
+  }
+}
+
+bool
+done_occurrences::Contains(std::size_t aNumber) const
+{
+  const auto after = mRanges.upper_bound(aNumber);
+  return after != mRanges.begin() && aNumber < std::prev(after)->second;
+}
+
+bool
+job::HasTask(const task_id& aTask) const
+{
+  return aTask.mOccurrence < mSpec.Occurrences() &&
+         aTask.mStep < mSpec.mSteps.size() &&
+         aTask.mIndex < mSpec.mSteps[aTask.mStep].mTaskCount;
+}
+
+// Returns the occurrence, which exists and is not done.
+occurrence&
+job::Open(std::size_t aOccurrence)
+{
+  const auto [found, isNew] = mOccurrences.try_emplace(aOccurrence);
+  if (isNew) {
+    auto& steps = found->second.mSteps;
+    steps.resize(mSpec.mSteps.size());
+    for (std::size_t i = 0; i < steps.size(); ++i) {
+      steps[i].mTasks.resize(mSpec.mSteps[i].mTaskCount);
+    }
+  }
+  return found->second;
+}
+
 task*
 job::Find(const task_id& aTask)
 {
-  if (aTask.mOccurrence >= mOccurrences.size()) {
+  if (!HasTask(aTask) || mDoneOccurrences.Contains(aTask.mOccurrence)) {
     return nullptr;
   }
-  auto& steps = mOccurrences[aTask.mOccurrence].mSteps;
-  if (aTask.mStep >= steps.size() ||
-      aTask.mIndex >= steps[aTask.mStep].mTasks.size()) {
-    return nullptr;
+  step& found = Open(aTask.mOccurrence).mSteps[aTask.mStep];
+  return &found.mTasks[aTask.mIndex];
+}
+
+void
+job::OpenDueOccurrences(wall_time aWall)
+{
+  const std::size_t due = DueOccurrences(aWall);
+  const std::size_t maxOpen = mSpec.MaxOpenOccurrences();
+  for (; mOpenedBelow < due && mOccurrences.size() < maxOpen; ++mOpenedBelow) {
+    if (!mDoneOccurrences.Contains(mOpenedBelow)) {
+      Open(mOpenedBelow);
+    }
+  }
+}
+
+void
+job::CloseIfDone(std::size_t aOccurrence)
+{
+  const auto found = mOccurrences.find(aOccurrence);
+  if (found != mOccurrences.end() && std::all_of(found->second.mSteps.begin(),
+                                                 found->second.mSteps.end(),
+                                                 &IsDone)) {
+    mDoneOccurrences.Add(aOccurrence);
+    mOccurrences.erase(found);
   }
-  return &steps[aTask.mStep].mTasks[aTask.mIndex];
 }
 
 bool
 job::IsStepReady(std::size_t aOccurrence, std::size_t aStep) const
 {
-  const auto& steps = mOccurrences[aOccurrence].mSteps;
+  const auto& steps = mOccurrences.at(aOccurrence).mSteps;
   const auto& after = mSpec.mSteps[aStep].mAfter;
   return std::all_of(
     after.begin(), after.end(), [&steps](std::size_t aDependency) {
@@ -122,25 +190,23 @@
 job::DueOccurrences(wall_time aWall) const
 {
   if (mSpec.mRepetitions == 0) {
-    return mOccurrences.size();
+    return 1;
+  }
+  if (aWall < mSpec.mFirstDue) {
+    return 0;
   }
-  std::size_t due = 0;
-  while (due < mOccurrences.size() && aWall >= mSpec.DueAt(due)) {
-    ++due;
+  if (mSpec.mInterval.count() <= 0) {
+    return mSpec.mRepetitions;
   }
-  return due;
+  const auto later =
+    static_cast<std::size_t>((aWall - mSpec.mFirstDue) / mSpec.mInterval);
+  return std::min(mSpec.mRepetitions, later + 1);
 }
 
 bool
 job::AllDone() const
 {
-  return std::all_of(mOccurrences.begin(),
-                     mOccurrences.end(),
-                     [](const occurrence& aOccurrence) {
-                       return std::all_of(aOccurrence.mSteps.begin(),
-                                          aOccurrence.mSteps.end(),
-                                          &IsDone);
-                     });
+  return mDoneOccurrences.Count() == mSpec.Occurrences();
 }
 
 job
@@ -149,12 +215,8 @@
   job newJob;
   newJob.mName = std::move(aName);
   newJob.mSpec = std::move(aSpec);
-  newJob.mOccurrences.resize(newJob.mSpec.Occurrences());
-  for (occurrence& each : newJob.mOccurrences) {
-    each.mSteps.resize(newJob.mSpec.mSteps.size());
-    for (std::size_t i = 0; i < each.mSteps.size(); ++i) {
-      each.mSteps[i].mTasks.resize(newJob.mSpec.mSteps[i].mTaskCount);
-    }
+  if (newJob.mSpec.mRepetitions == 0) {
+    newJob.OpenDueOccurrences(wall_time());
   }
   return newJob;
 }
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -103,6 +104,25 @@
   std::vector<step> mSteps;
 };
 
+// The occurrences of a job that are done, as ranges of their numbers: there are
+// few ranges however many occurrences are done.
+class done_occurrences
+{
+public:
+  void Add(std::size_t aNumber) { AddRange(aNumber, aNumber + 1); }
+  // Adds the occurrences from `aFirst` to before `aEnd`, which is higher. None
+  // of them may be in the set.
+  void AddRange(std::size_t aFirst, std::size_t aEnd);
+  bool Contains(std::size_t aNumber) const;
+  std::size_t Count() const { return mCount; }
+  // The first number of each range, and the number after its last one.
+  const std::map<std::size_t, std::size_t>& Ranges() const { return mRanges; }
+
+private:
+  std::map<std::size_t, std::size_t> mRanges;
+  std::size_t mCount = 0;
+};
+
 // A job, its state, and how much of it is stored.
 struct job
 {
@@ -120,7 +140,12 @@
   time_point mEndKnownAt{};
   // The end of the objective: until then the job is worth its full value.
   time_point mObjectiveDeadline{};
-  std::vector<occurrence> mOccurrences;
+  // The open occurrences, by number: those that are due or have begun, and are
+  // not done. A job may have any number of others.
+  std::map<std::size_t, occurrence> mOccurrences;
+  done_occurrences mDoneOccurrences;
+  // Every occurrence below this number has been opened, or is done.
+  std::size_t mOpenedBelow = 0;
   bool mInherited = false; // An earlier owner accepted the job.
 
   std::uint64_t mVersion = 1; // Rises with every change that has to be stored.
@@ -133,11 +158,16 @@
 
   // Returns whether the store holds the newest version.
   bool IsStored() const { return mStoredVersion >= mVersion; }
-  // Returns the task, or null if the job has no such task. Ignores the job's
-  // name in the id.
+  // Returns the task, or null if the job has no such task or the whole
+  // occurrence is done. Opens the occurrence, which an earlier owner may have
+  // begun. Ignores the job's name in the id.
   task* Find(const task_id& aTask);
+  // Opens the occurrences that are due, as far as there is room for more.
+  void OpenDueOccurrences(wall_time aWall);
+  // Closes the occurrence if it is open and all of its tasks are done.
+  void CloseIfDone(std::size_t aOccurrence);
   // Returns whether every step that `aStep` depends on is done. Requires that
-  // both indexes exist.
+  // the occurrence is open and the step exists.
   bool IsStepReady(std::size_t aOccurrence, std::size_t aStep) const;
   // Returns the number of occurrences, from the first, whose due time is not
   // after `aWall`. The only occurrence of a job without repetitions is always
@@ -145,10 +175,14 @@
   std::size_t DueOccurrences(wall_time aWall) const;
   // Returns whether every task of every occurrence is done.
   bool AllDone() const;
+
+private:
+  bool HasTask(const task_id& aTask) const;
+  occurrence& Open(std::size_t aOccurrence);
 };
 
-// Returns a queued job with all its occurrences, steps and tasks, none of which
-// has run.
+// Returns a queued job of which no task has run. If it does not repeat, its
+// only occurrence is open.
 job
 MakeJob(job_name aName, job_spec aSpec);
 
--- a/mangospan/jobs/ranking.cc
+++ b/mangospan/jobs/ranking.cc
@@ -16,7 +16,13 @@
 std::chrono::milliseconds
 RemainingCriticalPath(const job& aJob, std::size_t aOccurrence)
 {
-  const auto& steps = aJob.mOccurrences[aOccurrence].mSteps;
+  const auto found = aJob.mOccurrences.find(aOccurrence);
+  if (found == aJob.mOccurrences.end()) {
+    return aJob.mDoneOccurrences.Contains(aOccurrence)
+             ? std::chrono::milliseconds(0)
+             : CriticalPath(aJob.mSpec.mSteps);
+  }
+  const auto& steps = found->second.mSteps;
   std::vector<std::chrono::milliseconds> ends(steps.size());
   std::chrono::milliseconds longest{ 0 };
   for (std::size_t i = 0; i < steps.size(); ++i) {
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -462,7 +462,7 @@
 scheduler::CountUnavailable(const job& aJob, const task_id& aTask) const
 {
   const auto& tasks =
-    aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep].mTasks;
+    aJob.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep].mTasks;
   return static_cast<std::size_t>(
     std::count_if(tasks.begin(), tasks.end(), [this](const task& aEach) {
       const auto found = mRunners.find(aEach.mRunner);
--- a/mangospan/jobs/scheduler_demand.cc
+++ b/mangospan/jobs/scheduler_demand.cc
@@ -42,7 +42,7 @@
 HasLiveTask(const job& aJob)
 {
   const auto isLive = [](const task& aEach) { return aEach.mLive; };
-  for (const occurrence& each : aJob.mOccurrences) {
+  for (const auto& [number, each] : aJob.mOccurrences) {
     for (const step& eachStep : each.mSteps) {
       if (std::any_of(eachStep.mTasks.begin(), eachStep.mTasks.end(), isLive)) {
         return true;
@@ -94,9 +94,12 @@
 {
   bool isDue = false;
   const std::size_t due = aJob.DueOccurrences(aWall);
-  for (std::size_t k = 0; k < due; ++k) {
+  for (const auto& [k, each] : aJob.mOccurrences) {
+    if (k >= due) {
+      break;
+    }
     for (std::size_t s = 0; s < aJob.mSpec.mSteps.size(); ++s) {
-      const step& stepState = aJob.mOccurrences[k].mSteps[s];
+      const step& stepState = each.mSteps[s];
       if (stepState.mTasks.size() > stepState.mDoneCount &&
           aJob.IsStepReady(k, s)) {
         AddStep(aJob.mSpec.mSteps[s], stepState, aDemand);
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -102,7 +102,7 @@
   if (aEnd.mEnd != run_end::kDone) {
     return;
   }
-  step& endedStep = aJob.mOccurrences[aTask.mOccurrence].mSteps[aTask.mStep];
+  step& endedStep = aJob.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
   const auto markDone = [&endedStep](task& aEach) {
     if (!aEach.mDone) {
       aEach.mDone = true;
@@ -115,6 +115,7 @@
     markDone(endedTask);
   }
   MarkChanged(aJob);
+  aJob.CloseIfDone(aTask.mOccurrence);
   if (aJob.AllDone()) {
     const auto age = duration_cast<milliseconds>(aNow - aJob.mAcceptedAt);
     LogEvent(log_level::kInfo,
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -238,9 +238,13 @@
       return;
     }
   }
+  aJob.OpenDueOccurrences(aWall);
   const std::size_t due = aJob.DueOccurrences(aWall);
-  for (std::size_t k = 0; k < due; ++k) {
-    const auto& steps = aJob.mOccurrences[k].mSteps;
+  for (const auto& [k, each] : aJob.mOccurrences) {
+    if (k >= due) {
+      break;
+    }
+    const auto& steps = each.mSteps;
     for (std::size_t s = 0; s < steps.size(); ++s) {
       const auto& tasks = steps[s].mTasks;
       const bool hasIdle =
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -427,7 +427,7 @@
 }
 
 job_spec
-RandomJob(std::mt19937_64& aRandom)
+RandomJob(std::mt19937_64& aRandom, wall_time aWall)
 {
   const auto randomInt = [&aRandom](int aFrom, int aTo) {
     return std::uniform_int_distribution<int>(aFrom, aTo)(aRandom);
@@ -443,7 +443,13 @@
     each.mMaxPerRunner = static_cast<std::size_t>(randomInt(0, 2));
     steps.push_back(each);
   }
-  return Job(std::move(steps));
+  job_spec out = Job(std::move(steps));
+  if (randomInt(0, 4) == 0) {
+    out.mRepetitions = static_cast<std::size_t>(randomInt(1, 4));
+    out.mFirstDue = aWall + milliseconds(randomInt(-1'000, 2'000));
+    out.mInterval = milliseconds(randomInt(0, 800));
+  }
+  return out;
 }
 
 TEST_P(scheduler_schedules_test, KeepsInvariantsUnderRandomFaults)
@@ -456,7 +462,8 @@
     AddRunners(world, 4);
     world.RunFor(milliseconds(200));
     for (int n = 0; n < 12; ++n) {
-      world.Submit("a" + std::to_string(n), RandomJob(world.Random()));
+      world.Submit("a" + std::to_string(n),
+                   RandomJob(world.Random(), world.Wall()));
       InjectRandomFault(world, n);
       world.RunFor(milliseconds(600));
     }
--- a/mangospan/jobs/spec.cc
+++ b/mangospan/jobs/spec.cc
@@ -9,6 +9,32 @@
 
 constexpr std::size_t kMaxTasksPerStep = 10'000;
 constexpr std::size_t kMaxSteps = 1'000;
+// An owner works on at most this many tasks of one repeating job at a time, but
+// on one occurrence at least.
+constexpr std::size_t kMaxOpenTasks = 4'000;
+// What a record takes at most: for each character of a text, which may have to
+// be escaped, for a step without its texts, for each of its dependencies and
+// for a task that has failed some times.
+constexpr std::size_t kBytesPerCharacter = 6;
+constexpr std::size_t kBytesPerStep = 500;
+constexpr std::size_t kBytesPerDependency = 5;
+constexpr std::size_t kBytesPerTask = 64;
+
+std::size_t
+LargestRecord(const job_spec& aSpec)
+{
+  const std::size_t tasks =
+    aSpec.MaxOpenOccurrences() * aSpec.TasksPerOccurrence();
+  std::size_t bytes = kBytesPerStep + tasks * kBytesPerTask;
+  bytes +=
+    kBytesPerCharacter * (aSpec.mPayload.size() + aSpec.mQueue.Str().size());
+  for (const step_spec& each : aSpec.mSteps) {
+    bytes += kBytesPerStep + each.mAfter.size() * kBytesPerDependency;
+    bytes += kBytesPerCharacter * (each.mLabel.size() + each.mImage.size() +
+                                   each.mDataRack.Str().size());
+  }
+  return bytes;
+}
 
 bool
 StartsWith(std::string_view aText, std::string_view aPrefix)
@@ -81,6 +107,23 @@
   return std::max<std::size_t>(mRepetitions, 1);
 }
 
+std::size_t
+job_spec::TasksPerOccurrence() const
+{
+  std::size_t tasks = 0;
+  for (const step_spec& each : mSteps) {
+    tasks += each.mTaskCount;
+  }
+  return tasks;
+}
+
+std::size_t
+job_spec::MaxOpenOccurrences() const
+{
+  const std::size_t tasks = std::max<std::size_t>(1, TasksPerOccurrence());
+  return std::clamp<std::size_t>(kMaxOpenTasks / tasks, 1, Occurrences());
+}
+
 wall_time
 job_spec::DueAt(std::size_t aOccurrence) const
 {
@@ -108,6 +151,12 @@
       return validationError;
     }
   }
+  const std::size_t bytes = LargestRecord(aSpec);
+  if (bytes > kMaxRecordBytes) {
+    return "the job's record could take " + std::to_string(bytes) +
+           " bytes, over the limit of " + std::to_string(kMaxRecordBytes) +
+           ": it has too many tasks or too long texts";
+  }
   return {};
 }
 
--- a/mangospan/jobs/spec.h
+++ b/mangospan/jobs/spec.h
@@ -91,13 +91,23 @@
 
   // Returns the number of occurrences, which is at least 1.
   std::size_t Occurrences() const;
+  // Returns the number of tasks of one occurrence.
+  std::size_t TasksPerOccurrence() const;
+  // Returns how many occurrences an owner works on at a time, which bounds what
+  // it keeps of the job in memory and in the store.
+  std::size_t MaxOpenOccurrences() const;
   // Returns when the occurrence of that index, from 0, is due.
   wall_time DueAt(std::size_t aOccurrence) const;
   // Returns whether the tasks of any step are long-running.
   bool HasLongRunningStep() const;
 };
 
+// The largest record of a job in bytes.
+constexpr std::size_t kMaxRecordBytes = std::size_t{ 1000 } * 1000;
+
 // Returns why the specification is invalid, or an empty string if it is valid.
+// Invalid is also a job whose record might become larger than
+// `kMaxRecordBytes`.
 std::string
 ValidateSpec(const job_spec& aSpec);
 
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -84,6 +84,8 @@
   void RunFor(std::chrono::milliseconds aTime);
 
   time_point Now() const { return mNow; }
+  // Returns the owner's time of day.
+  wall_time Wall() const;
   std::mt19937_64& Random() { return mRandom; }
   scheduler* Owner() { return mOwner.get(); }
   fake_runner& Runner(const std::string& aName);
@@ -135,7 +137,6 @@
   // Returns the time after which an unanswered order is executed.
   std::chrono::milliseconds LateDelay();
   std::chrono::milliseconds RandomDelay();
-  wall_time Wall() const;
   void Elect();
   void Tick();
   void ListRunners();
--- a/mangospan/node/state_dump.cc
+++ b/mangospan/node/state_dump.cc
@@ -18,14 +18,14 @@
   std::size_t live = 0;
   std::size_t waiting = 0;
   std::size_t blocked = 0;
-  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
-    const auto& steps = aJob.mOccurrences[k].mSteps;
+  for (const auto& [k, each] : aJob.mOccurrences) {
+    const auto& steps = each.mSteps;
     for (std::size_t s = 0; s < steps.size(); ++s) {
       const bool isReady = aJob.IsStepReady(k, s);
-      for (const jobs::task& each : steps[s].mTasks) {
-        live += each.mLive ? 1 : 0;
-        waiting += !each.mLive && !each.mDone && isReady ? 1 : 0;
-        blocked += !each.mLive && !each.mDone && !isReady ? 1 : 0;
+      for (const jobs::task& one : steps[s].mTasks) {
+        live += one.mLive ? 1 : 0;
+        waiting += !one.mLive && !one.mDone && isReady ? 1 : 0;
+        blocked += !one.mLive && !one.mDone && !isReady ? 1 : 0;
       }
     }
   }
