Crashes of runners end a job only on evidence, and never one that lasts

Cause: crashes of runners were counted against the tasks that happened to be there, for the whole life of a job, and two or three of them ended it, also if its tasks last. Ruled out: ends other than `failed` that count as attempts, and tasks given up with a lease; the log has job.failed with crashes=3.

Now a job with tasks that last is never ended by crashes. Another one is ended only if runners at several addresses crashed at the same time after its starts, alone with the task the last time, so often that crashes by another cause, as frequent as they are, would do so with a probability of a millionth. The time for which a crash may stay unnoticed is allowed for. A suspected task waits before its next start, longer each time, and a run that outlives its probation clears the count. Why this works: a deadly task crashes each runner at the same time after each start, other causes don't care for starts.

--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -247,6 +247,35 @@
   }
 }
 
+json
+CrashesToJson(const crash_history& aCrashes)
+{
+  return { { "count", aCrashes.mCount },
+           { "fuse_ms", aCrashes.mLongestFuse.count() },
+           { "latest_fuse_ms", aCrashes.mLatestFuse.count() },
+           { "suspicion", aCrashes.mSuspicion },
+           { "suspect", aCrashes.mIsSuspect },
+           { "chance", aCrashes.mChance },
+           { "address", aCrashes.mLatestAddress },
+           { "several_addresses", aCrashes.mAtSeveralAddresses } };
+}
+
+crash_history
+CrashesFromJson(const json& aValue)
+{
+  crash_history out;
+  out.mCount = aValue.at("count").get<std::uint32_t>();
+  out.mLongestFuse = milliseconds(aValue.at("fuse_ms").get<std::int64_t>());
+  out.mLatestFuse =
+    milliseconds(aValue.value("latest_fuse_ms", std::int64_t{ 0 }));
+  out.mSuspicion = aValue.at("suspicion").get<std::uint32_t>();
+  out.mIsSuspect = aValue.at("suspect").get<bool>();
+  out.mChance = aValue.value("chance", 1.0);
+  out.mLatestAddress = aValue.value("address", std::string());
+  out.mAtSeveralAddresses = aValue.value("several_addresses", false);
+  return out;
+}
+
 // Returns the failed runs, the checkpoints and the crashes of the tasks that
 // are not done.
 json
@@ -263,11 +292,8 @@
       if (!aTask.mCheckpoint.empty() && !aTask.mDone) {
         checkpoints[aId.Text()] = aTask.mCheckpoint;
       }
-      if (aTask.mCrashes > 0 && !aTask.mDone) {
-        crashes[aId.Text()] = { { "count", aTask.mCrashes },
-                                { "fuse_ms", aTask.mLongestFuse.count() },
-                                { "suspicion", aTask.mSuspicion },
-                                { "suspect", aTask.mIsSuspect } };
+      if (aTask.mCrashes.mCount > 0 && !aTask.mDone) {
+        crashes[aId.Text()] = CrashesToJson(aTask.mCrashes);
       }
     });
   json out{ { "failures", std::move(failures) },
@@ -301,11 +327,7 @@
     const auto id = ParseTaskId(text);
     task* const found = id ? aJob.Find(*id) : nullptr;
     if (found != nullptr) {
-      found->mCrashes = crashes.at("count").get<std::uint32_t>();
-      found->mLongestFuse =
-        milliseconds(crashes.at("fuse_ms").get<std::int64_t>());
-      found->mSuspicion = crashes.at("suspicion").get<std::uint32_t>();
-      found->mIsSuspect = crashes.at("suspect").get<bool>();
+      found->mCrashes = CrashesFromJson(crashes);
     }
   }
 }
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -56,6 +56,29 @@
 bool
 IsFinal(job_state aState);
 
+// The crashes of runners under runs of one task, since it was last cleared of
+// them.
+struct crash_history
+{
+  std::uint32_t mCount = 0;
+  // The longest and the latest time from the start of a run to the crash.
+  std::chrono::milliseconds mLongestFuse{ 0 };
+  std::chrono::milliseconds mLatestFuse{ 0 };
+  // How much the crashes say against the task.
+  std::uint32_t mSuspicion = 0;
+  // The task may be the cause: it runs alone until it is cleared.
+  bool mIsSuspect = false;
+  // The probability of crashes at these times after the starts if the task is
+  // not the cause.
+  double mChance = 1.0;
+  // The address of the runner of the latest crash, and whether an earlier one
+  // was elsewhere.
+  std::string mLatestAddress;
+  bool mAtSeveralAddresses = false;
+  // A suspected task does not start before this time.
+  time_point mNotBefore{};
+};
+
 // The progress of one task. A run is one attempt to execute the task on a
 // runner; at most one run of a task is live at a time.
 struct task
@@ -74,14 +97,7 @@
   runner_name mFailedOn;   // The runner of the latest failed run.
   std::string mCheckpoint; // The latest progress that a run has saved.
   time_point mIdleSince{}; // When the latest run of this task was over.
-  // The number of runners that have crashed under a run of this task, and the
-  // longest time that a run had taken then.
-  std::uint32_t mCrashes = 0;
-  std::chrono::milliseconds mLongestFuse{ 0 };
-  // How much these crashes say against the task; 0 again once it is cleared.
-  std::uint32_t mSuspicion = 0;
-  // The task may be the cause: it runs alone until it is cleared.
-  bool mIsSuspect = false;
+  crash_history mCrashes;  // of runners under runs of this task
   // When a run was last given up with its runner, or left in doubt since its
   // runner had started again: it may have ended without a report. The epoch if
   // that did not happen.
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -301,10 +301,21 @@
                  std::vector<order>& aOrders);
   void OnRunnerSilent(const runner& aRunner);
   void OnRunnerCrashed(const runner& aRunner, time_point aNow);
-  void CountCrash(const run& aRun,
-                  bool aWasAlone,
+  void CountCrash(const runner& aRunner,
+                  const run& aRun,
                   std::uint32_t aSuspicion,
                   time_point aCrashedAt);
+  std::chrono::milliseconds CrashNoticeTime() const;
+  double UnexplainedCrashRate(time_point aNow);
+  void AddEvidence(task& aTask,
+                   const runner& aRunner,
+                   const run& aRun,
+                   time_point aCrashedAt,
+                   double aCrashRate) const;
+  bool IsCertainCause(const job& aJob,
+                      const task& aTask,
+                      const run& aRun,
+                      bool aWasAlone) const;
   void FailJobsOfCrashingTasks(time_point aNow, wall_time aWall);
   void RememberLostRunner(const runner& aRunner, time_point aNow);
   void OnRunnerAtAddress(const std::string& aAddress, time_point aNow);
@@ -394,6 +405,8 @@
   // were then, by address.
   std::map<std::string, runner> mLostRunners;
   std::map<std::string, time_point> mCrashedAt; // latest crash by address
+  // The latest crashes of runners on which no run had just started.
+  std::deque<time_point> mUnexplainedCrashes;
   std::vector<task_id> mCrashingTasks; // whose jobs the next plan gives up
   time_point mNoEvictionBefore{};
   std::map<service_name, arrival_forecast> mArrivalForecasts;
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -2,8 +2,13 @@
 //
 // A crash alone does not tell which of the runs on the runner caused it, or
 // whether any did. So each task that was under a crash has it counted, and one
-// that is suspected runs alone on its runner until it has outlived what it had
-// taken before. If that runner crashes as well, the task was the cause.
+// that is suspected runs alone on its runner, later each time, until it has
+// outlived what it had taken before.
+//
+// A task is the cause for certain if runners at several addresses have crashed
+// at the same time after its start so often that crashes by another cause, as
+// frequent as they are, would not. Only then is its job given up, and never one
+// with tasks that last, which have to be restarted however they end.
 #include <algorithm>
 #include <iterator>
 #include <set>
@@ -36,16 +41,23 @@
 // last run was no longer than `kMaxProbation`.
 constexpr std::uint32_t kMinSuspicion = 2;
 constexpr std::uint32_t kCrashesToSuspect = 3;
-// A task that was alone under the last one of this many crashes is given up, if
-// its run had just started; a crash by another cause rarely meets that moment.
-constexpr std::uint32_t kCrashesToGiveUp = 2;
-// The same if its run had been at work for longer, and if it is not certain
-// that it had begun.
-constexpr std::uint32_t kLateCrashesToGiveUp = 3;
-constexpr std::uint32_t kUncertainCrashesToGiveUp = 4;
-// A member of a gang is given up after this many crashes, since a gang can not
-// wait for runners that its members have for themselves.
-constexpr std::uint32_t kCrashesOfGangMember = 3;
+// A task is the cause if its crashes had at most this probability otherwise:
+// thousands of tasks start while runners crash by another cause.
+constexpr double kMaxChance = 1e-6;
+// Crashes by another cause are counted over this time, and taken to happen at
+// least this often, for each runner.
+constexpr milliseconds kCrashRateWindow{ 20'000 };
+constexpr double kMinCrashesPerSecond = 0.01;
+// A crash is at the same time after the start as the one before if the two
+// differ by at most this, or by this share of the time.
+constexpr milliseconds kMinFuseTolerance{ 100 };
+constexpr int kFuseToleranceDivisor = 10;
+// The delay of a suspected task after a crash. It doubles with each crash, up
+// to the shorter maximum as long as the task may not be the cause. A task that
+// lasts has to be back within seconds in any case.
+constexpr milliseconds kMinStartDelay{ 250 };
+constexpr milliseconds kMaxStartDelay{ 2'000 };
+constexpr milliseconds kMaxStartDelayOfCause{ 5'000 };
 // The least and the longest time for which a suspected task runs alone.
 constexpr milliseconds kMinProbation{ 1'000 };
 constexpr milliseconds kMaxProbation{ 3'000 };
@@ -68,10 +80,16 @@
 }
 
 bool
-IsRecentStart(const run& aRun, time_point aCrashedAt)
+HasStartedWithin(const run& aRun, milliseconds aTime, time_point aCrashedAt)
 {
   return aRun.mOrderedAt != time_point{} && aRun.mOrderedAt <= aCrashedAt &&
-         aCrashedAt - aRun.mOrderedAt <= kShortFuse;
+         aCrashedAt - aRun.mOrderedAt <= aTime;
+}
+
+bool
+IsRecentStart(const run& aRun, time_point aCrashedAt)
+{
+  return HasStartedWithin(aRun, kShortFuse, aCrashedAt);
 }
 
 // Returns whether the run has been at work for a while, so that it is not the
@@ -111,7 +129,40 @@
 milliseconds
 Probation(const task& aTask)
 {
-  return std::clamp(2 * aTask.mLongestFuse, kMinProbation, kMaxProbation);
+  return std::clamp(
+    2 * aTask.mCrashes.mLongestFuse, kMinProbation, kMaxProbation);
+}
+
+// Returns for how long after a start a crash tells of the task, since it came
+// at once or at the same time after a start as the one before; 0 if it does
+// not. A crash is noticed up to `aNoticeTime` later.
+milliseconds
+TellingTime(milliseconds aFuse,
+            milliseconds aNoticeTime,
+            const crash_history& aBefore)
+{
+  const milliseconds atOnce = kShortFuse + aNoticeTime;
+  if (aFuse <= atOnce) {
+    return atOnce;
+  }
+  const milliseconds tolerance =
+    aNoticeTime +
+    std::max(kMinFuseTolerance, aBefore.mLatestFuse / kFuseToleranceDivisor);
+  const milliseconds difference =
+    std::max(aFuse, aBefore.mLatestFuse) - std::min(aFuse, aBefore.mLatestFuse);
+  return aBefore.mCount > 0 && difference <= tolerance ? 2 * tolerance
+                                                       : milliseconds(0);
+}
+
+milliseconds
+StartDelay(const crash_history& aCrashes)
+{
+  constexpr std::uint32_t kMaxDoublings = 10;
+  const milliseconds delay =
+    kMinStartDelay * (1U << std::min(aCrashes.mCount, kMaxDoublings));
+  return std::min(delay,
+                  aCrashes.mChance <= kMaxChance ? kMaxStartDelayOfCause
+                                                 : kMaxStartDelay);
 }
 
 } // namespace
@@ -158,6 +209,14 @@
   if (isOutage) {
     return;
   }
+  const milliseconds explained = kShortFuse + CrashNoticeTime();
+  const bool isExplained = std::any_of(
+    aRunner.Runs().begin(), aRunner.Runs().end(), [&](const auto& aEntry) {
+      return HasStartedWithin(aEntry.second, explained, crashedAt);
+    });
+  if (!isExplained) {
+    mUnexplainedCrashes.push_back(aNow);
+  }
   for (const auto& [key, each] : aRunner.Runs()) {
     // A runner that was back before its silence was noticed may have taken
     // orders in its new boot.
@@ -165,18 +224,80 @@
                                         each.mOrderedAt <= crashedAt
                                     : each.mPhase == run_phase::kListed;
     if (hadBegun) {
-      CountCrash(each,
-                 IsAlone(aRunner, each, crashedAt),
+      CountCrash(aRunner,
+                 each,
                  Suspicion(IsRecentStart(each, crashedAt), recentStarts),
                  crashedAt);
     }
   }
 }
 
-// `aWasAlone` says that no other run on the runner can be the cause.
+// Returns how long a crash may stay unnoticed: a poll that gets no answer may
+// be the second one after it.
+milliseconds
+scheduler::CrashNoticeTime() const
+{
+  return std::chrono::ceil<milliseconds>(2 * PollInterval());
+}
+
+// Returns how often a runner of this owner crashes in a second for a reason
+// that no start explains.
+double
+scheduler::UnexplainedCrashRate(time_point aNow)
+{
+  while (!mUnexplainedCrashes.empty() &&
+         aNow - mUnexplainedCrashes.front() > kCrashRateWindow) {
+    mUnexplainedCrashes.pop_front();
+  }
+  const double perSecond =
+    static_cast<double>(mUnexplainedCrashes.size()) /
+    std::chrono::duration<double>(kCrashRateWindow).count();
+  const double runners =
+    static_cast<double>(std::max<std::size_t>(1, mRunners.size()));
+  return std::max(kMinCrashesPerSecond, perSecond / runners);
+}
+
 void
-scheduler::CountCrash(const run& aRun,
-                      bool aWasAlone,
+scheduler::AddEvidence(task& aTask,
+                       const runner& aRunner,
+                       const run& aRun,
+                       time_point aCrashedAt,
+                       double aCrashRate) const
+{
+  crash_history& crashes = aTask.mCrashes;
+  const auto fuse = duration_cast<milliseconds>(aCrashedAt - aRun.mOrderedAt);
+  const milliseconds telling = TellingTime(fuse, CrashNoticeTime(), crashes);
+  if (telling.count() > 0) {
+    const double seconds = std::chrono::duration<double>(telling).count();
+    crashes.mChance *= std::min(1.0, aCrashRate * seconds);
+  }
+  crashes.mLongestFuse = std::max(crashes.mLongestFuse, fuse);
+  crashes.mLatestFuse = fuse;
+  const std::string& address = aRunner.mInfo.mAddress;
+  crashes.mAtSeveralAddresses =
+    crashes.mAtSeveralAddresses ||
+    (!crashes.mLatestAddress.empty() && crashes.mLatestAddress != address);
+  crashes.mLatestAddress = address;
+}
+
+// Returns whether the crashes so far leave no other explanation than the task.
+// `aWasAlone` says that no other run on the runner can have caused the last
+// one. A gang can not wait for runners that its members have for themselves.
+bool
+scheduler::IsCertainCause(const job& aJob,
+                          const task& aTask,
+                          const run& aRun,
+                          bool aWasAlone) const
+{
+  const bool isGang = aJob.mSpec.mSteps[aRun.mTask.mStep].mGang;
+  return aTask.mCrashes.mChance <= kMaxChance &&
+         aTask.mCrashes.mAtSeveralAddresses &&
+         (isGang || (aRun.mIsIsolated && aWasAlone));
+}
+
+void
+scheduler::CountCrash(const runner& aRunner,
+                      const run& aRun,
                       std::uint32_t aSuspicion,
                       time_point aCrashedAt)
 {
@@ -188,26 +309,23 @@
     return;
   }
   const bool isGang = foundJob->mSpec.mSteps[aRun.mTask.mStep].mGang;
-  ++foundTask->mCrashes;
-  foundTask->mSuspicion += aSuspicion;
+  crash_history& crashes = foundTask->mCrashes;
   if (aRun.mOrderedAt != time_point{}) {
-    foundTask->mLongestFuse =
-      std::max(foundTask->mLongestFuse,
-               duration_cast<milliseconds>(aCrashedAt - aRun.mOrderedAt));
+    AddEvidence(
+      *foundTask, aRunner, aRun, aCrashedAt, UnexplainedCrashRate(aCrashedAt));
   }
-  foundTask->mIsSuspect =
-    !isGang &&
-    (foundTask->mIsSuspect || foundTask->mSuspicion >= kMinSuspicion ||
-     (foundTask->mCrashes >= kCrashesToSuspect &&
-      aCrashedAt - aRun.mOrderedAt <= kMaxProbation));
-  const std::uint32_t enoughAlone =
-    aRun.mPhase == run_phase::kUnknown ? kUncertainCrashesToGiveUp
-    : IsRecentStart(aRun, aCrashedAt)  ? kCrashesToGiveUp
-                                       : kLateCrashesToGiveUp;
-  const bool isTheCause = isGang ? foundTask->mCrashes >= kCrashesOfGangMember
-                                 : foundTask->mCrashes >= enoughAlone &&
-                                     aRun.mIsIsolated && aWasAlone;
-  if (isTheCause) {
+  ++crashes.mCount;
+  crashes.mSuspicion += aSuspicion;
+  crashes.mIsSuspect =
+    !isGang && (crashes.mIsSuspect || crashes.mSuspicion >= kMinSuspicion ||
+                (crashes.mCount >= kCrashesToSuspect &&
+                 aCrashedAt - aRun.mOrderedAt <= kMaxProbation));
+  const bool wasAlone = IsAlone(aRunner, aRun, aCrashedAt);
+  if (aRun.mIsIsolated && wasAlone) {
+    crashes.mNotBefore = aCrashedAt + StartDelay(crashes);
+  }
+  if (!foundJob->mSpec.HasLongRunningStep() &&
+      IsCertainCause(*foundJob, *foundTask, aRun, wasAlone)) {
     mCrashingTasks.push_back(aRun.mTask);
   }
   MarkChanged(*foundJob);
@@ -221,16 +339,20 @@
   mCrashingTasks.clear();
   for (const task_id& each : crashing) {
     job* const foundJob = FindMutable(each.mJob);
-    if (foundJob == nullptr || IsFinal(foundJob->mState)) {
+    const task* const foundTask =
+      foundJob == nullptr || IsFinal(foundJob->mState) ? nullptr
+                                                       : foundJob->Find(each);
+    if (foundTask == nullptr) {
       continue;
     }
-    LogEvent(
-      log_level::kInfo,
-      "job.failed",
-      { { "job", each.mJob.Str() },
-        { "task", each.Text() },
-        { "crashes",
-          static_cast<std::uint64_t>(foundJob->Find(each)->mCrashes) } });
+    const crash_history& crashes = foundTask->mCrashes;
+    LogEvent(log_level::kInfo,
+             "job.failed",
+             { { "job", each.mJob.Str() },
+               { "task", each.Text() },
+               { "crashes", static_cast<std::uint64_t>(crashes.mCount) },
+               { "after_ms", CountMilliseconds(crashes.mLatestFuse) },
+               { "chance", crashes.mChance } });
     FinishJob(*foundJob, job_state::kFailed, aNow, aWall);
   }
 }
@@ -264,13 +386,13 @@
 void
 scheduler::ClearSuspicion(job& aJob, task& aTask)
 {
-  aTask.mIsSuspect = false;
-  aTask.mSuspicion = 0;
+  LogEvent(
+    log_level::kInfo,
+    "task.cleared",
+    { { "job", aJob.mName.Str() },
+      { "crashes", static_cast<std::uint64_t>(aTask.mCrashes.mCount) } });
+  aTask.mCrashes = crash_history();
   MarkChanged(aJob);
-  LogEvent(log_level::kInfo,
-           "task.cleared",
-           { { "job", aJob.mName.Str() },
-             { "crashes", static_cast<std::uint64_t>(aTask.mCrashes) } });
 }
 
 void
@@ -282,7 +404,7 @@
     return;
   }
   aRun.mIsIsolated = false;
-  if (aTask.mIsSuspect) {
+  if (aTask.mCrashes.mIsSuspect) {
     ClearSuspicion(aJob, aTask);
   }
 }
@@ -312,7 +434,9 @@
     auto& tasks = each.Tasks();
     for (std::size_t i = 0; i < tasks.size() && chosen.size() < available;
          ++i) {
-      if (!tasks[i].mIsSuspect || !MayStartTask(tasks[i])) {
+      const crash_history& crashes = tasks[i].mCrashes;
+      if (!crashes.mIsSuspect || aNow < crashes.mNotBefore ||
+          !MayStartTask(tasks[i])) {
         continue;
       }
       const placement_request request{ each.Spec(), each.Id(i), {}, {} };
@@ -330,7 +454,7 @@
                "task.isolated",
                { { "task", each.Id(i).Text() },
                  { "runner", target->mInfo.mName.Str() },
-                 { "crashes", static_cast<std::uint64_t>(tasks[i].mCrashes) },
+                 { "crashes", static_cast<std::uint64_t>(crashes.mCount) },
                  { "runs_beside",
                    static_cast<std::uint64_t>(target->Runs().size() - 1) } });
       target->Find({ each.Id(i).Text(), tasks[i].mLastRun })->mIsIsolated =
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -84,7 +84,7 @@
   if (!aEnd.mCheckpoint.empty()) {
     endedTask.mCheckpoint = aEnd.mCheckpoint;
   }
-  if (aEnd.mEnd == run_end::kFailed && endedTask.mIsSuspect) {
+  if (aEnd.mEnd == run_end::kFailed && endedTask.mCrashes.mIsSuspect) {
     ClearSuspicion(aJob, endedTask); // its runner has survived it
   }
   if (spec.mLongRunning) {
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -270,7 +270,7 @@
   std::uint64_t placed = 0;
   std::uint64_t waiting = 0;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    if (!MayStartTask(tasks[i]) || tasks[i].mIsSuspect) {
+    if (!MayStartTask(tasks[i]) || tasks[i].mCrashes.mIsSuspect) {
       continue;
     }
     const placement_request request{
