--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -6,6 +6,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "mangospan/base/log.h"
+
 namespace mangospan::jobs {
 
 using nlohmann::json;
@@ -470,6 +472,10 @@
   std::string text = out.dump(-1, ' ', false, json::error_handler_t::replace);
   if (text.size() > kMaxRecordBytes) {
     // Saved progress only spares work; what is done must be stored.
+    LogEvent(log_level::kWarning,
+             "job.progress_not_stored",
+             { { "job", aJob.mName.Str() },
+               { "bytes", static_cast<std::uint64_t>(text.size()) } });
     out[kCheckpointsKey] = json::object();
     text = out.dump(-1, ' ', false, json::error_handler_t::replace);
   }
--- a/mangospan/jobs/spec.h
+++ b/mangospan/jobs/spec.h
@@ -21,7 +21,8 @@
 using queue_name = name<struct queue_tag>;
 using runner_name = name<struct runner_tag>;
 
-// A time on the wall clock, comparable between hosts.
+// A time of day. Those of two hosts may differ by any amount, and each may
+// jump.
 using wall_time = std::chrono::system_clock::time_point;
 
 // An amount of a runner's capacity: of the whole runner, of what is free, or of
--- a/mangospan/node/host_orders.cc
+++ b/mangospan/node/host_orders.cc
@@ -12,8 +12,8 @@
 constexpr const char* kReservedForKey = "reserved_ms";
 // Records of earlier versions hold a time of day, which is not used.
 constexpr const char* kOrderedAtKey = "at_ms";
-// The longest time for which a host was reserved.
-constexpr milliseconds kUnknownReservation{ 3'000 };
+// Longer than a host is reserved by any usual setting.
+constexpr milliseconds kUnknownReservation{ 10'000 };
 
 } // namespace
 
