Logs tell until when runs of a runner may go on

Two runs of one task leave two lines: a start here and, elsewhere, a run that nobody had counted on. Three hypotheses for the report of TWICE can not be told apart by what is logged: a grant by a clock that was read long ago, a grant by the clock of an earlier boot, and a successor that waits too short for the acts of its predecessor. runner.silent and runner.rebooted now have what is left of the lease as the owner reckons it, and the age of the clock's reading; owner.loaded has how long a successor waits for runners that it does not reach.

--- a/mangospan/jobs/runner.cc
+++ b/mangospan/jobs/runner.cc
@@ -83,6 +83,12 @@
   mDeadAt = std::max({ mDeadAt, expiry, aNow });
 }
 
+time_point::duration
+runner::LeaseLeft(time_point aNow) const
+{
+  return std::max(mDeadAt, aNow) - aNow;
+}
+
 resources
 runner::FreeCapacity() const
 {
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -124,6 +124,8 @@
   void ExtendLease(runner_time aUntil, time_point aNow);
   // Returns the time from which every run of this boot has certainly ended.
   time_point DeadAt() const { return mDeadAt; }
+  // Returns for how long runs of this boot may go on; 0 if they have ended.
+  time_point::duration LeaseLeft(time_point aNow) const;
   // Replaces the time that `DeadAt` returns.
   void SetDeadAt(time_point aAt) { mDeadAt = aAt; }
 
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -248,6 +248,9 @@
   // live.
   void Evict(const runner_name& aRunner, time_point aNow);
 
+  // Returns the time by which every run started by an earlier owner has ended,
+  // also on runners that this owner has not reached.
+  time_point InheritedLeasesEnd() const;
   // Returns whether this owner knows every run on the runner: the runner has
   // answered it, or every lease granted by an earlier owner is over.
   bool KnowsRunsOf(const runner_name& aRunner, time_point aNow) const;
@@ -267,7 +270,6 @@
   bool IsWriteUrgent(const job_name& aJob) const;
   const service_name& ServiceOf(const queue_policy& aQueue) const;
   void ForgetTurnedAwayJobs(time_point aNow);
-  time_point InheritedLeasesEnd() const;
   bool MayStartInheritedJobs(const service_name& aService,
                              time_point aNow) const;
   void ReleaseRunsOfDeadRunners(time_point aNow);
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -65,8 +65,6 @@
   return orders;
 }
 
-// Returns the time by which every run started by an earlier owner has ended,
-// also on runners that this owner has not reached.
 time_point
 scheduler::InheritedLeasesEnd() const
 {
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -256,7 +256,9 @@
     LogEvent(log_level::kInfo,
              "runner.rebooted",
              { { "runner", aInfo.mName.Str() },
-               { "unsettled", static_cast<std::uint64_t>(unsettled.size()) } });
+               { "unsettled", static_cast<std::uint64_t>(unsettled.size()) },
+               { "lease_left_ms", CountMilliseconds(aRunner.LeaseLeft(aNow)) },
+               { "inherited", aRunner.mMayHoldInheritedRuns } });
   }
   ReleaseAllRuns(aRunner, loss_reason::kNewBoot, aNow);
   runner rebooted(std::move(aInfo));
@@ -313,11 +315,16 @@
   OnRunnerSilent(aRunner);
   // The next roster says by when the runs on this runner have ended.
   mRosterVersion += aRunner.mIsInRoster ? 1 : 0;
-  LogEvent(log_level::kInfo,
-           "runner.silent",
-           { { "runner", aRunner.mInfo.mName.Str() },
-             { "outcome", Name(aOutcome) },
-             { "runs", static_cast<std::uint64_t>(aRunner.Runs().size()) } });
+  LogEvent(
+    log_level::kInfo,
+    "runner.silent",
+    { { "runner", aRunner.mInfo.mName.Str() },
+      { "outcome", Name(aOutcome) },
+      { "runs", static_cast<std::uint64_t>(aRunner.Runs().size()) },
+      { "lease_left_ms", CountMilliseconds(aRunner.LeaseLeft(aNow)) },
+      { "clock_age_ms",
+        aRunner.KnowsClock() ? CountMilliseconds(aNow - aRunner.ClockReadAt())
+                             : -1 } });
 }
 
 void
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -182,7 +182,10 @@
            "owner.loaded",
            { { "service", mService.Str() },
              { "term", mOwnerRecord.mTerm },
-             { "jobs", static_cast<std::uint64_t>(loaded.size()) } });
+             { "jobs", static_cast<std::uint64_t>(loaded.size()) },
+             { "inherited_leases_ms",
+               CountMilliseconds(mScheduler.InheritedLeasesEnd() -
+                                 mDeps.mClock.Now()) } });
   mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now(), WallNow());
   mIsLoaded = true;
   Tick();
