A task that crashes its runners is not isolated beside tasks that last

What callers saw: tasks that last were down for seconds, since a task of the same queue that had crashed eight runners already was started on theirs.

Cause: the runner on which a suspected task is to be alone is chosen first by whether it has crashed lately, so that a failing host has no task blamed. Once the task itself has crashed all others, the only runner left is the one that has the other tasks. If the task is the likely cause anyway, the choice protects nobody.

Why it works: crashes count against a runner only while the task may not be the cause; otherwise the emptiest runner is taken.

Its parameter is a struct now, which changes none of its checks.

--- a/mangospan/jobs/crashes_test.cc
+++ b/mangospan/jobs/crashes_test.cc
@@ -41,12 +41,18 @@
   return out;
 }
 
-class crashes_test : public ::testing::TestWithParam<bool>
+struct crash_case
+{
+  bool mAreRenamed = false; // runners return under new names
+  std::uint64_t mSeed = 7;
+};
+
+class crashes_test : public ::testing::TestWithParam<crash_case>
 {
 protected:
   crashes_test()
   {
-    mWorld.SetRunnersReturnRenamed(GetParam());
+    mWorld.SetRunnersReturnRenamed(GetParam().mAreRenamed);
     for (int i = 0; i < kRunners; ++i) {
       mWorld.AddRunner("r" + std::to_string(i),
                        "s",
@@ -80,13 +86,14 @@
     EXPECT_LE(mWorld.StartsOf(aJob + ".0.0.0"), kMaxStartsOfDeadlyTask);
   }
 
-  fake_world mWorld{ 7, fault_rates{} };
+  fake_world mWorld{ GetParam().mSeed, fault_rates{} };
   std::vector<std::string> mOthers;
 };
 
 INSTANTIATE_TEST_SUITE_P(same_or_new_name,
                          crashes_test,
-                         ::testing::Values(false, true));
+                         ::testing::Values(crash_case{ false, 7 },
+                                           crash_case{ true, 7 }));
 
 TEST_P(crashes_test, DeadlyTaskIsGivenUpAndTheOthersAreNot)
 {
@@ -146,6 +153,41 @@
   ExpectOtherJobsCompleted();
 }
 
+class suspected_task_test : public crashes_test
+{};
+
+std::vector<crash_case>
+CasesOfSeeds(std::uint64_t aCount)
+{
+  std::vector<crash_case> out;
+  for (std::uint64_t seed = 0; seed < aCount; ++seed) {
+    out.push_back({ false, seed });
+    out.push_back({ true, seed });
+  }
+  return out;
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds,
+                         suspected_task_test,
+                         ::testing::ValuesIn(CasesOfSeeds(20)));
+
+// A task that has been found out crashes no lasting task beside it, though all
+// runners have crashed by it lately.
+TEST_P(suspected_task_test, CrashesNoTaskThatLasts)
+{
+  constexpr seconds kFoundOut{ 12 };
+  job_spec spec = Job(3, milliseconds(0));
+  spec.mSteps[0].mLongRunning = true;
+  mWorld.SetCrashesRunners(kDeadlyTask, kShortFuse);
+  mWorld.Submit(kDeadlyJob, spec);
+  RunWithOtherJobs(kFoundOut);
+  const std::size_t starts = mWorld.StartsOf("dead.0.0.1");
+  RunWithOtherJobs(seconds(30) - kFoundOut);
+  mWorld.RunFor(seconds(10));
+  EXPECT_EQ(mWorld.StartsOf("dead.0.0.1"), starts);
+  ExpectOtherJobsCompleted();
+}
+
 // Keeps a job that lasts from being shown as failed, and its other tasks from
 // being stopped, since its runners crash by another cause (rules LOST and
 // AVAIL): each time at the same time after the start, as it happens.
@@ -246,7 +288,7 @@
     for (int i = 0; i < kRunnersPerRack; ++i) {
       mWorld.CrashFor("r" + std::to_string(i) + suffix, kDown);
     }
-    suffix += GetParam() ? "'" : "";
+    suffix += GetParam().mAreRenamed ? "'" : "";
     RunWithOtherJobs(seconds(4));
   }
   mWorld.RunFor(seconds(30));
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -330,6 +330,7 @@
                      time_point aNow,
                      std::vector<order>& aOrders);
   runner* ReserveRunner(const placement_request& aRequest,
+                        const crash_history& aCrashes,
                         const std::vector<runner*>& aPool,
                         const std::set<runner*>& aTaken,
                         time_point aNow) const;
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -440,7 +440,8 @@
         continue;
       }
       const placement_request request{ each.Spec(), each.Id(i), {}, {} };
-      runner* const target = ReserveRunner(request, aPool, chosen, aNow);
+      runner* const target =
+        ReserveRunner(request, crashes, aPool, chosen, aNow);
       if (target == nullptr) {
         break;
       }
@@ -476,10 +477,12 @@
 }
 
 // Returns the runner on which the task can soonest be alone, or null. Runners
-// that have not crashed lately go first, and then those that are reserved
-// already.
+// that have not crashed lately go first, since their crashes would count
+// against the task, unless the task is the likely cause anyway. Then come those
+// that are reserved already.
 runner*
 scheduler::ReserveRunner(const placement_request& aRequest,
+                         const crash_history& aCrashes,
                          const std::vector<runner*>& aPool,
                          const std::set<runner*>& aTaken,
                          time_point aNow) const
@@ -493,8 +496,9 @@
       continue;
     }
     const auto crashed = mCrashedAt.find(each->mInfo.mAddress);
-    const bool hasCrashedLately =
-      crashed != mCrashedAt.end() && aNow - crashed->second < kCrashMemory;
+    const bool hasCrashedLately = aCrashes.mChance > kMaxChance &&
+                                  crashed != mCrashedAt.end() &&
+                                  aNow - crashed->second < kCrashMemory;
     const score candidateScore{ hasCrashedLately,
                                 !each->mIsReserved,
                                 CountUnestablished(*each, aNow),
