A gang is placed as one decision, however wide it is

Cause: the limit of starts in flight at one runner was asked for each member, and the starts of one plan can not be answered within it. Each plan undid what it had placed and began anew, with a higher run number. Beside it: a gang that waited made the plan skip all steps of its members' size or more, and each member started with its own checkpoint.

Why it works: the limit is asked once, when the gang is placed; the members are placed before anything is ordered. Progress of one member is kept for all. A gang that waits says why (gang.waits) and leaves the plan as it is.

--- a/mangospan/jobs/placement.cc
+++ b/mangospan/jobs/placement.cc
@@ -101,6 +101,32 @@
          aRunner.mStartsInFlight < maxStartsInFlight;
 }
 
+namespace {
+
+template<typename predicate>
+runner*
+ChooseIf(const placement_request& aRequest,
+         const std::vector<runner*>& aRunners,
+         time_point aNow,
+         const predicate& aIsAllowed)
+{
+  runner* best = nullptr;
+  score bestScore;
+  for (runner* const each : aRunners) {
+    if (!aIsAllowed(*each) || !Fits(aRequest, *each)) {
+      continue;
+    }
+    const score candidate = Score(aRequest, *each, aNow);
+    if (best == nullptr || candidate < bestScore) {
+      best = each;
+      bestScore = candidate;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
 pool_free_capacity::pool_free_capacity(const std::vector<runner*>& aPool,
                                        time_point aNow)
 {
@@ -137,24 +163,23 @@
   }
 }
 
+runner*
+ChooseAmong(const placement_request& aRequest,
+            const std::vector<runner*>& aRunners,
+            time_point aNow)
+{
+  return ChooseIf(
+    aRequest, aRunners, aNow, [](const runner& /*aEach*/) { return true; });
+}
+
 runner*
 ChooseRunner(const placement_request& aRequest,
              const std::vector<runner*>& aPool,
              time_point aNow)
 {
-  runner* best = nullptr;
-  score bestScore;
-  for (runner* const each : aPool) {
-    if (!CanAcceptRuns(*each, aNow) || !Fits(aRequest, *each)) {
-      continue;
-    }
-    const score candidate = Score(aRequest, *each, aNow);
-    if (best == nullptr || candidate < bestScore) {
-      best = each;
-      bestScore = candidate;
-    }
-  }
-  return best;
+  return ChooseIf(aRequest, aPool, aNow, [aNow](const runner& aEach) {
+    return CanAcceptRuns(aEach, aNow);
+  });
 }
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/placement.h
+++ b/mangospan/jobs/placement.h
@@ -61,8 +61,15 @@
   std::vector<resources> mRejectedReservations;
 };
 
-// Returns the best runner of `aPool` for the task, or null if it fits on none
-// now.
+// Returns the best of these runners, which may all get new runs, for the task,
+// or null if it fits on none now.
+runner*
+ChooseAmong(const placement_request& aRequest,
+            const std::vector<runner*>& aRunners,
+            time_point aNow);
+
+// Returns the best runner of `aPool` that may get new runs for the task, or
+// null if it fits on none now.
 runner*
 ChooseRunner(const placement_request& aRequest,
              const std::vector<runner*>& aPool,
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -293,16 +293,24 @@
                          time_point aNow,
                          wall_time aWall,
                          start_candidates& aCandidates);
-  // PlaceStep() and PlaceGang() order the starts of a step's tasks. They return
-  // false if some task fits on no runner.
+  // Orders the starts of a step's tasks. Returns false if some task fits on no
+  // runner.
   bool PlaceStep(const candidate& aCandidate,
                  const std::vector<runner*>& aPool,
                  time_point aNow,
                  std::vector<order>& aOrders);
-  bool PlaceGang(const candidate& aCandidate,
+  void PlaceGang(const candidate& aCandidate,
                  const std::vector<runner*>& aPool,
                  time_point aNow,
                  std::vector<order>& aOrders);
+  bool MayStartGang(const std::vector<task>& aTasks) const;
+  void LogWaitingGang(const candidate& aCandidate,
+                      const char* aReason,
+                      std::size_t aPlaced,
+                      time_point aNow);
+  void SaveCheckpoint(job& aJob,
+                      const task_id& aTask,
+                      const std::string& aCheckpoint);
   void OnRunnerSilent(const runner& aRunner);
   void OnRunnerCrashed(const runner& aRunner, time_point aNow);
   void CountCrash(const runner& aRunner,
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -81,9 +81,7 @@
   task& endedTask = *aJob.Find(aTask);
   const step_spec& spec = aJob.mSpec.mSteps[aTask.mStep];
   endedTask.mLastRun = std::max(endedTask.mLastRun, aEnd.mRun);
-  if (!aEnd.mCheckpoint.empty()) {
-    endedTask.mCheckpoint = aEnd.mCheckpoint;
-  }
+  SaveCheckpoint(aJob, aTask, aEnd.mCheckpoint);
   if (aEnd.mEnd == run_end::kFailed && endedTask.mCrashes.mIsSuspect) {
     ClearSuspicion(aJob, endedTask); // its runner has survived it
   }
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -209,10 +209,10 @@
       if (!freeCapacity.MayFit(each.Spec())) {
         continue;
       }
-      const bool isPlaced = each.Spec().mGang
-                              ? PlaceGang(each, pool, aNow, aOrders)
-                              : PlaceStep(each, pool, aNow, aOrders);
-      if (!isPlaced) {
+      if (each.Spec().mGang) {
+        // One that waits says nothing of the room for single tasks.
+        PlaceGang(each, pool, aNow, aOrders);
+      } else if (!PlaceStep(each, pool, aNow, aOrders)) {
         freeCapacity.OnPlacementFailed(each.Spec());
       }
     }
@@ -307,49 +307,6 @@
   return waiting == 0;
 }
 
-// Orders the start of all members of a gang, or of none. The members share one
-// run number.
-bool
-scheduler::PlaceGang(const candidate& aCandidate,
-                     const std::vector<runner*>& aPool,
-                     time_point aNow,
-                     std::vector<order>& aOrders)
-{
-  auto& tasks = aCandidate.Tasks();
-  std::uint32_t runNumber = 0;
-  for (const task& each : tasks) {
-    if (each.mLive || each.mLostAt > mOwnershipConfirmedAt) {
-      return true; // some members of the last run may not have ended yet
-    }
-    runNumber = std::max(runNumber, NextRun(each));
-  }
-  std::vector<order> starts;
-  rack_name nearRack;
-  for (std::size_t i = 0; i < tasks.size(); ++i) {
-    const placement_request request{
-      aCandidate.Spec(), aCandidate.Id(i), tasks[i].mFailedOn, nearRack
-    };
-    runner* const chosen = ChooseRunner(request, aPool, aNow);
-    if (chosen == nullptr) {
-      for (const order& each : starts) {
-        const auto& undoneStart = std::get<start_order>(each);
-        runner& startRunner = mRunners.at(undoneStart.mRunner);
-        --startRunner.mStartsInFlight;
-        ReleaseRun(
-          startRunner, { undoneStart.mTask.Text(), undoneStart.mRun }, aNow);
-      }
-      return false;
-    }
-    if (aCandidate.Spec().mColocate) {
-      nearRack = chosen->mInfo.mRack;
-    }
-    starts.emplace_back(
-      MakeStartOrder(aCandidate, i, *chosen, runNumber, aNow));
-  }
-  aOrders.insert(aOrders.end(), starts.begin(), starts.end());
-  return true;
-}
-
 std::uint32_t
 scheduler::NextRun(const task& aTask) const
 {
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -415,9 +415,7 @@
   }
   CheckProbation(*foundJob, *foundTask, *foundRun, aNow);
   foundTask->mReady = aLive.mPercent >= 100 && !foundRun->mStopWanted;
-  if (!aLive.mCheckpoint.empty()) {
-    foundTask->mCheckpoint = aLive.mCheckpoint;
-  }
+  SaveCheckpoint(*foundJob, foundRun->mTask, aLive.mCheckpoint);
   if (foundJob->mState == job_state::kQueued) {
     foundJob->mState = job_state::kRunning;
   }
