A job goes on though its queue is removed

Cause: the policy of the queue was read from the present configuration at each use. A job whose queue is not there had none, and each plan left it out.

Why it works: the policy is part of the job and of its record, so it is taken over with it. It is followed while the configuration has no such queue; the same is used for the last attempt, the load of the pool and the objective.

--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -1,6 +1,7 @@
 #include "mangospan/jobs/codec.h"
 
 #include <algorithm>
+#include <limits>
 #include <stdexcept>
 #include <utility>
 
@@ -22,6 +23,8 @@
 // that are done of the others that have begun.
 constexpr const char* kDoneRangesKey = "done_ranges";
 constexpr const char* kBegunKey = "begun";
+// What the job's queue allowed when the job was accepted.
+constexpr const char* kPolicyKey = "policy";
 constexpr const char* kCheckpointsKey = "checkpoints";
 constexpr const char* kRunsEndWithinKey = "dead_in_ms";
 // Rosters of earlier versions hold a time of day, which is not used.
@@ -334,6 +337,37 @@
   }
 }
 
+json
+PolicyToJson(const queue_policy& aPolicy)
+{
+  return { { "service", aPolicy.mService.Str() },
+           { "priority", aPolicy.mPriority },
+           { "max_attempts", aPolicy.mMaxAttempts },
+           { "objective_factor", aPolicy.mObjectiveFactor },
+           { "target_latency_ms", aPolicy.mTargetLatency.count() } };
+}
+
+// A record of an earlier version has no policy. It is not known then how many
+// attempts its queue allowed, so none is the last one.
+queue_policy
+PolicyFromJson(const json& aRecord, const queue_name& aQueue)
+{
+  queue_policy out;
+  out.mName = aQueue;
+  out.mMaxAttempts = std::numeric_limits<std::size_t>::max();
+  const auto found = aRecord.find(kPolicyKey);
+  if (found == aRecord.end()) {
+    return out;
+  }
+  out.mService = service_name{ found->at("service").get<std::string>() };
+  out.mPriority = found->at("priority").get<int>();
+  out.mMaxAttempts = found->at("max_attempts").get<std::size_t>();
+  out.mObjectiveFactor = found->at("objective_factor").get<double>();
+  out.mTargetLatency =
+    milliseconds(found->at("target_latency_ms").get<std::int64_t>());
+  return out;
+}
+
 job
 RecordFromJson(const job_name& aName, const json& aValue)
 {
@@ -352,6 +386,7 @@
   }
   job out = MakeJob(aName, SpecFromJson(aValue.at("spec")));
   out.mState = *state;
+  out.mPolicy = PolicyFromJson(aValue, out.mSpec.mQueue);
   out.mAcceptedWallTime =
     FromMilliseconds(aValue.at("accepted_ms").get<std::int64_t>());
   ReadDone(aValue, out);
@@ -466,6 +501,7 @@
   } else {
     out["spec"] = SpecToJson(aJob.mSpec);
     out["accepted_ms"] = ToMilliseconds(aJob.mAcceptedWallTime);
+    out[kPolicyKey] = PolicyToJson(aJob.mPolicy);
     AddDone(aJob, out);
     out.update(DetailsToJson(aJob));
   }
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -145,6 +145,9 @@
 {
   job_name mName;
   job_spec mSpec;
+  // The policy of the queue when the job was accepted, which holds on once the
+  // operators have removed the queue.
+  queue_policy mPolicy;
   job_state mState = job_state::kQueued;
   // When the job was accepted, on the owner's monotonic clock. After a takeover
   // it is the time of the takeover less the age of the job by the wall clock.
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -100,10 +100,7 @@
     each.mEndKnownAt = aNow;
     if (!IsFinal(each.mState)) {
       mActiveJobs.insert(each.mName);
-      const queue_policy* const queue = mCatalog.FindQueue(each.mSpec.mQueue);
-      if (queue != nullptr) {
-        each.mObjectiveDeadline += queue->Objective(each.mSpec);
-      }
+      each.mObjectiveDeadline += PolicyOf(each).Objective(each.mSpec);
     }
     const job_name jobName = each.mName;
     mJobs.insert_or_assign(jobName, std::move(each));
@@ -203,6 +200,7 @@
     return { submit_outcome::kRefused, kUnknownQueueRetryAfter };
   }
   job newJob = MakeJob(aJob, aSpec);
+  newJob.mPolicy = *queue;
   newJob.mAcceptedAt = aNow;
   newJob.mAcceptedWallTime = aWall;
   newJob.mFirstTryAt = aNow - aSpec.mElapsed;
@@ -269,6 +267,13 @@
   return mOwnership.mService.Empty() ? aQueue.mService : mOwnership.mService;
 }
 
+const queue_policy&
+scheduler::PolicyOf(const job& aJob) const
+{
+  const queue_policy* const present = mCatalog.FindQueue(aJob.mSpec.mQueue);
+  return present == nullptr ? aJob.mPolicy : *present;
+}
+
 bool
 scheduler::Cancel(const job_name& aJob, time_point aNow, wall_time aWall)
 {
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -270,6 +270,7 @@
 
   bool IsWriteUrgent(const job_name& aJob) const;
   const service_name& ServiceOf(const queue_policy& aQueue) const;
+  const queue_policy& PolicyOf(const job& aJob) const;
   void ForgetTurnedAwayJobs(time_point aNow);
   time_point InheritedOrdersEnd() const;
   bool MayStartInheritedJobs(const service_name& aService,
--- a/mangospan/jobs/scheduler_demand.cc
+++ b/mangospan/jobs/scheduler_demand.cc
@@ -134,10 +134,7 @@
   }
   for (const job_name& each : mActiveJobs) {
     const job& activeJob = mJobs.at(each);
-    const queue_policy* const queue =
-      mCatalog.FindQueue(activeJob.mSpec.mQueue);
-    const auto found =
-      queue == nullptr ? demands.end() : demands.find(ServiceOf(*queue));
+    const auto found = demands.find(ServiceOf(PolicyOf(activeJob)));
     if (found != demands.end()) {
       AddDemand(activeJob, aNow, aWall, found->second);
     }
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -133,8 +133,7 @@
 {
   const std::size_t failures = aJob.Find(aTask)->mFailedRuns.size();
   MarkChanged(aJob);
-  const queue_policy* const queue = mCatalog.FindQueue(aJob.mSpec.mQueue);
-  if (queue != nullptr && failures >= queue->mMaxAttempts) {
+  if (failures >= PolicyOf(aJob).mMaxAttempts) {
     LogEvent(log_level::kInfo,
              "job.failed",
              { { "job", aJob.mName.Str() },
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -225,12 +225,11 @@
                              wall_time aWall,
                              start_candidates& aCandidates)
 {
-  const queue_policy* const queue = mCatalog.FindQueue(aJob.mSpec.mQueue);
-  if (queue == nullptr || aJob.mStoredVersion == 0 ||
-      aJob.mStoredVersion < aJob.mCrashVersion) {
+  if (aJob.mStoredVersion == 0 || aJob.mStoredVersion < aJob.mCrashVersion) {
     return;
   }
-  const service_name& service = ServiceOf(*queue);
+  const queue_policy& policy = PolicyOf(aJob);
+  const service_name& service = ServiceOf(policy);
   if (aJob.mInherited) {
     auto mayStart = aCandidates.mMayStartInherited.find(service);
     if (mayStart == aCandidates.mMayStartInherited.end()) {
@@ -257,7 +256,7 @@
         });
       if (hasIdle && aJob.IsStepReady(k, s)) {
         aCandidates.mByService[service].push_back(
-          { &aJob, k, s, RankOf(aJob, s, queue->mPriority, aNow) });
+          { &aJob, k, s, RankOf(aJob, s, policy.mPriority, aNow) });
       }
     }
   }
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -574,6 +574,15 @@
   mUnlisted.erase(aRunner);
 }
 
+void
+fake_world::SetCatalog(const catalog& aCatalog)
+{
+  mCatalog = aCatalog;
+  if (mOwner) {
+    mOwner->SetCatalog(mCatalog);
+  }
+}
+
 void
 fake_world::RunFor(milliseconds aTime)
 {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -84,6 +84,9 @@
   void Unlist(const std::string& aRunner);
   void Relist(const std::string& aRunner);
 
+  // The operators write another configuration, which holds at once.
+  void SetCatalog(const catalog& aCatalog);
+
   void RunFor(std::chrono::milliseconds aTime);
 
   time_point Now() const { return mNow; }
