--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -19,6 +19,10 @@
 // not wait for that.
 constexpr milliseconds kClockRefreshAge{ 12'000 };
 static_assert(kClockRefreshAge < kMaxClockAge);
+// A start grants less than a lease, so a successor need not allow for it.
+static_assert(scheduler_settings{}.mStartValidity <
+              scheduler_settings{}.mLease);
+static_assert(scheduler_settings{}.mLease <= scheduler_settings{}.mMaxLease);
 // The time after which a runner is polled again if it cannot be reached or its
 // last poll failed.
 constexpr milliseconds kPollRetryDelay{ 250 };
