--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -100,6 +100,9 @@
     each.mEndKnownAt = aNow;
     if (!IsFinal(each.mState)) {
       mActiveJobs.insert(each.mName);
+      if (each.mPolicy.mService.Empty()) {
+        each.mPolicy = PolicyOf(each); // of an earlier version
+      }
       each.mObjectiveDeadline += PolicyOf(each).Objective(each.mSpec);
     }
     const job_name jobName = each.mName;
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -622,6 +622,28 @@
   }
 }
 
+// The roster must name a runner that started again and has not answered yet.
+TEST(scheduler_test, SuccessorWaitsForLeaseByTheClockOfAnEarlierBoot)
+{
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    fake_world world(seed, fault_rates{});
+    AddRunners(world, 1);
+    world.RunFor(milliseconds(200));
+    world.Submit("a1", Job({ LongRunning(1) }));
+    world.RunFor(seconds(20));
+    world.FreezeDiscovery(milliseconds(200));
+    world.Crash("r0");
+    world.RunFor(milliseconds(2'500));
+    world.SetReachable("r0", false);
+    world.HandOver(milliseconds(100));
+    world.AddRunner("r1", "s", kRunnerCapacity);
+    world.RunFor(seconds(14));
+    EXPECT_EQ(world.StartsOf("a1.0.0.0"), 3U) << seed;
+    EXPECT_TRUE(world.Violations().empty())
+      << seed << " " << world.Violations().front();
+  }
+}
+
 // The numbers of ended runs begin anew with each boot of a runner. A poll that
 // reaches the next boot must not acknowledge ends there that nobody has seen.
 TEST(scheduler_test, AnEndIsAcknowledgedOnlyUntilThatIsConfirmed)
