--- a/mangospan/jobs/placement.cc
+++ b/mangospan/jobs/placement.cc
@@ -103,12 +103,12 @@
 
 namespace {
 
-template<typename predicate>
+template<typename Predicate>
 runner*
 ChooseIf(const placement_request& aRequest,
          const std::vector<runner*>& aRunners,
          time_point aNow,
-         const predicate& aIsAllowed)
+         const Predicate& aIsAllowed)
 {
   runner* best = nullptr;
   score bestScore;
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -305,6 +305,10 @@
                  time_point aNow,
                  std::vector<order>& aOrders);
   bool MayStartGang(const std::vector<task>& aTasks) const;
+  static std::vector<runner*> ChooseRunnersOfGang(
+    const candidate& aGang,
+    const std::vector<runner*>& aAccepting,
+    time_point aNow);
   void LogWaitingGang(const candidate& aCandidate,
                       const char* aReason,
                       std::size_t aPlaced,
--- a/mangospan/jobs/scheduler_gangs.cc
+++ b/mangospan/jobs/scheduler_gangs.cc
@@ -26,14 +26,35 @@
   return out;
 }
 
+// Returns what the gang waits for, for the log.
+const char*
+ReasonToWait(const step_spec& aStep, const std::vector<runner*>& aAccepting)
+{
+  const bool hasLabel = std::any_of(
+    aAccepting.begin(), aAccepting.end(), [&aStep](const runner* aEach) {
+      return aStep.mLabel.empty() || aEach->HasLabel(aStep.mLabel);
+    });
+  return hasLabel ? "capacity" : "runner";
+}
+
+} // namespace
+
+// Returns whether no member of an earlier run may still be live.
+bool
+scheduler::MayStartGang(const std::vector<task>& aTasks) const
+{
+  return std::none_of(aTasks.begin(), aTasks.end(), [this](const task& aEach) {
+    return aEach.mLive || aEach.mLostAt > mOwnershipConfirmedAt;
+  });
+}
+
 // Returns a runner for each member, or for the first ones if not all fit. The
 // limit of starts in flight is asked for once: it keeps starts from waiting
 // behind others, and would keep a gang of more members for good.
-template<typename gang>
 std::vector<runner*>
-ChooseRunners(const gang& aGang,
-              const std::vector<runner*>& aAccepting,
-              time_point aNow)
+scheduler::ChooseRunnersOfGang(const candidate& aGang,
+                               const std::vector<runner*>& aAccepting,
+                               time_point aNow)
 {
   const auto& tasks = aGang.Tasks();
   std::vector<runner*> chosen;
@@ -59,28 +80,6 @@
   return chosen;
 }
 
-// Returns what the gang waits for, for the log.
-const char*
-ReasonToWait(const step_spec& aStep, const std::vector<runner*>& aAccepting)
-{
-  const bool hasLabel = std::any_of(
-    aAccepting.begin(), aAccepting.end(), [&aStep](const runner* aEach) {
-      return aStep.mLabel.empty() || aEach->HasLabel(aStep.mLabel);
-    });
-  return hasLabel ? "capacity" : "runner";
-}
-
-} // namespace
-
-// Returns whether no member of an earlier run may still be live.
-bool
-scheduler::MayStartGang(const std::vector<task>& aTasks) const
-{
-  return std::none_of(aTasks.begin(), aTasks.end(), [this](const task& aEach) {
-    return aEach.mLive || aEach.mLostAt > mOwnershipConfirmedAt;
-  });
-}
-
 void
 scheduler::PlaceGang(const candidate& aCandidate,
                      const std::vector<runner*>& aPool,
@@ -97,7 +96,7 @@
     aPool.end(),
     std::back_inserter(accepting),
     [aNow](const runner* aEach) { return CanAcceptRuns(*aEach, aNow); });
-  const auto runners = ChooseRunners(aCandidate, accepting, aNow);
+  const auto runners = ChooseRunnersOfGang(aCandidate, accepting, aNow);
   if (runners.size() < tasks.size()) {
     LogWaitingGang(aCandidate,
                    ReasonToWait(aCandidate.Spec(), accepting),
