Idle runners of a removed service are still there for its jobs

What callers could see: a task that was due more than 15 s after the operators had removed its service never began, though its runners were listed.

Cause: since an order needs a current reading of a runner's clock, idle runners are polled for it; those of a service that the configuration does not have were taken for spare ones and left out.

Why it works: a runner that has answered this owner is one that it may use.

--- a/mangospan/jobs/removed_queue_test.cc
+++ b/mangospan/jobs/removed_queue_test.cc
@@ -96,6 +96,22 @@
   EXPECT_EQ(mWorld.Violations(), std::vector<std::string>());
 }
 
+// The runners of a service that no queue names any more are idle meanwhile.
+TEST_F(removed_queue_test,
+       OccurrenceThatIsDueLongAfterTheServiceWasRemovedBegins)
+{
+  job_spec spec = TwoSteps();
+  spec.mRepetitions = 1;
+  spec.mFirstDue = mWorld.Wall() + seconds(40);
+  mWorld.Submit("a2", spec);
+  mWorld.RunFor(seconds(1));
+  catalog without = CatalogWithoutQueues();
+  without.mServices.clear();
+  mWorld.SetCatalog(without);
+  mWorld.RunFor(seconds(45));
+  EXPECT_EQ(mWorld.StateOf("a2"), job_state::kCompleted);
+}
+
 TEST_F(removed_queue_test, TakesNoNewJob)
 {
   mWorld.SetCatalog(CatalogWithoutQueues());
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -443,7 +443,7 @@
                               each.mHighestStoredEnd > each.mHighestAckedEnd;
     const bool isUnresponsive = each.mListed && each.mFailedPolls > 0;
     const bool isAckDue = hasUnsentAck && aNow >= each.mAckDueAt;
-    const bool isClockDue = each.mListed && each.mContacted && !isSpare &&
+    const bool isClockDue = each.mListed && each.mContacted &&
                             aNow - each.ClockReadAt() >= kClockRefreshAge;
     if (needsFirstPoll || hasRuns || isUnresponsive || isAckDue || isClockDue) {
       aOrders.emplace_back(MakePollOrder(each, aNow));
