The end of an earlier run takes no progress back

Found by a reader; LateEndOfAnEarlierRunTakesNoProgressBack failed before. Progress of a run is kept only if no later run is known, or nothing is kept yet.

--- a/mangospan/jobs/gangs_test.cc
+++ b/mangospan/jobs/gangs_test.cc
@@ -124,5 +124,33 @@
   EXPECT_EQ(MemberOf(1).mCheckpoint, "saved");
 }
 
+// A runner that was out of reach may report the end of an earlier run.
+TEST_F(gangs_test, LateEndOfAnEarlierRunTakesNoProgressBack)
+{
+  AddRunners(1);
+  mWorld.Submit(kGang, Job(2, 1'000, true));
+  mWorld.RunFor(milliseconds(100));
+  poll_order poll;
+  poll.mRunner = runner_name{ "r0" };
+  poll_report report;
+  report.mClock = seconds(100);
+  report.mBoot = mWorld.Runner("r0").Info().mBoot;
+  report.mLive.push_back({ kGang + ".0.0.1", 1, "later", 50, 0 });
+  report.mEnded.push_back(
+    { 1, kGang + ".0.0.0", 0, run_end::kLeaseExpired, "earlier" });
+  for (int i = 0; i < 2; ++i) {
+    mWorld.Owner()->OnPoll(poll,
+                           order_outcome::kDone,
+                           &report,
+                           mWorld.Now(),
+                           mWorld.Now(),
+                           mWorld.Wall());
+    report.mLive.clear();
+    report.mEnded.front().mNumber = 2;
+  }
+  EXPECT_EQ(MemberOf(0).mCheckpoint, "later");
+  EXPECT_EQ(MemberOf(1).mCheckpoint, "later");
+}
+
 } // namespace
 } // namespace mangospan::jobs
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -80,8 +80,10 @@
 {
   task& endedTask = *aJob.Find(aTask);
   const step_spec& spec = aJob.mSpec.mSteps[aTask.mStep];
+  if (aEnd.mRun >= endedTask.mLastRun || endedTask.mCheckpoint.empty()) {
+    SaveCheckpoint(aJob, aTask, aEnd.mCheckpoint);
+  }
   endedTask.mLastRun = std::max(endedTask.mLastRun, aEnd.mRun);
-  SaveCheckpoint(aJob, aTask, aEnd.mCheckpoint);
   if (aEnd.mEnd == run_end::kFailed && endedTask.mCrashes.mIsSuspect) {
     ClearSuspicion(aJob, endedTask); // its runner has survived it
   }
