The news of a runner's next boot has the roster stored anew

What callers could see: two runs of one task, after a takeover that follows the restart of a runner under its name. The bound that allows for the longest lease was in the owner's memory only, until something else changed the roster; and an owner that learned of the boot late left the bound out. runner.rebooted logged what was left of the former boot's lease, not what counts.

Found by a reader; RosterIsStoredAnewForTheNextBootOfARunner failed before.

--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -252,14 +252,7 @@
   OnRunnerAtAddress(aRunner.mInfo.mAddress, aNow);
   OnRunnerCrashed(aRunner, aNow);
   std::vector<run> unsettled = TakeUnsettledRuns(aRunner, aNow);
-  if (aInfo.mBoot != aRunner.mInfo.mBoot) {
-    LogEvent(log_level::kInfo,
-             "runner.rebooted",
-             { { "runner", aInfo.mName.Str() },
-               { "unsettled", static_cast<std::uint64_t>(unsettled.size()) },
-               { "lease_left_ms", CountMilliseconds(aRunner.LeaseLeft(aNow)) },
-               { "inherited", aRunner.mMayHoldInheritedRuns } });
-  }
+  const bool isNewBoot = aInfo.mBoot != aRunner.mInfo.mBoot;
   ReleaseAllRuns(aRunner, loss_reason::kNewBoot, aNow);
   runner rebooted(std::move(aInfo));
   rebooted.mBootKnownAt = aNow;
@@ -267,7 +260,8 @@
   rebooted.mCordoned = aRunner.mCordoned;
   rebooted.mMayBeLiveInRoster = aRunner.mMayBeLiveInRoster;
   rebooted.SetDeadAt(aRunner.DeadAt());
-  if (aRunner.mMayHoldInheritedRuns && aNow < InheritedLeasesEnd()) {
+  if (aRunner.mMayHoldInheritedRuns &&
+      aNow < InheritedOrdersEnd() + LongestDuration(mSettings.mMaxLease)) {
     // The new boot takes orders of earlier owners until this one reaches it.
     rebooted.mMayHoldInheritedRuns = true;
     rebooted.ExtendLeaseByOtherClock(mSettings.mMaxLease, InheritedOrdersEnd());
@@ -276,6 +270,15 @@
     // An order that was sent before the boot was known may have reached it.
     rebooted.ExtendLeaseByOtherClock(mSettings.mMaxLease,
                                      aNow + mSettings.mStartValidity);
+    ++mRosterVersion; // a successor has to allow for them, too
+  }
+  if (isNewBoot) {
+    LogEvent(log_level::kInfo,
+             "runner.rebooted",
+             { { "runner", aRunner.mInfo.mName.Str() },
+               { "unsettled", static_cast<std::uint64_t>(unsettled.size()) },
+               { "lease_left_ms", CountMilliseconds(rebooted.LeaseLeft(aNow)) },
+               { "inherited", aRunner.mMayHoldInheritedRuns } });
   }
   for (run& each : unsettled) {
     rebooted.Add(std::move(each));
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -675,6 +675,22 @@
   }
 }
 
+// The stored roster may say that the runs of the earlier boot are over.
+TEST(scheduler_test, RosterIsStoredAnewForTheNextBootOfARunner)
+{
+  fake_world world(1, fault_rates{});
+  AddRunners(world, 1);
+  world.RunFor(seconds(30));
+  world.SetReachable("r0", false);
+  world.RunFor(seconds(20));
+  const std::uint64_t before = world.Owner()->StoredRosterVersion();
+  world.Crash("r0");
+  world.RunFor(milliseconds(100));
+  EXPECT_GT(world.Owner()->StoredRosterVersion(), before);
+  EXPECT_GT(world.Owner()->Roster(world.Now()).at(0).mRunsEndWithin,
+            seconds(10));
+}
+
 // The numbers of ended runs begin anew with each boot of a runner. A poll that
 // reaches the next boot must not acknowledge ends there that nobody has seen.
 TEST(scheduler_test, AnEndIsAcknowledgedOnlyUntilThatIsConfirmed)
