A process that a scenario starts inherits no connection

The soak's sockets are not closed by exec, and process_table started nodes with copies of all of them. If a node was started between the moment in which the proxy took a connection and the one in which the node's port refused it, the proxy's reset closed only its own copy: nothing reached the client, which waited for a process that had never seen it. Such a connection ends only with the process that holds the copy.

Now every descriptor but the standard streams is marked to be closed by exec. What the soak demands of answers stays as it was.

--- a/testing/scenario/process_table.cc
+++ b/testing/scenario/process_table.cc
@@ -12,7 +12,9 @@
 #include <utility>
 #include <vector>
 
+#include <linux/close_range.h>
 #include <sys/prctl.h>
+#include <unistd.h>
 
 #include <boost/process.hpp>
 #include <boost/process/extend.hpp>
@@ -35,6 +37,20 @@
   }
 };
 
+// Without this, a connection that this process closes stays open, without a
+// reset or an end at its peer, as long as a process that was started meanwhile.
+// The descriptors are closed by exec: until then, one of them reports errors.
+struct inherit_standard_streams_only : process::extend::handler
+{
+  template<typename Executor>
+  void on_exec_setup(Executor& aExecutor) const // NOLINT: library's name
+  {
+    if (::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC) != 0) {
+      aExecutor.set_error(process::detail::get_last_error(), "close_range");
+    }
+  }
+};
+
 } // namespace
 
 class process_table::impl
@@ -88,6 +104,7 @@
     process::std_in<process::null, (process::std_out & process::std_err)> log
       .get(),
     die_with_parent{},
+    inherit_standard_streams_only{},
     failure);
   if (failure) {
     return error{
--- a/testing/scenario/process_table.h
+++ b/testing/scenario/process_table.h
@@ -26,6 +26,7 @@
   process_table(const process_table&) = delete;
   process_table& operator=(const process_table&) = delete;
 
+  // The process inherits no descriptor but the standard streams.
   // Errors: kInvalidArgument if the program can not be started, kConflict if
   // a process of that name runs.
   status Start(const std::string& aName,
--- a/testing/scenario/process_table_test.cc
+++ b/testing/scenario/process_table_test.cc
@@ -6,7 +6,9 @@
 #include <string>
 #include <thread>
 
+#include <sys/socket.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <gtest/gtest.h>
 
@@ -55,5 +57,18 @@
   EXPECT_TRUE(processes.Start("none", "/nonexistent/program", {}).has_error());
 }
 
+// A connection stayed open after its end in processes started meanwhile.
+TEST(ProcessTable, ProcessHoldsNoConnectionOfItsParent)
+{
+  int ends[2] = {};
+  ASSERT_EQ(::socketpair(AF_UNIX, SOCK_STREAM, 0, ends), 0);
+  process_table processes(Folder());
+  ASSERT_TRUE(processes.Start("sleeper", "/bin/sleep", { "60" }));
+  ::close(ends[0]);
+  char byte = 0;
+  EXPECT_EQ(::recv(ends[1], &byte, 1, MSG_DONTWAIT), 0); // the end, not EAGAIN
+  ::close(ends[1]);
+}
+
 } // namespace
 } // namespace mangospan::scenario
