A node that is told to stop while it starts stops gracefully

The handlers were installed last, after the settings were read and the node listened, so an early signal met its default action; an early SIGHUP ended the node as well.

Holding them back instead of handling them earlier leaves reads of the settings uninterrupted.

A signal that comes before main() still ends the process, which has read nothing by then.

--- a/mangospan/daemon/signals.cc
+++ b/mangospan/daemon/signals.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <functional>
+#include <initializer_list>
 #include <memory>
 #include <utility>
 
@@ -14,6 +15,27 @@
 
 namespace mangospan::daemon {
 
+namespace {
+
+void
+ChangeMask(int aHow, std::initializer_list<int> aSignals)
+{
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int each : aSignals) {
+    sigaddset(&set, each);
+  }
+  pthread_sigmask(aHow, &set, nullptr);
+}
+
+} // namespace
+
+void
+HoldSignals()
+{
+  ChangeMask(SIG_BLOCK, { SIGTERM, SIGINT, SIGHUP });
+}
+
 class stop_signals::impl : public std::enable_shared_from_this<impl>
 {
 public:
@@ -80,6 +102,7 @@
   : mImpl(std::make_shared<impl>(aIo, std::move(aOnStop), std::move(aOnSecond)))
 {
   mImpl->Wait();
+  ChangeMask(SIG_UNBLOCK, { SIGTERM, SIGINT });
 }
 
 stop_signals::~stop_signals()
@@ -130,6 +153,7 @@
   : mImpl(std::make_shared<impl>(aIo, std::move(aOnReload)))
 {
   mImpl->Wait();
+  ChangeMask(SIG_UNBLOCK, { SIGHUP });
 }
 
 reload_signal::~reload_signal()
--- a/mangospan/daemon/signals.h
+++ b/mangospan/daemon/signals.h
@@ -16,6 +16,11 @@
 
 namespace mangospan::daemon {
 
+// Holds the signals that the classes below handle back until such a handler is
+// made. To be called first: they would end a process that is just starting.
+void
+HoldSignals();
+
 class stop_signals
 {
 public:
--- a/mangospan/daemon/signals_test.cc
+++ b/mangospan/daemon/signals_test.cc
@@ -49,5 +49,20 @@
   io.run(); // returns
 }
 
+TEST(StopSignals, SignalThatCameBeforeTheHandlerIsHandled)
+{
+  boost::asio::io_context io;
+  int stops = 0;
+  HoldSignals();
+  std::raise(SIGTERM);
+  const reload_signal reload(io, [] {});
+  stop_signals signals(io, [&] {
+    ++stops;
+    io.stop();
+  });
+  io.run();
+  EXPECT_EQ(stops, 1);
+}
+
 } // namespace
 } // namespace mangospan::daemon
