--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -250,7 +250,8 @@
   void Evict(const runner_name& aRunner, time_point aNow);
 
   // Returns the time by which every run started by an earlier owner has ended,
-  // also on runners that this owner has not reached.
+  // also on runners that this owner has not reached, unless one of them has
+  // started again and nobody has told of it.
   time_point InheritedLeasesEnd() const;
   // Returns whether this owner knows every run on the runner: the runner has
   // answered it, or every lease granted by an earlier owner is over.
