A renewal without an answer is repeated at once

What callers saw: while the store left answers out, owners were no longer sure of their leases, and services were without an owner that acts.

Cause: a renewal without an answer was repeated after the timeout of the call and a whole renewal interval, 750 ms in total, so that a lease of 1,800 ms allowed for two or three tries.

A renewal is now repeated as soon as its answer is overdue. The time follows the usual time of answers by the estimator that start orders use, with bounds of its own. The first call is not given up: a slow answer counts, from the sending of its own renewal. At most one repetition waits beside it; a report that the store answers again sends one more, as before. After five renewals without an answer the pace is the earlier one. An answer for an earlier lease is ignored.

That the new tests of renewals failed before this change was not run.

--- a/mangospan/jobs/answer_times.cc
+++ b/mangospan/jobs/answer_times.cc
@@ -9,12 +9,6 @@
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
-// The bounds of the time after which an order is sent again. The lower one
-// leaves time for a late timer on either side.
-constexpr milliseconds kMinResendDelay{ 50 };
-constexpr milliseconds kMaxResendDelay{ 300 };
-// The same before any answer has arrived.
-constexpr milliseconds kInitialResendDelay{ 100 };
 // The weights of a new answer in the mean and in the deviation are one divided
 // by these, and the deviation counts this often, as in a TCP retransmission
 // timeout (RFC 6298).
@@ -31,6 +25,11 @@
 
 } // namespace
 
+answer_time_estimator::answer_time_estimator(answer_time_bounds aBounds)
+  : mBounds(aBounds)
+{
+}
+
 void
 answer_time_estimator::Add(nanoseconds aTime)
 {
@@ -49,10 +48,10 @@
 answer_time_estimator::ResendDelay() const
 {
   if (!mHasAnswer) {
-    return kInitialResendDelay;
+    return mBounds.mInitial;
   }
   return std::clamp<nanoseconds>(
-    mMean + kDeviations * mDeviation, kMinResendDelay, kMaxResendDelay);
+    mMean + kDeviations * mDeviation, mBounds.mMin, mBounds.mMax);
 }
 
 void
--- a/mangospan/jobs/answer_times.h
+++ b/mangospan/jobs/answer_times.h
@@ -1,5 +1,5 @@
 // How fast runners answer start orders, and how reliably start orders and
-// polls.
+// polls; and how fast the store answers.
 //
 // A start order can be sent again without harm, since a runner starts a run at
 // most once. So an order that has no answer after the usual time is sent again,
@@ -13,11 +13,24 @@
 
 namespace mangospan::jobs {
 
+struct answer_time_bounds
+{
+  // The bounds of the time after which an answer is probably lost. The lower
+  // one leaves time for a late timer on either side.
+  std::chrono::milliseconds mMin{ 50 };
+  std::chrono::milliseconds mMax{ 300 };
+  // The same time before any answer has arrived.
+  std::chrono::milliseconds mInitial{ 100 };
+};
+
 // Estimates how long an answer takes at most if it is not lost: the mean of
 // earlier answers, and several times their deviation from it.
 class answer_time_estimator
 {
 public:
+  // By default for start orders.
+  explicit answer_time_estimator(answer_time_bounds aBounds = {});
+
   // Adds the time that an answer took.
   void Add(std::chrono::nanoseconds aTime);
 
@@ -25,6 +38,7 @@
   std::chrono::nanoseconds ResendDelay() const;
 
 private:
+  answer_time_bounds mBounds;
   bool mHasAnswer = false;
   std::chrono::nanoseconds mMean{ 0 };
   std::chrono::nanoseconds mDeviation{ 0 }; // the mean absolute one
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -20,6 +20,14 @@
 constexpr const char* kLeaseSuffix = "/lease";
 constexpr const char* kTermSuffix = "/term";
 
+// The time after which a renewal counts as unanswered before the first answer.
+constexpr milliseconds kInitialRepeatDelay{ 100 };
+// A renewal and its repetition.
+constexpr std::size_t kMaxRenewalsInFlight = 2;
+// After this many renewals without an answer the store is taken to be away, and
+// renewals are not repeated at once.
+constexpr std::size_t kMaxQuickRenewals = 5;
+
 std::string
 Encode(const owner_record& aRecord)
 {
@@ -127,6 +135,9 @@
   , mHandlers(std::move(aHandlers))
   , mRandom(static_cast<std::minstd_rand::result_type>(DrawBootId().mValue))
   , mStartedAt(aClock.Now())
+  , mRenewalTimes({ mSettings.mMinRepeatDelay,
+                    mSettings.mCallTimeout,
+                    kInitialRepeatDelay })
 {
 }
 
@@ -430,6 +441,9 @@
   mLeaseHolder = Encode(aClaim);
   mLease = aLease;
   mRenewedAt = aSentAt;
+  mIsRenewalDue = false;
+  mRenewalsInFlight = 0;
+  mRenewalsSinceAnswer = 0;
   mIsOwner = true;
   LogEvent(log_level::kInfo,
            "owner.elected",
@@ -446,10 +460,19 @@
   mHandlers.mOnElected(mLatestOwner);
 }
 
+// After a renewal without an answer, the next one is due as soon as the answer
+// is overdue, unless the store seems to be away.
 void
 election::ScheduleRenewal()
 {
-  mRenewTimer.expires_after(mSettings.mRenewalInterval);
+  const bool isRepetition =
+    mRenewalsSinceAnswer > 0 && mRenewalsSinceAnswer < kMaxQuickRenewals;
+  const auto delay =
+    isRepetition
+      ? std::max(std::chrono::nanoseconds(0),
+                 mRenewalSentAt + mRenewalTimes.ResendDelay() - mClock.Now())
+      : mSettings.mRenewalInterval;
+  mRenewTimer.expires_after(delay);
   mRenewTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aError) {
       if (!aError && self->mIsOwner) {
@@ -458,40 +481,83 @@
     });
 }
 
+// The calls that wait may have been sent to a store that was away.
 void
 election::OnStoreAnswersAgain()
 {
   if (mIsOwner && mHasRenewalFailed) {
-    Renew();
+    mRenewalsSinceAnswer = 0;
+    SendRenewal();
   }
 }
 
 void
 election::Renew()
 {
-  const time_point sentAt = mClock.Now();
+  if (mRenewalsInFlight < kMaxRenewalsInFlight) {
+    SendRenewal();
+  } else {
+    mIsRenewalDue = true;
+  }
+}
+
+void
+election::SendRenewal()
+{
+  mRenewalSentAt = mClock.Now();
+  mIsRenewalDue = false;
+  ++mRenewalsInFlight;
+  ++mRenewalsSinceAnswer;
   mStore.RenewLease(
     *mLease,
     mSettings.mCallTimeout,
-    [self = shared_from_this(),
-     sentAt](const result<platform::lease_id>& aResult) {
-      if (!self->mIsOwner) {
-        return;
-      }
-      if (aResult.has_value()) {
-        self->mRenewedAt = std::max(self->mRenewedAt, sentAt);
-        self->mHasRenewalFailed = false;
-      } else if (aResult.assume_error().mCode == error_code::kNotFound) {
-        self->LoseOwnership("lease_ended");
-        self->mLeaseHolder.clear();
-        self->ScheduleClaim();
-        return;
-      } else {
-        self->mHasRenewalFailed = true;
-        LogError("election.renewal_failed", aResult.assume_error());
-      }
-      self->ScheduleRenewal();
+    [self = shared_from_this(), lease = *mLease, sentAt = mRenewalSentAt](
+      const result<platform::lease_id>& aResult) {
+      self->OnRenewed(lease, sentAt, aResult);
     });
+  if (mRenewalsSinceAnswer < kMaxQuickRenewals) {
+    ScheduleRenewal();
+  } else {
+    mRenewTimer.cancel();
+  }
+}
+
+// A renewal proves only that the lease was valid when it was sent, and an
+// earlier one may be answered after the one that repeats it.
+void
+election::OnRenewed(platform::lease_id aLease,
+                    time_point aSentAt,
+                    const result<platform::lease_id>& aResult)
+{
+  if (!mIsOwner || !mLease || mLease->mValue != aLease.mValue) {
+    return;
+  }
+  --mRenewalsInFlight;
+  if (aResult.has_value()) {
+    mRenewalTimes.Add(mClock.Now() - aSentAt);
+    mRenewedAt = std::max(mRenewedAt, aSentAt);
+    mHasRenewalFailed = false;
+    mRenewalsSinceAnswer = 0;
+    mIsRenewalDue = false;
+    ScheduleRenewal();
+    return;
+  }
+  if (aResult.assume_error().mCode == error_code::kNotFound) {
+    LoseOwnership("lease_ended");
+    mLeaseHolder.clear();
+    ScheduleClaim();
+    return;
+  }
+  LogError("election.renewal_failed", aResult.assume_error());
+  if (aSentAt > mRenewedAt) { // otherwise its repetition was answered
+    mHasRenewalFailed = true;
+  }
+  if (mIsRenewalDue) {
+    Renew();
+  } else if (mRenewalsSinceAnswer >= kMaxQuickRenewals &&
+             mRenewalsInFlight == 0) {
+    ScheduleRenewal();
+  }
 }
 
 void
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -25,6 +25,7 @@
 #include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
 #include "mangospan/base/timer.h"
+#include "mangospan/jobs/answer_times.h"
 #include "mangospan/platform/store.h"
 
 namespace mangospan::node {
@@ -37,6 +38,9 @@
   std::chrono::milliseconds mRenewalInterval{ 350 };
   // The timeout of a call to the store.
   std::chrono::milliseconds mCallTimeout{ 400 };
+  // A renewal is repeated once it has had no answer for longer than answers
+  // usually take, but not before this time, nor after `mCallTimeout`.
+  std::chrono::milliseconds mMinRepeatDelay{ 60 };
   // The base of the delay before a claim. The last owner claims at once,
   // unless it has yielded; other nodes wait once to twice this long, so that an
   // owner whose lease was revoked can claim again without a takeover.
@@ -202,7 +206,13 @@
                  time_point aSentAt,
                  const result<platform::commit_outcome>& aResult);
   void ScheduleRenewal();
+  // Renews the lease; if enough renewals wait for their answers, then as soon
+  // as one of them has failed.
   void Renew();
+  void SendRenewal();
+  void OnRenewed(platform::lease_id aLease,
+                 time_point aSentAt,
+                 const result<platform::lease_id>& aResult);
   void LoseOwnership(const char* aReason);
   void ReleaseLease();
 
@@ -230,6 +240,11 @@
   std::size_t mOwnedSubjectsAtSchedule = 0;
   bool mIsOwner = false;
   bool mHasRenewalFailed = false; // the last one
+  jobs::answer_time_estimator mRenewalTimes;
+  time_point mRenewalSentAt{}; // the last one
+  bool mIsRenewalDue = false;  // once one in flight has ended
+  std::size_t mRenewalsInFlight = 0;
+  std::size_t mRenewalsSinceAnswer = 0;
   bool mIsClaimPending = false;
   bool mIsRetired = false;
 };
--- a/mangospan/node/election_test.cc
+++ b/mangospan/node/election_test.cc
@@ -1,16 +1,23 @@
 #include "mangospan/node/election.h"
 
+#include <chrono>
+#include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
+#include <string>
 
 #include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
 #include "mangospan/node/testing/memory_store.h"
+#include "mangospan/node/testing/virtual_store.h"
 
 namespace mangospan::node {
 namespace {
 
+using std::chrono::milliseconds;
+
 const service_name kSurvey{ "survey" };
 
 class election_test : public ::testing::Test
@@ -125,5 +132,139 @@
   EXPECT_EQ(mTerm.mTerm, 2U);
 }
 
+// An owner and its renewals, in virtual time.
+class renewal_test : public ::testing::Test
+{
+protected:
+  renewal_test()
+  {
+    mElection->OnSynced();
+    RunFor(milliseconds(2'000));
+    mClient.SetLoss([this](const std::string& aStep) {
+      if (aStep != "store.renew") {
+        return false;
+      }
+      ++mRenewals;
+      return mIsLost && mIsLost(mRenewals);
+    });
+  }
+  ~renewal_test() override
+  {
+    mElection->Retire([] {});
+  }
+
+  void RunFor(milliseconds aTime)
+  {
+    const time_point end = mClock.Now() + aTime;
+    while (mClock.Now() < end) {
+      mClock.Advance(milliseconds(1));
+      mStore.Advance();
+      mIo.restart();
+      mIo.poll();
+      mValidTime += milliseconds(mElection->IsLeaseValid() ? 1 : 0);
+    }
+  }
+  void RunUntilRenewals(std::size_t aCount)
+  {
+    while (mRenewals < aCount) {
+      RunFor(milliseconds(1));
+    }
+  }
+
+  const election_settings mSettings{};
+  manual_clock mClock;
+  const virtual_time_scope mScope{ mClock };
+  boost::asio::io_context mIo;
+  testing::virtual_store mStore{ mIo, mClock };
+  testing::virtual_store_client mClient{ mStore };
+  int mLossCount = 0;
+  std::size_t mRenewals = 0;
+  // Whether the answer of the renewal of this number, from 1, is lost.
+  std::function<bool(std::size_t)> mIsLost;
+  milliseconds mValidTime{ 0 };
+  const std::shared_ptr<election> mElection = std::make_shared<election>(
+    mIo,
+    mClock,
+    mClient,
+    JobsSubject(kSurvey),
+    "node",
+    "node:1",
+    mSettings,
+    election_handlers{ [](const owner_record&) {},
+                       [this] { ++mLossCount; },
+                       [] { return std::size_t{ 0 }; } });
+};
+
+// A lost answer cost a timeout and a renewal interval of the lease.
+TEST_F(renewal_test, RenewalWithoutAnswerIsRepeatedAtOnce)
+{
+  mIsLost = [](std::size_t aRenewal) { return aRenewal == 1; };
+  RunUntilRenewals(1);
+  const time_point lostAt = mClock.Now();
+  RunFor(milliseconds(100));
+  EXPECT_EQ(mRenewals, 2U);
+  EXPECT_GT(mElection->ConfirmedAt(), lostAt);
+}
+
+// Three lost answers in a row ended what the owner knew of its lease.
+TEST_F(renewal_test, OwnerIsSureOfItsLeaseThoughMostAnswersAreLost)
+{
+  mIsLost = [](std::size_t aRenewal) { return aRenewal % 4 != 0; };
+  const milliseconds time{ 20'000 };
+  mValidTime = milliseconds(0);
+  RunFor(time);
+  EXPECT_EQ(mValidTime, time);
+  EXPECT_EQ(mLossCount, 0);
+}
+
+// The lease counts from the sending of a renewal that was answered, whichever.
+TEST_F(renewal_test, LateAnswerCountsFromTheSendingOfItsRenewal)
+{
+  mIsLost = [](std::size_t aRenewal) { return aRenewal > 1; };
+  const milliseconds late = mSettings.mCallTimeout - milliseconds(50);
+  mClient.SetAnswerDelay(late);
+  RunUntilRenewals(1);
+  const time_point firstSentAt = mClock.Now();
+  RunUntilRenewals(2);
+  EXPECT_LT(mClock.Now(), firstSentAt + late);
+  RunFor(mSettings.mCallTimeout);
+  EXPECT_EQ(mElection->ConfirmedAt(), firstSentAt);
+  RunFor(mSettings.mTtl - mSettings.mExpiryMargin - mSettings.mCallTimeout);
+  EXPECT_FALSE(mElection->IsLeaseValid());
+}
+
+// An answer that is slow is not lost.
+TEST_F(renewal_test, SlowStoreLosesNoOwnerAndIsNotAskedTwiceForLong)
+{
+  mClient.SetAnswerDelay(milliseconds(300));
+  RunFor(milliseconds(5'000));
+  mRenewals = 0;
+  mValidTime = milliseconds(0);
+  const milliseconds time{ 20'000 };
+  RunFor(time);
+  EXPECT_EQ(mValidTime, time);
+  EXPECT_EQ(mLossCount, 0);
+  EXPECT_LE(mRenewals,
+            1U + time / (mSettings.mRenewalInterval + milliseconds(300)));
+}
+
+// A store that is away is asked at the pace of an owner that repeats nothing.
+TEST_F(renewal_test, StoreThatIsAwayIsNotFloodedWithRenewals)
+{
+  mStore.SetSilent(true);
+  RunFor(milliseconds(3'000));
+  EXPECT_LE(mRenewals, 7U);
+  mRenewals = 0;
+  const milliseconds time{ 15'000 };
+  RunFor(time);
+  EXPECT_LE(mRenewals,
+            1U + time / (mSettings.mRenewalInterval + mSettings.mCallTimeout));
+  EXPECT_GE(mRenewals, 15U);
+  mStore.SetSilent(false);
+  mElection->OnStoreAnswersAgain();
+  RunFor(milliseconds(10));
+  EXPECT_TRUE(mElection->IsLeaseValid());
+}
+
 } // namespace
 } // namespace mangospan::node
--- a/mangospan/node/testing/virtual_store.cc
+++ b/mangospan/node/testing/virtual_store.cc
@@ -244,6 +244,18 @@
   mIsCut = aIsCut;
 }
 
+void
+virtual_store_client::SetLoss(std::function<bool(const std::string&)> aIsLost)
+{
+  mIsLost = std::move(aIsLost);
+}
+
+void
+virtual_store_client::SetAnswerDelay(milliseconds aDelay)
+{
+  mAnswerDelay = aDelay;
+}
+
 std::uint64_t
 virtual_store_client::Interruptions() const
 {
@@ -258,16 +270,18 @@
                            std::function<result<T>()> aCall)
 {
   const once<T> answer(std::move(aHandler));
+  const bool isLost = mIsLost && mIsLost(aStep);
+  const milliseconds back = virtual_store::kLatency + mAnswerDelay;
   After(mStore.mIo,
         virtual_store::kLatency,
-        [this, answer, call = std::move(aCall)] {
+        [this, answer, isLost, back, call = std::move(aCall)] {
           if (!IsConnected()) {
             return;
           }
           const result<T> reply = call();
-          After(mStore.mIo, virtual_store::kLatency, [answer, reply] {
-            answer(reply);
-          });
+          if (!isLost) {
+            After(mStore.mIo, back, [answer, reply] { answer(reply); });
+          }
         });
   After(mStore.mIo, aTimeout, [answer, aStep] { answer(NoAnswer(aStep)); });
 }
--- a/mangospan/node/testing/virtual_store.h
+++ b/mangospan/node/testing/virtual_store.h
@@ -88,6 +88,12 @@
   // Cuts the client off from the store, or reconnects it. A watch that waits
   // meanwhile is lost.
   void SetCut(bool aIsCut);
+  // From now on, the store executes a call and gives no answer if `aIsLost`
+  // returns true. It is called once per call other than a watch, with the step
+  // that errors of the call name.
+  void SetLoss(std::function<bool(const std::string&)> aIsLost);
+  // Answers take this much longer.
+  void SetAnswerDelay(std::chrono::milliseconds aDelay);
 
   void Read(
     std::string aKey,
@@ -132,6 +138,8 @@
   virtual_store& mStore;
   bool mIsCut = false;
   std::uint64_t mCuts = 0;
+  std::function<bool(const std::string&)> mIsLost;
+  std::chrono::milliseconds mAnswerDelay{ 0 };
 };
 
 } // namespace mangospan::node::testing
