--- a/mangospan/jobs/removed_queue_test.cc
+++ b/mangospan/jobs/removed_queue_test.cc
@@ -120,18 +120,6 @@
   EXPECT_EQ(answer.mOutcome, submit_outcome::kRefused);
 }
 
-// A queue that returns has the say again, with whatever policy.
-TEST_F(removed_queue_test, PolicyOfTheReturnedQueueHolds)
-{
-  mWorld.SetCatalog(CatalogWithoutQueues());
-  mWorld.RunFor(milliseconds(100));
-  catalog returned = TestCatalog();
-  returned.mQueues.at(queue_name{ "q" }).mMaxAttempts = 1;
-  mWorld.SetCatalog(returned);
-  mWorld.RunFor(seconds(5));
-  EXPECT_EQ(mWorld.StateOf(kJob), job_state::kCompleted);
-}
-
 // The attempts that the queue allowed stay those of its jobs.
 TEST_F(removed_queue_of_failing_tasks_test, AttemptsAreCountedAsBefore)
 {
@@ -143,6 +131,20 @@
   EXPECT_EQ(mWorld.Violations(), std::vector<std::string>());
 }
 
+// A queue that returns has the say again, with whatever policy.
+TEST_F(removed_queue_of_failing_tasks_test, PolicyOfTheReturnedQueueHolds)
+{
+  constexpr std::size_t kAttempts = 2;
+  mWorld.SetCatalog(CatalogWithoutQueues());
+  mWorld.RunFor(milliseconds(100));
+  catalog returned = TestCatalog();
+  returned.mQueues.at(queue_name{ "q" }).mMaxAttempts = kAttempts;
+  mWorld.SetCatalog(returned);
+  mWorld.RunFor(seconds(20));
+  EXPECT_EQ(mWorld.StateOf(kJob), job_state::kFailed);
+  EXPECT_EQ(mWorld.StartsOf(kFirstTask), kAttempts);
+}
+
 TEST(removed_queue_record_test, HoldsThePolicy)
 {
   job accepted = MakeJob(job_name{ kJob }, TwoSteps());
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -312,7 +312,7 @@
     time_point aNow);
   void LogWaitingGang(const candidate& aCandidate,
                       const char* aReason,
-                      std::size_t aPlaced,
+                      std::size_t aFitting,
                       time_point aNow);
   void SaveCheckpoint(job& aJob,
                       const task_id& aTask,
--- a/mangospan/jobs/scheduler_gangs.cc
+++ b/mangospan/jobs/scheduler_gangs.cc
@@ -1,7 +1,11 @@
 // Starts the gangs: steps whose tasks work only together. All members start at
 // once, under one run number and from one checkpoint, or none does.
 #include <algorithm>
+#include <cstdint>
 #include <iterator>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "mangospan/base/log.h"
 #include "mangospan/jobs/internal/scheduler_candidate.h"
@@ -16,13 +20,18 @@
 
 // The shortest time between two log lines of one gang that waits.
 constexpr milliseconds kWaitLogInterval{ 2'000 };
+// The number of a run that only reserves capacity; those of real runs are
+// higher.
+constexpr std::uint32_t kReservationNumber = 0;
 
-// Returns a task's place as long as other members of its gang are placed.
+// Returns a run that reserves capacity for a member while the others of its
+// gang are placed.
 run
-TentativeRun(const step_spec& aStep, task_id aTask)
+Reservation(const step_spec& aStep, task_id aTask)
 {
   run out = MakeRun(aStep);
   out.mTask = std::move(aTask);
+  out.mNumber = kReservationNumber;
   return out;
 }
 
@@ -71,11 +80,11 @@
     if (aGang.Spec().mColocate) {
       nearRack = best->mInfo.mRack;
     }
-    best->Add(TentativeRun(aGang.Spec(), aGang.Id(i)));
+    best->Add(Reservation(aGang.Spec(), aGang.Id(i)));
     chosen.push_back(best);
   }
   for (std::size_t i = 0; i < chosen.size(); ++i) {
-    chosen[i]->Remove({ aGang.Id(i).Text(), run{}.mNumber });
+    chosen[i]->Remove({ aGang.Id(i).Text(), kReservationNumber });
   }
   return chosen;
 }
@@ -120,7 +129,7 @@
 void
 scheduler::LogWaitingGang(const candidate& aCandidate,
                           const char* aReason,
-                          std::size_t aPlaced,
+                          std::size_t aFitting,
                           time_point aNow)
 {
   step& waiting = aCandidate.mJob->mOccurrences.at(aCandidate.mOccurrence)
@@ -137,7 +146,7 @@
       { "occurrence", static_cast<std::uint64_t>(aCandidate.mOccurrence) },
       { "step", static_cast<std::uint64_t>(aCandidate.mStep) },
       { "tasks", static_cast<std::uint64_t>(waiting.mTasks.size()) },
-      { "fitting", static_cast<std::uint64_t>(aPlaced) },
+      { "fitting", static_cast<std::uint64_t>(aFitting) },
       { "reason", aReason } });
 }
 
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -441,11 +441,11 @@
     const bool hasUnsentAck = each.mListed &&
                               each.mHighestSeenEnd > each.mHighestAckedEnd &&
                               each.mHighestStoredEnd > each.mHighestAckedEnd;
-    const bool isUnresponsive = each.mListed && each.mFailedPolls > 0;
+    const bool hasFailedPoll = each.mListed && each.mFailedPolls > 0;
     const bool isAckDue = hasUnsentAck && aNow >= each.mAckDueAt;
     const bool isClockDue = each.mListed && each.mContacted &&
                             aNow - each.ClockReadAt() >= kClockRefreshAge;
-    if (needsFirstPoll || hasRuns || isUnresponsive || isAckDue || isClockDue) {
+    if (needsFirstPoll || hasRuns || hasFailedPoll || isAckDue || isClockDue) {
       aOrders.emplace_back(MakePollOrder(each, aNow));
     }
   }
