--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -359,6 +359,9 @@
   void OnRunnerAtAddress(const std::string& aAddress, time_point aNow);
   void ClearSuspicion(job& aJob, task& aTask);
   void CheckProbation(job& aJob, task& aTask, run& aRun, time_point aNow);
+  bool MustRunAlone(const job& aJob,
+                    const task_id& aTask,
+                    time_point aNow) const;
   void PlaceSuspects(const std::vector<candidate>& aCandidates,
                      const service_name& aService,
                      std::vector<runner*>& aPool,
@@ -444,6 +447,7 @@
   // were then, by address.
   std::map<std::string, runner> mLostRunners;
   std::map<std::string, time_point> mCrashedAt; // latest crash by address
+  time_point mLatestCrashAt{};                  // of any runner
   // The latest crashes of runners on which no run had just started.
   std::deque<time_point> mUnexplainedCrashes;
   std::vector<task_id> mCrashingTasks; // whose jobs the next plan gives up
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -58,6 +58,10 @@
 constexpr milliseconds kMinStartDelay{ 250 };
 constexpr milliseconds kMaxStartDelay{ 2'000 };
 constexpr milliseconds kMaxStartDelayOfCause{ 5'000 };
+// A suspected task that is not the likely cause waits for a runner of its own
+// no longer than the first time, or the second while runners crash.
+constexpr milliseconds kMaxIsolationWait{ 1'500 };
+constexpr milliseconds kMaxIsolationWaitInSeries{ 5'000 };
 // The least and the longest time for which a suspected task runs alone.
 constexpr milliseconds kMinProbation{ 1'000 };
 constexpr milliseconds kMaxProbation{ 3'000 };
@@ -206,6 +210,7 @@
              { "recent_starts", static_cast<std::int64_t>(recentStarts) },
              { "outage", isOutage } });
   mCrashedAt[aRunner.mInfo.mAddress] = aNow;
+  mLatestCrashAt = aNow;
   if (isOutage) {
     return;
   }
@@ -400,7 +405,8 @@
 {
   const time_point since =
     aRun.mOrderedAt == time_point{} ? aRun.mPhaseSince : aRun.mOrderedAt;
-  if (!aRun.mIsIsolated || aNow - since < Probation(aTask)) {
+  const bool isOnProbation = aRun.mIsIsolated || aTask.mCrashes.mIsSuspect;
+  if (!isOnProbation || aNow - since < Probation(aTask)) {
     return;
   }
   aRun.mIsIsolated = false;
@@ -409,6 +415,27 @@
   }
 }
 
+// Returns whether the task may only start on a runner of its own. Most suspects
+// of a series of crashes are innocent, and more than there are runners for
+// them.
+bool
+scheduler::MustRunAlone(const job& aJob,
+                        const task_id& aTask,
+                        time_point aNow) const
+{
+  const step& ofTask =
+    aJob.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  const crash_history& crashes = ofTask.mTasks[aTask.mIndex].mCrashes;
+  if (!crashes.mIsSuspect || crashes.mChance <= kMaxChance) {
+    return crashes.mIsSuspect;
+  }
+  const time_point since =
+    std::max(WaitingSince(aJob, aTask), crashes.mNotBefore);
+  const bool isQuiet = aNow >= mLatestCrashAt + kMaxIsolationWait;
+  return aNow <
+         since + (isQuiet ? kMaxIsolationWait : kMaxIsolationWaitInSeries);
+}
+
 // Starts suspected tasks alone on runners, and reserves runners for those that
 // wait. A reserved runner gets no other task, so that the last ones that have
 // started there are soon at work for long enough, or over.
@@ -435,8 +462,8 @@
     for (std::size_t i = 0; i < tasks.size() && chosen.size() < available;
          ++i) {
       const crash_history& crashes = tasks[i].mCrashes;
-      if (!crashes.mIsSuspect || aNow < crashes.mNotBefore ||
-          !MayStartTask(tasks[i])) {
+      if (aNow < crashes.mNotBefore || !MayStartTask(tasks[i]) ||
+          !MustRunAlone(*each.mJob, each.Id(i), aNow)) {
         continue;
       }
       const placement_request request{ each.Spec(), each.Id(i), {}, {} };
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -280,11 +280,12 @@
   std::uint64_t placed = 0;
   std::uint64_t waiting = 0;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    if (!MayStartTask(tasks[i]) || tasks[i].mCrashes.mIsSuspect) {
+    const task_id id = aCandidate.Id(i);
+    if (!MayStartTask(tasks[i]) || MustRunAlone(*aCandidate.mJob, id, aNow)) {
       continue;
     }
     const placement_request request{
-      aCandidate.Spec(), aCandidate.Id(i), tasks[i].mFailedOn, nearRack
+      aCandidate.Spec(), id, tasks[i].mFailedOn, nearRack
     };
     runner* const chosen =
       waiting > 0 ? nullptr : ChooseRunner(request, aPool, aNow);
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -22,6 +22,12 @@
 constexpr milliseconds kMaxUnconfirmedTime{ 3'900 };
 constexpr std::size_t kMaxAttempts = 4;
 constexpr milliseconds kCrashDownTime{ 3'500 };
+// The time after which the effects of the last fault are over, and the longest
+// time that a task may wait after that.
+constexpr milliseconds kAftermath{ 4'000 };
+constexpr milliseconds kMaxWait{ 3'000 };
+// A long-running task may be away for this long after a run.
+constexpr milliseconds kMaxRestart{ 6'000 };
 // The time after which service discovery drops a runner that is gone.
 constexpr milliseconds kEntryLifetime{ 600 };
 
@@ -169,6 +175,9 @@
     }
     WriteToStore();
   }
+  if (mCalmSince && mNow >= *mCalmSince + kAftermath) {
+    CheckWaits();
+  }
   Schedule(kTick, [this] { Tick(); });
 }
 
@@ -669,6 +678,144 @@
   }
 }
 
+void
+fake_world::BeginCalm()
+{
+  mRates = fault_rates{};
+  mLateOrders.clear();
+  for (auto& [name, each] : mRunners) {
+    each->mIsReachable = true;
+  }
+  mCalmSince = std::max({ mNow, mStoreCutUntil, mDiscoveryFrozenUntil });
+}
+
+std::vector<const fake_runner*>
+fake_world::PoolOf(const service_name& aService) const
+{
+  std::vector<const fake_runner*> pool;
+  for (const auto& [name, each] : mRunners) {
+    if (each->Info().mService == aService && !each->Info().mDraining &&
+        mDown.count(name) + mReplaced.count(name) + mUnlisted.count(name) ==
+          0) {
+      pool.push_back(each.get());
+    }
+  }
+  return pool;
+}
+
+bool
+fake_world::IsHalfUsed(const service_name& aService) const
+{
+  std::int64_t used = 0;
+  std::int64_t capacity = 0;
+  for (const fake_runner* const each : PoolOf(aService)) {
+    capacity += each->Info().mCapacity.mCpu;
+    for (const auto& [task, run] : each->Runs()) {
+      used += run.mResources.mCpu;
+    }
+  }
+  return 2 * used >= capacity;
+}
+
+bool
+fake_world::HasRoomTwice(const task_id& aTask) const
+{
+  const job_spec& spec = mSpecs.at(aTask.mJob.Str());
+  const step_spec& step = spec.mSteps[aTask.mStep];
+  const std::string prefix = aTask.mJob.Str() + "." +
+                             std::to_string(aTask.mOccurrence) + "." +
+                             std::to_string(aTask.mStep) + ".";
+  int places = 0;
+  for (const fake_runner* const each :
+       PoolOf(mCatalog.FindQueue(spec.mQueue)->mService)) {
+    resources needed = step.Reservation();
+    std::size_t siblings = 0;
+    for (const auto& [task, run] : each->Runs()) {
+      needed += run.mResources;
+      siblings += task.compare(0, prefix.size(), prefix) == 0 ? 1 : 0;
+    }
+    while (needed.FitsIn(each->Info().mCapacity) &&
+           (step.mMaxPerRunner == 0 || siblings < step.mMaxPerRunner)) {
+      ++places;
+      ++siblings;
+      needed += step.Reservation();
+    }
+  }
+  return places >= 2;
+}
+
+bool
+fake_world::IsRunning(const std::string& aJob) const
+{
+  const std::string prefix = aJob + ".";
+  const auto first = mTasks.lower_bound(prefix);
+  return std::any_of(first, mTasks.end(), [&prefix](const auto& aEntry) {
+    return aEntry.first.compare(0, prefix.size(), prefix) == 0 &&
+           !aEntry.second.mRunningOn.empty();
+  });
+}
+
+// Returns whether the task is ready to run, has room and does not run.
+bool
+fake_world::IsWaiting(const task_id& aTask)
+{
+  const job_spec& spec = mSpecs.at(aTask.mJob.Str());
+  const step_spec& step = spec.mSteps[aTask.mStep];
+  const task_history& history = mTasks[aTask.Text()];
+  if (history.mIsDone || !history.mRunningOn.empty()) {
+    return false;
+  }
+  if (spec.mRepetitions > 0 && Wall() < spec.DueAt(aTask.mOccurrence)) {
+    return false;
+  }
+  for (const std::size_t before : step.mAfter) {
+    for (std::size_t i = 0; i < spec.mSteps[before].mTaskCount; ++i) {
+      const task_id needed{ aTask.mJob, aTask.mOccurrence, before, i };
+      if (!mTasks[needed.Text()].mIsDone) {
+        return false;
+      }
+    }
+  }
+  const bool mayWait =
+    step.mLongRunning ? mNow - history.mEndedAt < kMaxRestart
+                      : IsRunning(aTask.mJob.Str()) ||
+                          IsHalfUsed(mCatalog.FindQueue(spec.mQueue)->mService);
+  return !mayWait && HasRoomTwice(aTask);
+}
+
+void
+fake_world::CheckWait(const task_id& aTask)
+{
+  if (!IsWaiting(aTask)) {
+    mWaitingSince.erase(aTask.Text());
+    return;
+  }
+  const time_point since =
+    mWaitingSince.emplace(aTask.Text(), mNow).first->second;
+  if (mNow - since > kMaxWait) {
+    mWaitingSince[aTask.Text()] = mNow;
+    AddViolation(aTask.Text() + " could run and does not");
+  }
+}
+
+void
+fake_world::CheckWaits()
+{
+  for (const std::string& each : mAccepted) {
+    if (IsFinal(StateOf(each))) {
+      continue;
+    }
+    const job_spec& spec = mSpecs.at(each);
+    for (std::size_t k = 0; k < spec.Occurrences(); ++k) {
+      for (std::size_t s = 0; s < spec.mSteps.size(); ++s) {
+        for (std::size_t i = 0; i < spec.mSteps[s].mTaskCount; ++i) {
+          CheckWait({ job_name{ each }, k, s, i });
+        }
+      }
+    }
+  }
+}
+
 void
 fake_world::OnBegin(const std::string& aRunner,
                     const std::string& aTask,
@@ -724,6 +871,7 @@
 {
   task_history& history = mTasks[aTask];
   history.mRunningOn.erase(aRunner);
+  history.mEndedAt = mNow;
   history.mIsDone = history.mIsDone || aEnd == run_end::kDone;
 }
 
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -38,6 +39,13 @@
   fake_world(std::uint64_t aSeed, fault_rates aRates);
   ~fake_world();
 
+  // Ends the random faults. From four seconds later on, a task that is ready
+  // and has room twice over must not wait for longer than `kMaxWait`: a
+  // long-running one from six seconds after its last run on, another one only
+  // while nothing of its job runs and under half of the capacity of its service
+  // is in use.
+  void BeginCalm();
+
   // Adds a runner of `aService` that service discovery lists and that is
   // reachable.
   void AddRunner(const std::string& aName,
@@ -127,6 +135,7 @@
     std::size_t mAcknowledgedFailures = 0; // acknowledged by the owner
     bool mIsDone = false;
     bool mIsAcknowledgedDone = false;
+    time_point mEndedAt{}; // end of its last run
   };
 
   // A poll that the owner of the term has sent.
@@ -171,6 +180,14 @@
                       run_end aEnd,
                       bool aHasLeaseExpired);
   void CheckDependencies(const task_id& aTask);
+  // Returns the runners of the service that are up and may take new runs.
+  std::vector<const fake_runner*> PoolOf(const service_name& aService) const;
+  bool HasRoomTwice(const task_id& aTask) const;
+  bool IsHalfUsed(const service_name& aService) const;
+  bool IsWaiting(const task_id& aTask);
+  bool IsRunning(const std::string& aJob) const;
+  void CheckWait(const task_id& aTask);
+  void CheckWaits();
   void Return(const std::string& aRunner);
   // Returns the outcome of an order for a runner that is not there any more.
   std::optional<order_outcome> OutcomeWithoutRunner(
@@ -178,7 +195,10 @@
   void AddViolation(const std::string& aDescription);
 
   std::mt19937_64 mRandom;
-  const fault_rates mRates;
+  fault_rates mRates;
+  std::optional<time_point> mCalmSince;
+  // Since when the tasks wait that have had room all the time.
+  std::map<std::string, time_point> mWaitingSince;
   time_point mNow{ std::chrono::hours(1) };
   std::chrono::milliseconds mTimeOfDayOffset{ 0 };
   std::uint64_t mSequence = 0;
--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -80,5 +80,22 @@
   EXPECT_LE(waiting.mOldestAge, seconds(3));
 }
 
+// Runners that crash one after the other make all tasks suspects.
+TEST(waiting_tasks_test, LastingTasksThatCrashedTwiceAreBackWithinSeconds)
+{
+  fake_world world(1, fault_rates{});
+  AddRunners(world);
+  world.Submit("a1", LongRunningJob(36));
+  world.RunFor(seconds(8));
+  for (int i = 0; i < 3 * kRunners; ++i) {
+    world.CrashFor("r" + std::to_string(i % kRunners), milliseconds(800));
+    world.RunFor(milliseconds(400));
+  }
+  world.RunFor(seconds(1));
+  world.BeginCalm();
+  world.RunFor(seconds(20));
+  EXPECT_EQ(world.Violations(), std::vector<std::string>());
+}
+
 } // namespace
 } // namespace mangospan::jobs
