Tasks that look like the cause wait with a limit, too, and hold up nobody

What callers would see: after a series of crashes that come just after starts, innocent tasks look like the cause for certain and wait in line for a runner of their own, 36 of them for up to 20 s once nothing crashes; a task that waits for a runner without room keeps it from all others, in a pool of one runner for as long as a batch run lasts; after a takeover every runner with a run of a suspect takes no other task for up to 3 s.

Cause: the limit excepted the likely cause, which three early crashes by another reason make of any task; the reservation had no limit of its own; a successor counted each run of a suspect as one that is alone on its runner.

A suspect now waits 1.5 s once no runner has crashed for 3 s, the likely cause 3 s. While runners crash, only those that nothing but the number of their crashes is against go on after 5 s, so that deadly tasks stay apart. Each limit ends the reservation as well. A successor isolates only what it starts itself.

--- a/mangospan/jobs/internal/scheduler_candidate.h
+++ b/mangospan/jobs/internal/scheduler_candidate.h
@@ -20,10 +20,11 @@
   rank mRank;
 
   const step_spec& Spec() const { return mJob->mSpec.mSteps[mStep]; }
-  std::vector<task>& Tasks() const
+  step& Step() const
   {
-    return mJob->mOccurrences.at(mOccurrence).mSteps[mStep].mTasks;
+    return mJob->mOccurrences.at(mOccurrence).mSteps[mStep];
   }
+  std::vector<task>& Tasks() const { return Step().mTasks; }
   task_id Id(std::size_t aIndex) const
   {
     return { mJob->mName, mOccurrence, mStep, aIndex };
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -66,7 +66,8 @@
   std::chrono::milliseconds mLatestFuse{ 0 };
   // How much the crashes say against the task.
   std::uint32_t mSuspicion = 0;
-  // The task may be the cause: it runs alone until it is cleared.
+  // The task may be the cause: until it is cleared it runs alone, unless it
+  // would wait too long for that.
   bool mIsSuspect = false;
   // The probability of crashes at these times after the starts if the task is
   // not the cause.
@@ -112,7 +113,7 @@
 {
   std::vector<task> mTasks;
   std::size_t mDoneCount = 0; // The number of tasks that are done.
-  time_point mReadySince{};   // When this owner first saw that they may start.
+  time_point mReadySince{};   // When this owner first found one to start.
   time_point mWaitLoggedAt{}; // When the log last told why a gang waits.
 };
 
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -288,13 +288,14 @@
   task* ReleaseRun(runner& aRunner, const run_key& aKey, time_point aNow);
   void ReleaseAllRuns(runner& aRunner, loss_reason aReason, time_point aNow);
   bool MayStartTask(const task& aTask) const;
-  time_point WaitingSince(const job& aJob, const task_id& aTask) const;
+  time_point WaitingSince(const job& aJob,
+                          const step& aStep,
+                          const task& aTask) const;
   std::optional<wait_reason> ReasonOfJob(const job& aJob,
                                          time_point aNow) const;
-  std::optional<wait_reason> ReasonOfTask(
-    const task_id& aTask,
-    const step_spec& aSpec,
-    const std::vector<task>& aTasks) const;
+  std::optional<wait_reason> ReasonOfTask(const job& aJob,
+                                          const task_id& aTask,
+                                          time_point aNow) const;
   void FindObstacles(const service_name& aService,
                      time_point aNow,
                      waiting_tasks& aWaiting) const;
@@ -360,7 +361,8 @@
   void ClearSuspicion(job& aJob, task& aTask);
   void CheckProbation(job& aJob, task& aTask, run& aRun, time_point aNow);
   bool MustRunAlone(const job& aJob,
-                    const task_id& aTask,
+                    const step& aStep,
+                    const task& aSuspect,
                     time_point aNow) const;
   void PlaceSuspects(const std::vector<candidate>& aCandidates,
                      const service_name& aService,
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -58,9 +58,14 @@
 constexpr milliseconds kMinStartDelay{ 250 };
 constexpr milliseconds kMaxStartDelay{ 2'000 };
 constexpr milliseconds kMaxStartDelayOfCause{ 5'000 };
-// A suspected task that is not the likely cause waits for a runner of its own
-// no longer than the first time, or the second while runners crash.
+// Runners crash in a series as long as one has crashed within this time.
+constexpr milliseconds kCrashSeriesGap{ 3'000 };
+// The longest time for which a suspected task waits for a runner of its own:
+// after a series, the same if it is the likely cause, and in a series, if
+// nothing but the number of its crashes is against it. In a series the others
+// wait on.
 constexpr milliseconds kMaxIsolationWait{ 1'500 };
+constexpr milliseconds kMaxIsolationWaitOfCause{ 3'000 };
 constexpr milliseconds kMaxIsolationWaitInSeries{ 5'000 };
 // The least and the longest time for which a suspected task runs alone.
 constexpr milliseconds kMinProbation{ 1'000 };
@@ -415,25 +420,25 @@
   }
 }
 
-// Returns whether the task may only start on a runner of its own. Most suspects
-// of a series of crashes are innocent, and more than there are runners for
-// them.
+// Returns whether the suspected task may only start on a runner of its own.
+// Most suspects of a series of crashes are innocent, and more than there are
+// runners for them.
 bool
 scheduler::MustRunAlone(const job& aJob,
-                        const task_id& aTask,
+                        const step& aStep,
+                        const task& aSuspect,
                         time_point aNow) const
 {
-  const step& ofTask =
-    aJob.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
-  const crash_history& crashes = ofTask.mTasks[aTask.mIndex].mCrashes;
-  if (!crashes.mIsSuspect || crashes.mChance <= kMaxChance) {
-    return crashes.mIsSuspect;
-  }
+  const crash_history& crashes = aSuspect.mCrashes;
   const time_point since =
-    std::max(WaitingSince(aJob, aTask), crashes.mNotBefore);
-  const bool isQuiet = aNow >= mLatestCrashAt + kMaxIsolationWait;
+    std::max(WaitingSince(aJob, aStep, aSuspect), crashes.mNotBefore);
+  if (aNow < mLatestCrashAt + kCrashSeriesGap) {
+    const bool hasEvidence = crashes.mChance < 1.0;
+    return hasEvidence || aNow < since + kMaxIsolationWaitInSeries;
+  }
+  const bool isLikelyCause = crashes.mChance <= kMaxChance;
   return aNow <
-         since + (isQuiet ? kMaxIsolationWait : kMaxIsolationWaitInSeries);
+         since + (isLikelyCause ? kMaxIsolationWaitOfCause : kMaxIsolationWait);
 }
 
 // Starts suspected tasks alone on runners, and reserves runners for those that
@@ -462,8 +467,9 @@
     for (std::size_t i = 0; i < tasks.size() && chosen.size() < available;
          ++i) {
       const crash_history& crashes = tasks[i].mCrashes;
-      if (aNow < crashes.mNotBefore || !MayStartTask(tasks[i]) ||
-          !MustRunAlone(*each.mJob, each.Id(i), aNow)) {
+      if (!crashes.mIsSuspect || aNow < crashes.mNotBefore ||
+          !MayStartTask(tasks[i]) ||
+          !MustRunAlone(*each.mJob, each.Step(), tasks[i], aNow)) {
         continue;
       }
       const placement_request request{ each.Spec(), each.Id(i), {}, {} };
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -98,6 +98,18 @@
   });
 }
 
+// Returns since when the task has not run although its step was ready.
+time_point
+scheduler::WaitingSince(const job& aJob,
+                        const step& aStep,
+                        const task& aTask) const
+{
+  return std::max({ aJob.mAcceptedAt,
+                    mOwnership.mSince,
+                    aStep.mReadySince,
+                    aTask.mIdleSince });
+}
+
 void
 scheduler::ReleaseRunsOfDeadRunners(time_point aNow)
 {
@@ -280,12 +292,14 @@
   std::uint64_t placed = 0;
   std::uint64_t waiting = 0;
   for (std::size_t i = 0; i < tasks.size(); ++i) {
-    const task_id id = aCandidate.Id(i);
-    if (!MayStartTask(tasks[i]) || MustRunAlone(*aCandidate.mJob, id, aNow)) {
+    const bool mustRunAlone =
+      tasks[i].mCrashes.mIsSuspect &&
+      MustRunAlone(*aCandidate.mJob, aCandidate.Step(), tasks[i], aNow);
+    if (!MayStartTask(tasks[i]) || mustRunAlone) {
       continue;
     }
     const placement_request request{
-      aCandidate.Spec(), id, tasks[i].mFailedOn, nearRack
+      aCandidate.Spec(), aCandidate.Id(i), tasks[i].mFailedOn, nearRack
     };
     runner* const chosen =
       waiting > 0 ? nullptr : ChooseRunner(request, aPool, aNow);
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -450,7 +450,6 @@
       foundTask->mLive = true;
       foundTask->mLastRun = std::max(foundTask->mLastRun, aLive.mRun);
       foundTask->mRunner = aRunner.mInfo.mName;
-      adopted.mIsIsolated = foundTask->mCrashes.mIsSuspect;
     }
     mRunnersByJob[aTask.mJob].insert(aRunner.mInfo.mName);
   }
--- a/mangospan/jobs/scheduler_waits.cc
+++ b/mangospan/jobs/scheduler_waits.cc
@@ -39,23 +39,14 @@
       return "gang";
     case wait_reason::kRunner:
       return "runner";
+    case wait_reason::kPlacement:
+      return "placement";
     case wait_reason::kCapacity:
       return "capacity";
   }
   return "";
 }
 
-// The task has not run since this time although its step was ready.
-time_point
-scheduler::WaitingSince(const job& aJob, const task_id& aTask) const
-{
-  const step& ofTask =
-    aJob.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
-  const time_point readySince =
-    std::max({ aJob.mAcceptedAt, mOwnership.mSince, ofTask.mReadySince });
-  return std::max(readySince, ofTask.mTasks[aTask.mIndex].mIdleSince);
-}
-
 // Returns what keeps all tasks of the job from starting, if anything does.
 std::optional<wait_reason>
 scheduler::ReasonOfJob(const job& aJob, time_point aNow) const
@@ -75,18 +66,21 @@
 
 // Returns what keeps the task from starting, other than the room on runners.
 std::optional<wait_reason>
-scheduler::ReasonOfTask(const task_id& aTask,
-                        const step_spec& aSpec,
-                        const std::vector<task>& aTasks) const
+scheduler::ReasonOfTask(const job& aJob,
+                        const task_id& aTask,
+                        time_point aNow) const
 {
-  const task& waiting = aTasks[aTask.mIndex];
+  const step& ofTask =
+    aJob.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  const task& waiting = ofTask.mTasks[aTask.mIndex];
   if (!MayStartTask(waiting)) {
     return wait_reason::kOwnership;
   }
-  if (waiting.mCrashes.mIsSuspect) {
+  if (waiting.mCrashes.mIsSuspect &&
+      MustRunAlone(aJob, ofTask, waiting, aNow)) {
     return wait_reason::kCrashes;
   }
-  if (aSpec.mGang && !MayStartGang(aTasks)) {
+  if (aJob.mSpec.mSteps[aTask.mStep].mGang && !MayStartGang(ofTask.mTasks)) {
     return wait_reason::kGang;
   }
   return std::nullopt;
@@ -119,7 +113,9 @@
     }
   }
   aWaiting.mObstacles = Text(obstacles);
-  if (!isRoomFree && !obstacles.empty()) {
+  if (isRoomFree) {
+    aWaiting.mOldestReason = wait_reason::kPlacement;
+  } else if (!obstacles.empty()) {
     aWaiting.mOldestReason = wait_reason::kRunner;
   }
 }
@@ -133,17 +129,16 @@
                            time_point aNow,
                            waiting_tasks& aWaiting) const
 {
-  const auto& tasks = aJob.mOccurrences.at(aOccurrence).mSteps[aStep].mTasks;
-  for (std::size_t i = 0; i < tasks.size(); ++i) {
-    if (!tasks[i].IsIdle()) {
+  const step& ofTasks = aJob.mOccurrences.at(aOccurrence).mSteps[aStep];
+  for (std::size_t i = 0; i < ofTasks.mTasks.size(); ++i) {
+    if (!ofTasks.mTasks[i].IsIdle()) {
       continue;
     }
     const task_id id{ aJob.mName, aOccurrence, aStep, i };
-    const auto reason = aReasonOfJob
-                          ? aReasonOfJob
-                          : ReasonOfTask(id, aJob.mSpec.mSteps[aStep], tasks);
+    const auto reason =
+      aReasonOfJob ? aReasonOfJob : ReasonOfTask(aJob, id, aNow);
     const auto age = std::chrono::duration_cast<milliseconds>(
-      aNow - std::min(aNow, WaitingSince(aJob, id)));
+      aNow - std::min(aNow, WaitingSince(aJob, ofTasks, ofTasks.mTasks[i])));
     ++aWaiting.mCounts[reason.value_or(wait_reason::kCapacity)];
     if (aWaiting.mOldest.mJob.Empty() || age > aWaiting.mOldestAge) {
       aWaiting.mOldest = id;
--- a/mangospan/jobs/waiting_tasks.h
+++ b/mangospan/jobs/waiting_tasks.h
@@ -20,12 +20,13 @@
   kOwnership, // this owner has to confirm that it still is the owner
   kCrashes,   // the delay after crashes under it, or a runner for itself
   kGang,      // members of an earlier run of its gang
-  kRunner,    // only runners that get no new runs have room
   kCapacity,  // no runner has room
+  kRunner,    // only runners that get no new runs have room
+  kPlacement, // a runner has room, but others go first or it lacks a condition
 };
 
-// The reasons by which tasks are counted. Those that wait for a runner are
-// counted as waiting for capacity; only for the oldest task is it told apart.
+// The reasons by which tasks are counted. kRunner and kPlacement count as
+// kCapacity: they are told apart for the oldest task only.
 constexpr std::array<wait_reason, 6> kCountedWaitReasons{
   wait_reason::kRecord,  wait_reason::kTakeover, wait_reason::kOwnership,
   wait_reason::kCrashes, wait_reason::kGang,     wait_reason::kCapacity,
