A task starts again whatever the number of its live run

What callers would see: a task of an accepted job never runs again (LOST), however much room there is, although its job is neither done nor cancelled; one whose runners had crashed stays suspected as well.

Cause: the scheduler told the live run of a task by the highest number used. That number rises above the live run's when the end of a run with a higher number is reported beside it, and it stays above when an idle task adopts a live run with a lower one. The end or the loss of the live run then did not free the task, and what its runner reported of it was passed over (readiness, checkpoint, probation).

A task now holds the number of its live run apart from the highest one used. Run numbers are unique within a task, so the end of another run frees nothing.

Evidence: two tests in virtual time, which failed before: with an end of run 7 reported beside run 1, and with run 1 adopted after run 2, the task had not started again 10 s after the crash of its runner ("a1.0.0.0 could run and does not"). Both pass now.

--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -3,6 +3,7 @@
 #ifndef MANGOSPAN_JOBS_JOB_H
 #define MANGOSPAN_JOBS_JOB_H
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -88,8 +89,12 @@
   // be. A runner reports the end of a run again until it is acknowledged, so
   // the numbers are kept to count each failure once.
   std::vector<std::uint32_t> mFailedRuns;
-  std::uint32_t mLastRun = 0; // The highest run number assigned to this task.
-  bool mLive = false;         // A run of this task exists or may exist.
+  // The highest run number of this task that was used, as far as is known.
+  std::uint32_t mLastRun = 0;
+  bool mLive = false; // A run of this task exists or may exist.
+  // The number of the live run; of use only if there is one. It may be lower
+  // than `mLastRun`.
+  std::uint32_t mLiveRun = 0;
   // The runner reports that the live run is at work, and nobody has asked the
   // run to stop.
   bool mReady = false;
@@ -105,6 +110,19 @@
 
   // Returns whether the task needs a run.
   bool IsIdle() const { return !mDone && !mLive; }
+  // Returns whether the live run is the one of this number.
+  bool IsLiveRun(std::uint32_t aNumber) const
+  {
+    return mLive && mLiveRun == aNumber;
+  }
+  // Notes that a run of this number is live on the runner.
+  void SetLiveRun(std::uint32_t aNumber, const runner_name& aRunner)
+  {
+    mLive = true;
+    mLiveRun = aNumber;
+    mLastRun = std::max(mLastRun, aNumber);
+    mRunner = aRunner;
+  }
 };
 
 // The tasks of one step in one occurrence of a job.
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -485,7 +485,7 @@
                  { "crashes", static_cast<std::uint64_t>(crashes.mCount) },
                  { "runs_beside",
                    static_cast<std::uint64_t>(target->Runs().size() - 1) } });
-      target->Find({ each.Id(i).Text(), tasks[i].mLastRun })->mIsIsolated =
+      target->Find({ each.Id(i).Text(), tasks[i].mLiveRun })->mIsIsolated =
         true;
     }
   }
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -174,7 +174,7 @@
   const std::uint32_t runNumber = foundRun->mNumber;
   aRunner.Remove(aKey);
   task* const foundTask = FindTask(taskId);
-  if (foundTask == nullptr || foundTask->mLastRun != runNumber) {
+  if (foundTask == nullptr || !foundTask->IsLiveRun(runNumber)) {
     return nullptr;
   }
   foundTask->mLive = false;
@@ -329,10 +329,8 @@
 {
   const step_spec& spec = aCandidate.Spec();
   task& startedTask = aCandidate.Tasks()[aIndex];
-  startedTask.mLive = true;
+  startedTask.SetLiveRun(aRun, aRunner.mInfo.mName);
   startedTask.mReady = false;
-  startedTask.mLastRun = aRun;
-  startedTask.mRunner = aRunner.mInfo.mName;
 
   run newRun = MakeRun(spec);
   newRun.mTask = aCandidate.Id(aIndex);
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -413,7 +413,7 @@
   job* const foundJob = FindMutable(foundRun->mTask.mJob);
   task* const foundTask =
     foundJob == nullptr ? nullptr : foundJob->Find(foundRun->mTask);
-  if (foundTask == nullptr || foundTask->mLastRun != foundRun->mNumber) {
+  if (foundTask == nullptr || !foundTask->IsLiveRun(foundRun->mNumber)) {
     return;
   }
   CheckProbation(*foundJob, *foundTask, *foundRun, aNow);
@@ -447,9 +447,7 @@
     adopted = MakeRun(foundJob->mSpec.mSteps[aTask.mStep]);
     adopted.mStopWanted = !foundTask->IsIdle();
     if (!adopted.mStopWanted) {
-      foundTask->mLive = true;
-      foundTask->mLastRun = std::max(foundTask->mLastRun, aLive.mRun);
-      foundTask->mRunner = aRunner.mInfo.mName;
+      foundTask->SetLiveRun(aLive.mRun, aRunner.mInfo.mName);
       adopted.mIsIsolated = foundTask->mCrashes.mIsSuspect;
     }
     mRunnersByJob[aTask.mJob].insert(aRunner.mInfo.mName);
--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -97,5 +97,86 @@
   EXPECT_EQ(world.Violations(), std::vector<std::string>());
 }
 
+// One long-running task and three runners with room for it.
+class runs_out_of_order_test : public ::testing::Test
+{
+protected:
+  runs_out_of_order_test()
+  {
+    for (const char* const each : { "r0", "r1", "r2" }) {
+      mWorld.AddRunner(each, "s", kCapacity);
+    }
+    mWorld.RunFor(milliseconds(300));
+    mWorld.Submit("a1", LongRunningJob(1));
+    mWorld.RunFor(seconds(1));
+  }
+  std::string RunnerOfTask() const
+  {
+    return mWorld.Owner()
+      ->Find(job_name{ "a1" })
+      ->mOccurrences.at(0)
+      .mSteps[0]
+      .mTasks[0]
+      .mRunner.Str();
+  }
+  std::string OtherRunner() const
+  {
+    return RunnerOfTask() == "r0" ? "r1" : "r0";
+  }
+
+  mutable fake_world mWorld{ 1, fault_rates{} };
+};
+
+TEST_F(runs_out_of_order_test,
+       TaskStartsAgainAfterAnEndOfAHigherRunWasReportedBeside)
+{
+  poll_report report;
+  report.mClock = seconds(20);
+  report.mBoot = 1;
+  report.mEnded = { { 1, "a1.0.0.0", 7, run_end::kStopped, "" } };
+  poll_order poll;
+  poll.mRunner = runner_name{ OtherRunner() };
+  mWorld.Owner()->OnPoll(poll,
+                         order_outcome::kDone,
+                         &report,
+                         mWorld.Now(),
+                         mWorld.Now(),
+                         mWorld.Wall());
+  mWorld.Crash(RunnerOfTask());
+  mWorld.BeginCalm();
+  mWorld.RunFor(seconds(10));
+  EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 2U);
+  EXPECT_EQ(mWorld.Violations(), std::vector<std::string>());
+}
+
+// An order to start an earlier run, of which the owner no longer knows, is
+// executed while the task is idle.
+TEST_F(runs_out_of_order_test, TaskStartsAgainAfterItsLiveRunHadALowerNumber)
+{
+  mWorld.Crash(RunnerOfTask());
+  mWorld.RunFor(seconds(2));
+  ASSERT_EQ(mWorld.StartsOf("a1.0.0.0"), 2U);
+  mWorld.Owner()->SetCordoned(
+    { runner_name{ "r0" }, runner_name{ "r1" }, runner_name{ "r2" } });
+  const std::string late = OtherRunner();
+  mWorld.Crash(RunnerOfTask());
+  mWorld.RunFor(seconds(2));
+  start_order order;
+  order.mRunner = runner_name{ late };
+  order.mTask = task_id{ job_name{ "a1" }, 0, 0, 0 };
+  order.mRun = 1;
+  order.mExpiry = seconds(60);
+  ASSERT_EQ(mWorld.Runner(late).Start(order, 1, mWorld.Now()),
+            order_outcome::kDone);
+  mWorld.RunFor(seconds(14)); // until the clocks of idle runners are read again
+  ASSERT_EQ(RunnerOfTask(), late);
+  mWorld.Owner()->SetCordoned({});
+  mWorld.Crash(late);
+  mWorld.BeginCalm();
+  mWorld.RunFor(seconds(10));
+  EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 4U);
+  EXPECT_EQ(mWorld.Violations(), std::vector<std::string>());
+}
+
 } // namespace
 } // namespace mangospan::jobs
