A successor reaches the runners of a service that was removed

What callers would see: a job that was accepted for a service which the operators then removed goes on with its owner, but not with the next one.

Cause: an owner polls no runner of a service that the catalog does not have, until it has answered. A successor has been answered by none, and only runners that have answered it get runs.

The runners of such a service are now polled while an active job runs there. Those of spare services are not, since their hosts are off, nor those of a removed service without jobs.

Evidence: JobGoesOnWithTheNextOwnerWithoutItsService failed before: the job was still queued 8 s after the takeover. RunnersOfARemovedServiceWithoutJobsAreNotPolled holds that nothing else is polled; it passed before and passes now.

--- a/mangospan/jobs/removed_queue_test.cc
+++ b/mangospan/jobs/removed_queue_test.cc
@@ -112,6 +112,31 @@
   EXPECT_EQ(mWorld.StateOf("a2"), job_state::kCompleted);
 }
 
+// The successor has to reach the runners of a service that the catalog does not
+// have any more.
+TEST_F(removed_queue_test, JobGoesOnWithTheNextOwnerWithoutItsService)
+{
+  catalog without = CatalogWithoutQueues();
+  without.mServices.clear();
+  mWorld.SetCatalog(without);
+  mWorld.KillOwner(milliseconds(100));
+  mWorld.RunFor(seconds(8));
+  EXPECT_EQ(mWorld.StateOf(kJob), job_state::kCompleted);
+  EXPECT_EQ(mWorld.Violations(), std::vector<std::string>());
+}
+
+TEST_F(removed_queue_test, RunnersOfARemovedServiceWithoutJobsAreNotPolled)
+{
+  mWorld.RunFor(seconds(8));
+  ASSERT_EQ(mWorld.StateOf(kJob), job_state::kCompleted);
+  catalog without = CatalogWithoutQueues();
+  without.mServices.clear();
+  mWorld.SetCatalog(without);
+  mWorld.AddRunner("r2", "s", { 4'000, 16'384, 0 });
+  mWorld.RunFor(seconds(5));
+  EXPECT_FALSE(mWorld.Owner()->Runners().at(runner_name{ "r2" }).mContacted);
+}
+
 TEST_F(removed_queue_test, TakesNoNewJob)
 {
   mWorld.SetCatalog(CatalogWithoutQueues());
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -381,6 +381,7 @@
   start_order NextStartOrder(runner& aRunner, run& aRun, time_point aNow);
   void OnStartConfirmed(const start_order& aOrder, run& aRun, time_point aNow);
   void PlanStops(time_point aNow, std::vector<order>& aOrders);
+  bool MayGetRuns(const service_name& aService) const;
   void PlanPolls(time_point aNow, std::vector<order>& aOrders);
   void PlanThrottles(std::vector<order>& aOrders);
   std::chrono::nanoseconds PollInterval() const;
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -424,18 +424,38 @@
   }
 }
 
+// Returns whether runners of the service may get runs. The jobs of one that the
+// catalog does not have any more go on.
+bool
+scheduler::MayGetRuns(const service_name& aService) const
+{
+  const auto found = mCatalog.mServices.find(aService);
+  if (found != mCatalog.mServices.end()) {
+    return !found->second.mSpare;
+  }
+  return std::any_of(
+    mActiveJobs.begin(), mActiveJobs.end(), [&](const job_name& aJob) {
+      return ServiceOf(PolicyOf(mJobs.at(aJob))) == aService;
+    });
+}
+
 void
 scheduler::PlanPolls(time_point aNow, std::vector<order>& aOrders)
 {
+  std::map<service_name, bool> mayGetRuns; // results of `MayGetRuns()`
+  const auto isInUse = [&](const service_name& aService) {
+    const auto known = mayGetRuns.find(aService);
+    return known != mayGetRuns.end()
+             ? known->second
+             : mayGetRuns.emplace(aService, MayGetRuns(aService)).first->second;
+  };
   for (auto& [runnerName, each] : mRunners) {
     if (each.mPollInFlight || aNow < each.mNextPollAt) {
       continue;
     }
-    const auto service = mCatalog.mServices.find(each.mInfo.mService);
-    const bool isSpare =
-      service == mCatalog.mServices.end() || service->second.mSpare;
     const bool needsFirstPoll = (each.mListed || each.mMayHoldInheritedRuns) &&
-                                !each.mContacted && !isSpare;
+                                !each.mContacted &&
+                                isInUse(each.mInfo.mService);
     const bool hasRuns = std::any_of(
       each.Runs().begin(), each.Runs().end(), [](const auto& aEntry) {
         return aEntry.second.mPhase != run_phase::kOrdered;
