Random schedules check that no ready task waits once the faults are over

Each of 500 seeds runs 12 runners in 3 racks through 14 random faults: owners that end, hand over or lose the store, runners that can't be reached, start again, crash for up to 3.5 s one by one or by racks, under the old name or a new one, execute orders late, or are listed late, and jobs that are cancelled. The jobs have short and long-running steps. 4 s after the last fault calm begins, and for 30 s no task that is ready and has room twice over may wait (fake_world::BeginCalm), beside all other guarantees that the simulation checks. Gangs are left out: the check asks for room for one task.

The simulation decoded every record in each of its steps, and made a roster that was not stored. It now decodes a record when it is stored; what it checks is the same.

--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -403,8 +403,9 @@
     texts[each.Str()] = { one.mVersion, EncodeRecord(one) };
   }
   const std::uint64_t rosterVersion = mOwner->RosterVersion();
-  const auto roster = mOwner->Roster(mNow);
   const bool hasRoster = rosterVersion != mOwner->StoredRosterVersion();
+  const auto roster =
+    hasRoster ? mOwner->Roster(mNow) : std::vector<roster_entry>();
   if (texts.empty() && !hasRoster) {
     return;
   }
@@ -419,6 +420,8 @@
       }
       for (const auto& [name, text] : texts) {
         mStoredJobs[name] = text.second;
+        mStoredStates[name] =
+          DecodeRecord(job_name{ name }, text.second).value().mState;
         mAccepted.insert(name);
         if (StateOf(name) == job_state::kCancelled) {
           mCancelledAt.emplace(name, mNow);
@@ -624,7 +627,7 @@
 job_state
 fake_world::StateOf(const std::string& aJob) const
 {
-  return DecodeRecord(job_name{ aJob }, mStoredJobs.at(aJob)).value().mState;
+  return mStoredStates.at(aJob);
 }
 
 bool
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -219,6 +219,7 @@
   std::map<std::string, std::vector<poll_order>> mPolls; // by runner
   bool mIsWriting = false;
   std::map<std::string, std::string> mStoredJobs;
+  std::map<std::string, job_state> mStoredStates; // in these records
   std::string mStoredRoster;
   std::map<std::string, job_spec> mSpecs;
   std::set<std::string> mAccepted;
--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -178,5 +178,150 @@
   EXPECT_EQ(mWorld.Violations(), std::vector<std::string>());
 }
 
+constexpr int kRacks = 3;
+constexpr int kRunnersPerRack = 4;
+constexpr int kFaults = 14;
+
+std::string
+RackOf(int aRunner)
+{
+  return "k" + std::to_string(aRunner % kRacks);
+}
+
+// The world of one random schedule.
+class random_schedule
+{
+public:
+  explicit random_schedule(std::uint64_t aSeed)
+    : mWorld(aSeed, { 0.03, 0.02, 0.05 })
+  {
+    for (int i = 0; i < kRacks * kRunnersPerRack; ++i) {
+      mWorld.AddRunner("r" + std::to_string(i), "s", kCapacity, RackOf(i));
+    }
+    mWorld.SetRunnersReturnRenamed(RandomInt(0, 3) == 0);
+    mWorld.RunFor(milliseconds(300));
+  }
+  void Run()
+  {
+    for (int n = 0; n < kFaults; ++n) {
+      mWorld.Submit("a" + std::to_string(n), RandomJob());
+      InjectFault(n);
+      mWorld.RunFor(milliseconds(RandomInt(100, 900)));
+    }
+    mWorld.RunFor(kLongestDownTime); // until runners and the owner are back
+    mWorld.BeginCalm();
+    mWorld.RunFor(seconds(30));
+  }
+  const std::vector<std::string>& Violations() const
+  {
+    return mWorld.Violations();
+  }
+
+private:
+  static constexpr milliseconds kLongestDownTime{ 4'000 };
+
+  int RandomInt(int aFrom, int aTo)
+  {
+    return std::uniform_int_distribution<int>(aFrom, aTo)(mWorld.Random());
+  }
+  milliseconds RandomTime(int aFrom, int aTo)
+  {
+    return milliseconds(RandomInt(aFrom, aTo));
+  }
+  job_spec RandomJob()
+  {
+    job_spec out;
+    out.mQueue = queue_name{ "q" };
+    for (int i = RandomInt(1, 3); i > 0; --i) {
+      step_spec each;
+      each.mTaskCount = static_cast<std::size_t>(RandomInt(1, 6));
+      each.mTaskResources = { std::int64_t{ 250 } * RandomInt(1, 6), 512, 0 };
+      each.mEstimate = RandomTime(100, 3'500);
+      each.mMaxPerRunner = static_cast<std::size_t>(RandomInt(0, 2));
+      if (!out.mSteps.empty()) {
+        each.mAfter = { out.mSteps.size() - 1 };
+      }
+      each.mLongRunning = i == 1 && RandomInt(0, 2) == 0;
+      out.mSteps.push_back(each);
+    }
+    if (RandomInt(0, 4) == 0 && !out.HasLongRunningStep()) {
+      out.mRepetitions = static_cast<std::size_t>(RandomInt(1, 4));
+      out.mFirstDue = mWorld.Wall() + RandomTime(-1'000, 8'000);
+      out.mInterval = RandomTime(0, 800);
+    }
+    return out;
+  }
+  void CrashRack(milliseconds aFor)
+  {
+    const int rack = RandomInt(0, kRacks - 1);
+    for (int i = rack; i < kRacks * kRunnersPerRack; i += kRacks) {
+      mWorld.CrashFor("r" + std::to_string(i), aFor);
+    }
+  }
+  void InjectFault(int aNumber)
+  {
+    const std::string name =
+      "r" + std::to_string(RandomInt(0, kRacks * kRunnersPerRack - 1));
+    switch (RandomInt(0, 11)) {
+      case 0:
+        mWorld.KillOwner(RandomTime(100, 3'000));
+        break;
+      case 1:
+        mWorld.HandOver(RandomTime(100, 1'000));
+        break;
+      case 2:
+        mWorld.CutOwnerFromStore(RandomTime(200, 3'000));
+        break;
+      case 3:
+        mWorld.SetReachable(name, false);
+        break;
+      case 4:
+        mWorld.SetReachable(name, true);
+        break;
+      case 5:
+        mWorld.Crash(name);
+        break;
+      case 6:
+      case 7:
+        mWorld.CrashFor(name, RandomTime(200, 3'500));
+        break;
+      case 8:
+        CrashRack(RandomTime(200, 3'500));
+        break;
+      case 9:
+        mWorld.SetLateOrders(name, 0.5);
+        break;
+      case 10:
+        mWorld.FreezeDiscovery(RandomTime(200, 3'000));
+        break;
+      default:
+        mWorld.Cancel("a" + std::to_string(RandomInt(0, aNumber)));
+        break;
+    }
+  }
+
+  fake_world mWorld;
+};
+
+class waiting_tasks_schedules_test : public ::testing::TestWithParam<int>
+{};
+
+TEST_P(waiting_tasks_schedules_test, NoReadyTaskWaitsOnceTheFaultsAreOver)
+{
+  constexpr int kSeedsPerCase = 50;
+  for (int i = 0; i < kSeedsPerCase; ++i) {
+    const auto seed =
+      static_cast<std::uint64_t>(GetParam()) * kSeedsPerCase + i;
+    random_schedule schedule(seed);
+    schedule.Run();
+    ASSERT_EQ(schedule.Violations(), std::vector<std::string>())
+      << "seed " << seed;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds,
+                         waiting_tasks_schedules_test,
+                         ::testing::Range(0, 10));
+
 } // namespace
 } // namespace mangospan::jobs
