A write without an answer holds up only its own records

What callers saw: while the store left writes without an answer, most submissions failed. One lost answer stopped the writes of a service for 500 ms; new jobs were refused with 503 until a write was answered, the owner counted as missing, and callers that waited ended with an unknown result.

Cause: a write counted as unanswered only after its fixed timeout. After it, `mFailedWrites` refused every new job and allowed one write at a time, which was lost as easily; the records of the lost write were written together with all others, so these shared its fate.

Now a write counts as unanswered after the usual time of answers (mean and four deviations of answers to writes, from 60 ms to the timeout). Its records are unsettled and written again under the same condition, the former revision of each key. Of these writes at most one has an effect: a late one is in conflict, and a conflict tells the present record. Unsettled records share no write with others, from the third write on at most four share one, from the fourth each is alone, and after eight a record is written only once a timeout. The store is taken to be away, and new jobs are refused, only if it has answered neither a write nor a renewal for the timeout of a write, or rejects a write. Late answers are used, but revisions only rise; the late answer to a roster only tells its revision, since a newer roster may be stored by then.

Considered: reading the records back. A read shows nothing of a write that is executed later, so the write has to be repeated under its condition anyway.

--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -14,6 +14,8 @@
 
 namespace {
 
+// The time after which a write counts as unanswered before the first answer.
+constexpr milliseconds kInitialRepeatDelay{ 100 };
 // How often an owner tells why ready tasks wait, and from which wait on it logs
 // that.
 constexpr milliseconds kWaitReportInterval{ 1'000 };
@@ -49,6 +51,9 @@
   , mPlanTimer(mDeps.mIo)
   , mWriteTimer(mDeps.mIo)
   , mLoadTimer(mDeps.mIo)
+  , mWriteTimes({ mSettings.mMinRepeatDelay,
+                  mSettings.mWriteTimeout,
+                  kInitialRepeatDelay })
 {
 }
 
@@ -73,6 +78,9 @@
   mPlanTimer.cancel();
   mWriteTimer.cancel();
   mLoadTimer.cancel();
+  for (auto& [number, each] : mWritesInFlight) {
+    each.mTimer->cancel();
+  }
   const auto waiters = std::move(mWaiters);
   mWaiters.clear();
   for (const auto& [job, each] : waiters) {
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -17,6 +17,7 @@
 
 #include "mangospan/base/time.h"
 #include "mangospan/base/timer.h"
+#include "mangospan/jobs/answer_times.h"
 #include "mangospan/jobs/scheduler.h"
 #include "mangospan/node/election.h"
 #include "mangospan/node/job_service.h"
@@ -24,6 +25,7 @@
 #include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
 #include "mangospan/node/refused_records.h"
+#include "mangospan/node/unsettled_records.h"
 
 namespace mangospan::daemon {
 class metrics;
@@ -40,8 +42,13 @@
   std::chrono::milliseconds mMinProgressInterval{ 400 };
   // Maximum number of concurrent writes. No two of them carry the same job.
   std::size_t mMaxConcurrentWrites = 4;
-  // Timeout of one write.
+  // Timeout of one write. The store is taken to be away if it has answered
+  // nothing for so long.
   std::chrono::milliseconds mWriteTimeout{ 500 };
+  // The records of a write are written again once it has had no answer for
+  // longer than answers usually take, but not before this time, nor after
+  // `mWriteTimeout`.
+  std::chrono::milliseconds mMinRepeatDelay{ 60 };
   // Delay of the next attempt after a failed write or load.
   std::chrono::milliseconds mRetryDelay{ 60 };
   // Interval of the periodic planning, reply and cleanup pass.
@@ -106,7 +113,8 @@
 
   // Returns whether the jobs and the runners have been read from the store.
   bool IsLoaded() const { return mIsLoaded && mRunnerMirror->IsSynced(); }
-  // Returns whether the last write succeeded; true if there was none yet.
+  // Returns false from a write that the store did not take, or had no answer to
+  // while it answered nothing else either, until it answers one.
   bool CanWrite() const { return mFailedWrites == 0; }
 
   void Submit(const jobs::job_name& aJob,
@@ -156,11 +164,22 @@
   {
     std::vector<written_job> mJobs;
     written_roster mRoster;
+    std::size_t mMaxJobs = platform::kMaxTransactionKeys;
 
     bool HasRoster() const { return !mRoster.mText.empty(); }
     std::size_t Count() const { return mJobs.size() + (HasRoster() ? 1 : 0); }
   };
 
+  // A write without an answer so far. Once it is overdue, other writes may
+  // carry its records.
+  struct write_in_flight
+  {
+    written_records mRecords;
+    time_point mSentAt{};
+    bool mIsOverdue = false;
+    std::unique_ptr<timer> mTimer;
+  };
+
   static std::string OwnedPrefix(const service_name& aService);
   std::string RosterKey() const;
   std::string JobKey(const jobs::job_name& aJob) const;
@@ -198,10 +217,15 @@
                    written_records& aWritten);
   void OnWriteAnswered(std::uint64_t aNumber,
                        const result<platform::commit_outcome>& aResult);
+  void OnWriteOverdue(std::uint64_t aNumber);
+  std::size_t CountCurrentWrites() const;
+  bool IsStoreSilent() const;
   void ClearInFlight(const written_records& aWritten);
-  void NotePossiblyStored(const written_records& aWritten);
-  void OnCommitResult(const written_records& aWritten,
+  void NoteUnsettled(const write_in_flight& aWrite);
+  void OnWriteFailed(const error& aError);
+  void OnCommitResult(const write_in_flight& aWrite,
                       const result<platform::commit_outcome>& aResult);
+  void OnCommitted(const write_in_flight& aWrite, platform::revision aRevision);
   void OnWriteRefused(const written_records& aWritten, const error& aError);
   void OnRecordRefused(const written_job& aWritten, const error& aError);
   void OnJobsStored(const std::vector<jobs::stored_job>& aStored);
@@ -241,16 +265,17 @@
   bool mIsStopped = false;
   bool mIsPlanScheduled = false;
   bool mIsWriteScheduled = false;
-  std::map<std::uint64_t, written_records> mWritesInFlight; // by number
+  std::map<std::uint64_t, write_in_flight> mWritesInFlight; // by number
   std::uint64_t mWriteCount = 0;
   std::set<jobs::job_name> mJobsBeingWritten;
   refused_records mRefusedRecords;
-  // Jobs that have not been stored since some write of them had no answer.
-  std::set<jobs::job_name> mPossiblyStored;
+  unsettled_records mUnsettled;
+  jobs::answer_time_estimator mWriteTimes;
+  time_point mWriteAnsweredAt{}; // when a write was last answered
   bool mIsRosterInFlight = false;
   bool mMustRosterBeAlone = false; // after a write with it was refused
   time_point mNextRosterWriteAt{}; // later than now after it was refused
-  int mFailedWrites = 0;           // consecutive failures
+  int mFailedWrites = 0; // since the last answer, while the store was away
 };
 
 } // namespace mangospan::node
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -1,5 +1,6 @@
 #include "mangospan/node/owner.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "mangospan/base/log.h"
@@ -191,8 +192,8 @@
   Tick();
 }
 
-// Returns the jobs that a write in flight carries, and those whose present
-// record the store has refused.
+// Returns the jobs that a write in flight carries, those whose present record
+// the store has refused, and those whose next attempt is not due.
 std::set<jobs::job_name>
 owner::JobsNotToWrite() const
 {
@@ -205,6 +206,7 @@
       out.insert(each);
     }
   }
+  mUnsettled.AddHeldBack(now, out);
   return out;
 }
 
@@ -216,12 +218,22 @@
          mDeps.mClock.Now() >= mNextRosterWriteAt;
 }
 
+// Returns the number of writes in flight that are not overdue.
+std::size_t
+owner::CountCurrentWrites() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mWritesInFlight.begin(), mWritesInFlight.end(), [](const auto& aEntry) {
+      return !aEntry.second.mIsOverdue;
+    }));
+}
+
 // Returns whether there is anything to write that no write in flight carries.
 // While a write is in flight, only urgent changes of jobs count.
 bool
 owner::IsWriteNeeded() const
 {
-  if (!mWritesInFlight.empty()) {
+  if (CountCurrentWrites() > 0) {
     return mScheduler.HasUnstoredJobs(JobsNotToWrite(), /*aUrgentOnly=*/true);
   }
   const bool isProgressDue = mDeps.mClock.Now() >= mNextProgressWriteAt;
@@ -233,8 +245,8 @@
 owner::ScheduleWrite()
 {
   const bool isAtWriteLimit =
-    mWritesInFlight.size() >= mSettings.mMaxConcurrentWrites ||
-    (mFailedWrites > 0 && !mWritesInFlight.empty());
+    CountCurrentWrites() >=
+    (mFailedWrites > 0 ? 1 : mSettings.mMaxConcurrentWrites);
   if (mIsWriteScheduled || isAtWriteLimit || mIsStopped || !mIsLoaded ||
       !IsWriteNeeded()) {
     return;
@@ -285,7 +297,18 @@
     return;
   }
   const std::uint64_t number = ++mWriteCount;
-  mWritesInFlight.emplace(number, written);
+  write_in_flight& write = mWritesInFlight[number];
+  write.mRecords = std::move(written);
+  write.mSentAt = mDeps.mClock.Now();
+  write.mTimer = std::make_unique<timer>(mDeps.mIo);
+  write.mTimer->expires_after(IsStoreSilent() ? mSettings.mWriteTimeout
+                                              : mWriteTimes.ResendDelay());
+  write.mTimer->async_wait([self = shared_from_this(),
+                            number](const boost::system::error_code& aAbort) {
+    if (!aAbort && !self->mIsStopped) {
+      self->OnWriteOverdue(number);
+    }
+  });
   mNextProgressWriteAt = mDeps.mClock.Now() + mSettings.mMinProgressInterval;
   mDeps.mMetrics.Add("mangospan_node_store_writes_total", {});
   mDeps.mStore.Commit(std::move(change),
@@ -314,7 +337,16 @@
       (aWritten.HasRoster() && mMustRosterBeAlone)) {
     return false;
   }
-  if (isAlone && !isFirst) {
+  // A write of unsettled records is likely to be in conflict, which would hold
+  // up the others.
+  const bool isUnsettled = mUnsettled.Contains(name);
+  const std::size_t maxJobs =
+    std::min(aWritten.mMaxJobs, mUnsettled.MaxPerWrite(name));
+  const bool isOfOtherKind =
+    isUnsettled != (!aWritten.mJobs.empty() &&
+                    mUnsettled.Contains(aWritten.mJobs.front().mStored.mJob));
+  if (!isFirst &&
+      (isAlone || isOfOtherKind || aWritten.mJobs.size() >= maxJobs)) {
     return true; // another write takes it
   }
   written_job record{ { name, aJob.mVersion, 0 }, jobs::EncodeRecord(aJob) };
@@ -332,6 +364,7 @@
   aChange.mExpectations.push_back({ JobKey(name), aJob.mRevision });
   aChange.mWrites.push_back({ JobKey(name), record.mText, std::nullopt });
   mJobsBeingWritten.insert(name);
+  aWritten.mMaxJobs = maxJobs;
   aWritten.mJobs.push_back(std::move(record));
   return !isAlone;
 }
@@ -344,12 +377,42 @@
   if (found == mWritesInFlight.end()) {
     return; // the write was given up, and its records written again
   }
-  const written_records written = std::move(found->second);
+  const write_in_flight write = std::move(found->second);
   mWritesInFlight.erase(found);
-  ClearInFlight(written);
+  write.mTimer->cancel();
+  if (!write.mIsOverdue) {
+    ClearInFlight(write.mRecords);
+  }
   if (!mIsStopped) {
-    OnCommitResult(written, aResult);
+    OnCommitResult(write, aResult);
+  }
+}
+
+// Handles a write that has had no answer for longer than answers usually take.
+// Its records are written again, and the others are no longer held up by it.
+void
+owner::OnWriteOverdue(std::uint64_t aNumber)
+{
+  const auto found = mWritesInFlight.find(aNumber);
+  if (found == mWritesInFlight.end()) {
+    return;
   }
+  found->second.mIsOverdue = true;
+  mDeps.mMetrics.Add("mangospan_node_overdue_writes_total", {});
+  ClearInFlight(found->second.mRecords);
+  NoteUnsettled(found->second);
+  ScheduleWrite();
+}
+
+// Returns whether the store has answered nothing for the timeout of a write. A
+// lost answer is no sign of that: the store answers the other writes, and the
+// renewals of the lease.
+bool
+owner::IsStoreSilent() const
+{
+  return std::max(mWriteAnsweredAt, mOwnershipStatus().mConfirmedAt) +
+           mSettings.mWriteTimeout <=
+         mDeps.mClock.Now();
 }
 
 // Writes that are under way were sent while the store did not answer. They are
@@ -363,10 +426,13 @@
     return;
   }
   for (const auto& [number, each] : mWritesInFlight) {
-    ClearInFlight(each);
-    NotePossiblyStored(each);
+    if (!each.mIsOverdue) {
+      ClearInFlight(each.mRecords);
+      NoteUnsettled(each);
+    }
   }
   mWritesInFlight.clear();
+  mUnsettled.RetryAll();
   Write();
 }
 
@@ -382,52 +448,80 @@
 }
 
 void
-owner::NotePossiblyStored(const written_records& aWritten)
+owner::NoteUnsettled(const write_in_flight& aWrite)
 {
-  for (const written_job& each : aWritten.mJobs) {
-    mPossiblyStored.insert(each.mStored.mJob);
+  for (const written_job& each : aWrite.mRecords.mJobs) {
+    mUnsettled.OnUnanswered(
+      each.mStored.mJob, aWrite.mSentAt, mSettings.mWriteTimeout);
   }
+  mMustRosterBeAlone = mMustRosterBeAlone || aWrite.mRecords.HasRoster();
 }
 
+// Handles a write without an answer, or one that the store had no effect of and
+// would take at another time.
 void
-owner::OnCommitResult(const written_records& aWritten,
+owner::OnWriteFailed(const error& aError)
+{
+  const bool isUnanswered = aError.mCode == error_code::kUnknownResult;
+  if (isUnanswered && !IsStoreSilent()) {
+    return;
+  }
+  if (mFailedWrites++ == 0) {
+    LogError("owner.write_failed", aError);
+  }
+}
+
+void
+owner::OnCommitResult(const write_in_flight& aWrite,
                       const result<platform::commit_outcome>& aResult)
 {
+  const written_records& written = aWrite.mRecords;
   if (aResult.has_error() && !IsRefusal(aResult.assume_error())) {
-    if (mFailedWrites++ == 0) {
-      LogError("owner.write_failed", aResult.assume_error());
-    }
-    if (aResult.assume_error().mCode == error_code::kUnknownResult) {
-      NotePossiblyStored(aWritten);
+    if (aResult.assume_error().mCode == error_code::kUnknownResult &&
+        !aWrite.mIsOverdue) {
+      NoteUnsettled(aWrite);
     }
+    OnWriteFailed(aResult.assume_error());
     ScheduleWrite();
     return;
   }
+  mWriteAnsweredAt = mDeps.mClock.Now();
+  mWriteTimes.Add(mWriteAnsweredAt - aWrite.mSentAt);
   if (mFailedWrites > 0) {
     LogEvent(
       log_level::kInfo, "owner.writes_again", { { "failed", mFailedWrites } });
   }
   mFailedWrites = 0;
   if (aResult.has_error()) {
-    OnWriteRefused(aWritten, aResult.assume_error());
+    OnWriteRefused(written, aResult.assume_error());
     ScheduleWrite();
-    return;
-  }
-  if (!aResult.assume_value().mCommitted) {
-    OnConflict(aWritten, aResult.assume_value().mCurrentRecords);
-    return;
+  } else if (!aResult.assume_value().mCommitted) {
+    OnConflict(written, aResult.assume_value().mCurrentRecords);
+  } else {
+    OnCommitted(aWrite, aResult.assume_value().mRevision);
   }
-  const platform::revision revision = aResult.assume_value().mRevision;
+}
+
+// The answer to an overdue write may arrive after newer writes of its records
+// were answered, so the revisions only rise.
+void
+owner::OnCommitted(const write_in_flight& aWrite, platform::revision aRevision)
+{
+  const written_records& written = aWrite.mRecords;
   std::vector<jobs::stored_job> stored;
-  for (const written_job& each : aWritten.mJobs) {
-    stored.push_back(each.mStored);
-    stored.back().mRevision = revision;
+  for (const written_job& each : written.mJobs) {
+    if (const jobs::job* const found = mScheduler.Find(each.mStored.mJob)) {
+      stored.push_back(each.mStored);
+      stored.back().mRevision = std::max(aRevision, found->mRevision);
+    }
   }
-  if (aWritten.HasRoster()) {
-    mMustRosterBeAlone = false;
-    mRosterRevision = revision;
-    mScheduler.OnRosterStored(aWritten.mRoster.mVersion,
-                              aWritten.mRoster.mRunners);
+  if (written.HasRoster()) {
+    mRosterRevision = std::max(mRosterRevision, aRevision);
+    if (!aWrite.mIsOverdue) { // else a newer one may be stored
+      mMustRosterBeAlone = false;
+      mScheduler.OnRosterStored(written.mRoster.mVersion,
+                                written.mRoster.mRunners);
+    }
   }
   OnJobsStored(stored);
   Wake();
@@ -438,7 +532,7 @@
 {
   for (const jobs::stored_job& each : aStored) {
     mRefusedRecords.Remove(each.mJob);
-    mPossiblyStored.erase(each.mJob);
+    mUnsettled.Remove(each.mJob);
   }
   mScheduler.OnStored(aStored);
   AnswerWaiters();
@@ -482,7 +576,7 @@
              { "message", aError.mMessage } });
   const jobs::job* const found = mScheduler.Find(name);
   const bool isNew = found != nullptr && found->mStoredVersion == 0;
-  if (!isNew || mPossiblyStored.count(name) > 0) {
+  if (!isNew || mUnsettled.Contains(name)) {
     mRefusedRecords.OnRecordRefused(
       name, aWritten.mStored.mVersion, mDeps.mClock.Now());
     return;
@@ -520,7 +614,7 @@
   const auto roster = present.find(RosterKey());
   if (roster != present.end()) {
     // The next write replaces the present roster.
-    mRosterRevision = roster->second->mRevision;
+    mRosterRevision = std::max(mRosterRevision, roster->second->mRevision);
   }
   std::vector<jobs::stored_job> stored;
   for (const written_job& each : aWritten.mJobs) {
@@ -542,10 +636,11 @@
     }
     if (found->second->mValue == each.mText && found->second->mRevision > 0) {
       stored.push_back(each.mStored);
-      stored.back().mRevision = found->second->mRevision;
+      stored.back().mRevision =
+        std::max(one->mRevision, found->second->mRevision);
     } else {
       // The next write replaces the present record.
-      one->mRevision = found->second->mRevision;
+      one->mRevision = std::max(one->mRevision, found->second->mRevision);
     }
   }
   OnJobsStored(stored);
@@ -564,7 +659,7 @@
              { "home", aService.Str() } });
   mScheduler.RemoveUnstored(aJob);
   mRefusedRecords.Remove(aJob);
-  mPossiblyStored.erase(aJob);
+  mUnsettled.Remove(aJob);
   job_reply accepted;
   accepted.mKind = reply_kind::kOk;
   AnswerAll(aJob, accepted);
--- a/mangospan/node/testing/virtual_cluster.cc
+++ b/mangospan/node/testing/virtual_cluster.cc
@@ -591,6 +591,15 @@
   }
 }
 
+void
+virtual_cluster::SetCommitFate(
+  const std::function<commit_fate(const platform::transaction&)>& aFate)
+{
+  for (auto& [address, each] : mNodes) {
+    each->mStore.SetCommitFate(aFate);
+  }
+}
+
 void
 virtual_cluster::SetCut(const std::string& aZone, bool aIsCut)
 {
--- a/mangospan/node/testing/virtual_cluster.h
+++ b/mangospan/node/testing/virtual_cluster.h
@@ -68,6 +68,9 @@
   time_point Now() const { return mClock.Now(); }
 
   void SetStoreSilent(bool aIsSilent) { mStore.SetSilent(aIsSilent); }
+  // From now on, decides what becomes of each transaction of the present nodes.
+  void SetCommitFate(
+    const std::function<commit_fate(const platform::transaction&)>& aFate);
   // Cuts the zone off from the store and from the other zones.
   void SetCut(const std::string& aZone, bool aIsCut);
   // Ends a node's process without notice and starts it again at once, or leaves
--- a/mangospan/node/testing/virtual_store.cc
+++ b/mangospan/node/testing/virtual_store.cc
@@ -250,6 +250,13 @@
   mIsLost = std::move(aIsLost);
 }
 
+void
+virtual_store_client::SetCommitFate(
+  std::function<commit_fate(const transaction&)> aFate)
+{
+  mCommitFate = std::move(aFate);
+}
+
 void
 virtual_store_client::SetAnswerDelay(milliseconds aDelay)
 {
@@ -267,15 +274,16 @@
 virtual_store_client::Send(const char* aStep,
                            milliseconds aTimeout,
                            handler<T> aHandler,
-                           std::function<result<T>()> aCall)
+                           std::function<result<T>()> aCall,
+                           commit_fate aFate)
 {
   const once<T> answer(std::move(aHandler));
-  const bool isLost = mIsLost && mIsLost(aStep);
+  const bool isLost = (mIsLost && mIsLost(aStep)) || !aFate.mIsAnswered;
   const milliseconds back = virtual_store::kLatency + mAnswerDelay;
   After(mStore.mIo,
-        virtual_store::kLatency,
-        [this, answer, isLost, back, call = std::move(aCall)] {
-          if (!IsConnected()) {
+        virtual_store::kLatency + aFate.mExecutionDelay,
+        [this, answer, isLost, back, aFate, call = std::move(aCall)] {
+          if (!IsConnected() || !aFate.mIsExecuted) {
             return;
           }
           const result<T> reply = call();
@@ -395,6 +403,8 @@
                              milliseconds aTimeout,
                              handler<commit_outcome> aHandler)
 {
+  const commit_fate fate =
+    mCommitFate ? mCommitFate(aTransaction) : commit_fate{};
   Send<commit_outcome>(
     "store.commit",
     aTimeout,
@@ -406,7 +416,8 @@
         };
       }
       return mStore.Commit(change);
-    });
+    },
+    fate);
 }
 
 void
--- a/mangospan/node/testing/virtual_store.h
+++ b/mangospan/node/testing/virtual_store.h
@@ -78,6 +78,16 @@
   time_point mSilentSince{};
 };
 
+// What becomes of a transaction. By default it is executed and answered.
+struct commit_fate
+{
+  bool mIsAnswered = true;
+  bool mIsExecuted = true;
+  // The store executes it so much later than other calls, if its expectations
+  // still hold then.
+  std::chrono::milliseconds mExecutionDelay{ 0 };
+};
+
 // One node's connection to a `virtual_store`. A call without an answer fails
 // with kUnknownResult after its timeout.
 class virtual_store_client final : public platform::transactional_store
@@ -92,6 +102,9 @@
   // returns true. It is called once per call other than a watch, with the step
   // that errors of the call name.
   void SetLoss(std::function<bool(const std::string&)> aIsLost);
+  // From now on, decides what becomes of each transaction.
+  void SetCommitFate(
+    std::function<commit_fate(const platform::transaction&)> aFate);
   // Answers take this much longer.
   void SetAnswerDelay(std::chrono::milliseconds aDelay);
 
@@ -130,7 +143,8 @@
   void Send(const char* aStep,
             std::chrono::milliseconds aTimeout,
             platform::handler<T> aHandler,
-            std::function<result<T>()> aCall);
+            std::function<result<T>()> aCall,
+            commit_fate aFate = {});
   // Returns how often the connection has been interrupted so far.
   std::uint64_t Interruptions() const;
   bool IsConnected() const { return !mIsCut && !mStore.mIsSilent; }
@@ -139,6 +153,7 @@
   bool mIsCut = false;
   std::uint64_t mCuts = 0;
   std::function<bool(const std::string&)> mIsLost;
+  std::function<commit_fate(const platform::transaction&)> mCommitFate;
   std::chrono::milliseconds mAnswerDelay{ 0 };
 };
 
