Tasks that fail on every runner do not keep the others from starting

Cause: a runner on which tasks of two jobs fail within 4 s is taken to be faulty and gets no new run for 4 s. Nothing limited how many runners are faulty at a time. Tasks that last have no limit of attempts, so two jobs with such tasks that fail wherever they run shut all runners out, for as long as the jobs exist.

At most half of the runners of a service are now taken to be faulty at a time; the only runner of a service never is. A task that needs a runner of the other half, because the first has no room for it, still waits for up to 4 s.

Evidence: TasksStartBesideLastingTasksThatFailOnEveryRunner failed before: beside three jobs of 18 failing tasks each on 9 runners, 5 of 20 tasks had not started 3.1 s after they were submitted.

--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -413,6 +413,7 @@
                     const task_id& aTask,
                     time_point aNow,
                     wall_time aWall);
+  bool MayShun(const runner& aRunner, time_point aNow) const;
   void RecordRunnerFailure(runner& aRunner,
                            const job_name& aJob,
                            time_point aNow);
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -15,6 +15,9 @@
 // runner is taken to be faulty.
 constexpr std::size_t kFailedJobsToQuarantine = 2;
 constexpr milliseconds kFailureWindow{ 4'000 };
+// One of this many runners of a service may be taken to be faulty at a time: if
+// tasks fail on all of them, the others still have to start.
+constexpr std::size_t kRunnersPerFaultyOne = 2;
 
 const char*
 Name(run_end aEnd)
@@ -145,6 +148,21 @@
   }
 }
 
+// Returns whether enough runners of the service would be left without this one.
+bool
+scheduler::MayShun(const runner& aRunner, time_point aNow) const
+{
+  std::size_t poolSize = 0;
+  std::size_t shunned = 0;
+  for (const auto& [runnerName, each] : mRunners) {
+    if (each.mInfo.mService == aRunner.mInfo.mService && each.mListed) {
+      ++poolSize;
+      shunned += aNow < each.mQuarantinedUntil ? 1 : 0;
+    }
+  }
+  return shunned < poolSize / kRunnersPerFaultyOne;
+}
+
 // Records a failed run, and quarantines the runner if tasks of several jobs
 // have failed on it recently. Failures of one job count once, because a task
 // that fails on every runner is faulty itself.
@@ -158,7 +176,7 @@
     it = aNow - it->second > kFailureWindow ? failures.erase(it) : ++it;
   }
   failures[aJob] = aNow;
-  if (failures.size() < kFailedJobsToQuarantine) {
+  if (failures.size() < kFailedJobsToQuarantine || !MayShun(aRunner, aNow)) {
     return;
   }
   failures.clear();
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -111,6 +111,10 @@
     [this](const std::string& aTask) {
       const task_id id = *ParseTaskId(aTask);
       const step_spec& spec = mSpecs.at(id.mJob.Str()).mSteps.at(id.mStep);
+      const auto failing = mFailingJobs.find(id.mJob.Str());
+      if (failing != mFailingJobs.end()) {
+        return fake_work{ failing->second, true, spec.Reservation() };
+      }
       const auto estimate = spec.mEstimate.count();
       std::uniform_int_distribution<std::int64_t> actualDuration(estimate / 2,
                                                                  estimate * 2);
@@ -574,6 +578,12 @@
   mCrashingTasks[aTask] = aAfter;
 }
 
+void
+fake_world::SetFails(const std::string& aJob, milliseconds aAfter)
+{
+  mFailingJobs[aJob] = aAfter;
+}
+
 void
 fake_world::Unlist(const std::string& aRunner)
 {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -89,6 +89,8 @@
   // some seconds.
   void SetCrashesRunners(const std::string& aTask,
                          std::chrono::milliseconds aAfter);
+  // Each run of the job fails `aAfter` its begin.
+  void SetFails(const std::string& aJob, std::chrono::milliseconds aAfter);
   void Unlist(const std::string& aRunner);
   void Relist(const std::string& aRunner);
 
@@ -211,6 +213,8 @@
   bool mAreReturningRenamed = false;
   // Tasks that crash their runners, with the time from the begin of a run.
   std::map<std::string, std::chrono::milliseconds> mCrashingTasks;
+  // Jobs whose runs fail, with the time from the begin of a run.
+  std::map<std::string, std::chrono::milliseconds> mFailingJobs;
   std::unique_ptr<scheduler> mOwner;
   std::uint64_t mTerm = 0;
   time_point mConfirmedAt{};
--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -178,6 +178,27 @@
   EXPECT_EQ(mWorld.Violations(), std::vector<std::string>());
 }
 
+// Tasks that last have no limit of attempts. Those of several jobs make each
+// runner look faulty.
+TEST(waiting_tasks_test, TasksStartBesideLastingTasksThatFailOnEveryRunner)
+{
+  constexpr std::size_t kFailingTasks = 18; // of each job
+  fake_world world(1, fault_rates{});
+  AddRunners(world);
+  for (const char* const each : { "f1", "f2", "f3" }) {
+    world.SetFails(each, milliseconds(100));
+    world.Submit(each, LongRunningJob(kFailingTasks));
+  }
+  world.RunFor(seconds(5));
+  world.BeginCalm();
+  for (int i = 0; i < 20; ++i) {
+    const std::string name = "a" + std::to_string(i);
+    world.Submit(name, LongRunningJob(1));
+    world.RunFor(milliseconds(3'100));
+    EXPECT_EQ(world.StartsOf(name + ".0.0.0"), 1U) << name;
+  }
+}
+
 constexpr int kRacks = 3;
 constexpr int kRunnersPerRack = 4;
 constexpr int kFaults = 14;
