--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -222,8 +222,23 @@
     mWorld.SetRunnersReturnRenamed(RandomInt(0, 3) == 0);
     mWorld.RunFor(milliseconds(300));
   }
+  // Runners crash one after the other under many tasks that last.
+  void RunCrashSeries()
+  {
+    constexpr std::size_t kLastingTasks = 36;
+    mWorld.Submit("series", LongRunningJob(kLastingTasks));
+    mWorld.RunFor(seconds(5));
+    for (int i = RandomInt(12, 48); i > 0; --i) {
+      mWorld.CrashFor("r" + std::to_string(i % (kRacks * kRunnersPerRack)),
+                      RandomTime(400, 1'200));
+      mWorld.RunFor(RandomTime(200, 600));
+    }
+  }
   void Run()
   {
+    if (RandomInt(0, 5) == 0) {
+      RunCrashSeries();
+    }
     for (int n = 0; n < kFaults; ++n) {
       mWorld.Submit("a" + std::to_string(n), RandomJob());
       InjectFault(n);
