A late deletion deletes no job that was accepted after it

What callers would see: an accepted job is lost.

Cause: the deletion of an ended job's record and home had no condition but the owner's term. The store may execute it seconds later, after a new job of that name was accepted in the same term.

Now each deletion expects the revision of the record that it deletes, so a late one is in conflict and has no effect. A transaction deletes 10 jobs in place of 12, for the additional expectations.

Test: `owner_lost_answers_test.LateDeletionDoesNotDeleteANewJob` failed before (the store held no record of the accepted job) and passes now, as do the 181 tests of mangospan_node_test and the 213 of mangospan_jobs_test.

Not mended: a deletion that is lost and never executed is not repeated; as before, the next owner loads the records and deletes them.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -439,22 +439,22 @@
   }
 }
 
-std::vector<job_name>
+std::vector<stored_job>
 scheduler::RemoveExpiredJobs(time_point aNow, std::size_t aMaxCount)
 {
-  std::vector<job_name> expired;
+  std::vector<stored_job> expired;
   for (const auto& [jobName, each] : mJobs) {
     if (expired.size() == aMaxCount) {
       break;
     }
     if (IsFinal(each.mState) && each.IsStored() &&
         aNow - each.mEndKnownAt > mSettings.mEndedJobRetention) {
-      expired.push_back(jobName);
+      expired.push_back({ jobName, each.mStoredVersion, each.mRevision });
     }
   }
-  for (const job_name& each : expired) {
-    mJobs.erase(each);
-    mRunnersByJob.erase(each);
+  for (const stored_job& each : expired) {
+    mJobs.erase(each.mJob);
+    mRunnersByJob.erase(each.mJob);
   }
   return expired;
 }
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -233,9 +233,9 @@
                       const std::vector<roster_entry>& aRoster);
   // Removes up to `aMaxCount` jobs whose stored end this owner has known for
   // longer than `scheduler_settings::mEndedJobRetention`, and returns their
-  // names.
-  std::vector<job_name> RemoveExpiredJobs(time_point aNow,
-                                          std::size_t aMaxCount);
+  // stored records.
+  std::vector<stored_job> RemoveExpiredJobs(time_point aNow,
+                                            std::size_t aMaxCount);
 
   // Returns whether a runner has refused an order because it has seen a higher
   // term. This owner must then stop.
--- a/mangospan/node/owner_lost_answers_test.cc
+++ b/mangospan/node/owner_lost_answers_test.cc
@@ -32,6 +32,8 @@
 constexpr milliseconds kSettledWithin{ 300 };
 // By when a record has to be stored that no write without an answer carries.
 constexpr milliseconds kStoredWithin{ 100 };
+// The time after which a job that has ended is deleted.
+constexpr milliseconds kRetention{ 10'000 };
 const service_name kService{ "ours" };
 const jobs::queue_name kQueue{ "queue" };
 const std::string kJobsPrefix = "mangospan/owned/ours/jobs/";
@@ -90,6 +92,14 @@
   return out;
 }
 
+jobs::scheduler_settings
+Scheduling()
+{
+  jobs::scheduler_settings out;
+  out.mEndedJobRetention = kRetention;
+  return out;
+}
+
 bool
 Writes(const platform::transaction& aChange, const std::string& aJob)
 {
@@ -118,7 +128,7 @@
     mOwner = std::make_shared<owner>(
       owner_dependencies{ mIo, mClock, mClient, mRunners, mFormat, mMetrics },
       owner_settings{},
-      jobs::scheduler_settings{},
+      Scheduling(),
       kService,
       owner_record{ 1, "n", "", 0, mStore.Find(term).front().mRevision },
       [this] {
@@ -287,6 +297,28 @@
   ExpectStoredAsKnown("stuck");
 }
 
+// Guards against the loss of a job that is submitted under the name of one that
+// was deleted: the deletion is executed after the new job was accepted.
+TEST_F(owner_lost_answers_test, LateDeletionDoesNotDeleteANewJob)
+{
+  Submit("a1");
+  RunFor(kStoredWithin);
+  Cancel("a1");
+  RunFor(kStoredWithin);
+  mClient.SetCommitFate([](const platform::transaction& aChange) {
+    return aChange.mDeletes.empty()
+             ? commit_fate{}
+             : commit_fate{ false, true, milliseconds(2'000) };
+  });
+  RunFor(kRetention);
+  ASSERT_EQ(mOwner->Scheduler().Find(job_name{ "a1" }), nullptr);
+  const auto again = Submit("a1");
+  RunFor(kSettledWithin);
+  EXPECT_EQ(again->mReply, reply_kind::kOk);
+  RunFor(milliseconds(3'000));
+  ExpectStoredAsKnown("a1");
+}
+
 // Guards against one job without an answer being taken for an outage while
 // there is nothing else to write.
 TEST_F(owner_lost_answers_test, JobsAreAcceptedBesideTheOnlyUnsettledRecord)
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -24,7 +24,8 @@
 // its home. Each key counts twice, as an expectation and as a write.
 constexpr std::size_t kEntriesPerNewJob = 4;
 constexpr std::size_t kEntriesPerJob = 2;
-constexpr std::size_t kJobsPerDelete = 12;
+// Each takes an expectation and two deletes of a transaction.
+constexpr std::size_t kJobsPerDelete = 10;
 // A write with records of more than these bytes in total has only one.
 constexpr std::size_t kMaxBytesPerWrite = std::size_t{ 256 } * 1024;
 // A caller whose job the store does not take is told to wait for so long.
@@ -688,9 +689,11 @@
     return;
   }
   platform::transaction change = mFence.Begin();
-  for (const jobs::job_name& each : expired) {
-    change.mDeletes.push_back(JobKey(each));
-    change.mDeletes.push_back(HomeKey(each));
+  for (const jobs::stored_job& each : expired) {
+    // The store may execute this after a new job of that name was accepted.
+    change.mExpectations.push_back({ JobKey(each.mJob), each.mRevision });
+    change.mDeletes.push_back(JobKey(each.mJob));
+    change.mDeletes.push_back(HomeKey(each.mJob));
   }
   mDeps.mStore.Commit(std::move(change),
                       mSettings.mWriteTimeout,
