--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -11,6 +11,8 @@
 
 namespace mangospan::node {
 
+using std::chrono::nanoseconds;
+
 namespace {
 
 constexpr const char* kOwnedPrefix = "mangospan/owned/";
@@ -190,6 +192,7 @@
                                  mDeps.mClock.Now()) } });
   mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now(), WallNow());
   mIsLoaded = true;
+  mTickDueAt = mDeps.mClock.Now();
   Tick();
 }
 
@@ -253,18 +256,56 @@
     return;
   }
   mIsWriteScheduled = true;
-  mWriteTimer.expires_after(mFailedWrites > 0 ? mSettings.mRetryDelay
-                                              : mSettings.mWriteDelay);
+  const auto delay =
+    mFailedWrites > 0 ? mSettings.mRetryDelay : mSettings.mWriteDelay;
+  mWriteDueAt = mDeps.mClock.Now() + delay;
+  mWriteTimer.expires_after(delay);
   mWriteTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aAbort) {
       self->mIsWriteScheduled = false;
       if (!aAbort && !self->mIsStopped) {
+        self->ObserveWait(self->mWriteDueAt);
         self->Write();
         self->ScheduleWrite();
       }
     });
 }
 
+// Measures for how long work waits. Calls wait for this process as long as a
+// timer that was due at `aDueAt` did.
+void
+owner::ObserveWait(time_point aDueAt)
+{
+  const time_point now = mDeps.mClock.Now();
+  mProcessWait = std::max(nanoseconds(0), now - aDueAt);
+  mWriteWait = WaitForWrite();
+  mLongestProcessWait = std::max(mLongestProcessWait, mProcessWait);
+  mLongestWriteWait = std::max(mLongestWriteWait, mWriteWait);
+  mOverload.OnWait(now, std::max(mProcessWait, mWriteWait));
+}
+
+// Returns for how long the first of the new jobs had waited when the last full
+// write was sent without it, beyond the time that the store takes to answer. A
+// job that no write has left out only waits for a slow store.
+nanoseconds
+owner::WaitForWrite()
+{
+  while (!mNotWritten.empty()) {
+    const auto& [acceptedAt, name] = mNotWritten.front();
+    const jobs::job* const found = mScheduler.Find(name);
+    const bool isWaiting = found != nullptr && found->mStoredVersion == 0 &&
+                           mJobsBeingWritten.count(name) == 0 &&
+                           !mUnsettled.Contains(name) &&
+                           !mRefusedRecords.MustBeAlone(name);
+    if (isWaiting) {
+      return std::max(nanoseconds(0),
+                      mLastFullWriteAt - acceptedAt - mAnswerTime);
+    }
+    mNotWritten.pop_front();
+  }
+  return nanoseconds(0);
+}
+
 void
 owner::AddRosterWrite(platform::transaction& aChange, written_records& aWritten)
 {
@@ -291,6 +332,7 @@
   for (const jobs::job_name& each : unstored) {
     if (excluded.count(each) == 0 &&
         !AddJobWrite(*mScheduler.Find(each), change, written)) {
+      mLastFullWriteAt = mDeps.mClock.Now();
       break;
     }
   }
@@ -380,6 +422,9 @@
   }
   const write_in_flight write = std::move(found->second);
   mWritesInFlight.erase(found);
+  if (aResult.has_value()) {
+    mAnswerTime = mDeps.mClock.Now() - write.mSentAt;
+  }
   write.mTimer->cancel();
   if (!write.mIsOverdue) {
     ClearInFlight(write.mRecords);
