A daemon that is told to stop while it starts stops gracefully

RunProgram, which both daemons begin with, now holds SIGTERM and SIGINT back first; stop_signals lets them through once it waits. SIGHUP is left alone, since these daemons make no reload_signal: it would otherwise be held back for good, where it ends them today.

A signal that comes before main() still ends the process. The stand-ins of the tests have late handlers too; they have nothing to finish and are as they were.

--- a/mangospan/daemon/program.cc
+++ b/mangospan/daemon/program.cc
@@ -43,6 +43,7 @@
            const program_description& aDescription,
            const std::function<int(const settings::process_settings&)>& aRun)
 {
+  HoldStopSignals();
   const auto parsed = ParseCommandLine(aCount, aArguments, aDescription.mHelp);
   if (const int* code = std::get_if<int>(&parsed)) {
     return *code;
--- a/mangospan/daemon/signals.cc
+++ b/mangospan/daemon/signals.cc
@@ -33,7 +33,14 @@
 void
 HoldSignals()
 {
-  ChangeMask(SIG_BLOCK, { SIGTERM, SIGINT, SIGHUP });
+  HoldStopSignals();
+  ChangeMask(SIG_BLOCK, { SIGHUP });
+}
+
+void
+HoldStopSignals()
+{
+  ChangeMask(SIG_BLOCK, { SIGTERM, SIGINT });
 }
 
 class stop_signals::impl : public std::enable_shared_from_this<impl>
--- a/mangospan/daemon/signals.h
+++ b/mangospan/daemon/signals.h
@@ -21,6 +21,10 @@
 void
 HoldSignals();
 
+// The same, for a process that makes no `reload_signal`: SIGHUP still ends it.
+void
+HoldStopSignals();
+
 class stop_signals
 {
 public:
