A soak starts nodes without holding its own loop up

A soak now starts nodes again on a thread of the table (BeginStart, TakeStarted) and its loop goes on. The thread lives as long as the table, since a process dies with the thread that started it. No bound or check of the soak is changed.

--- a/testing/scenario/process_table.h
+++ b/testing/scenario/process_table.h
@@ -33,6 +33,14 @@
                const std::string& aProgram,
                const std::vector<std::string>& aArguments);
 
+  // As `Start`, but on a thread of the table: the caller goes on while a busy
+  // host takes its time. The process runs once `TakeStarted` has returned the
+  // result; it returns nothing while the start is under way.
+  status BeginStart(const std::string& aName,
+                    const std::string& aProgram,
+                    const std::vector<std::string>& aArguments);
+  std::optional<status> TakeStarted(const std::string& aName);
+
   // Errors: kNotFound unless the process runs.
   status Signal(const std::string& aName, int aSignal);
   bool Runs(const std::string& aName);
