A node exits only once all of its servers have answered

At a node's exit its log showed http.request_unanswered for /readiness, 0 to 4 ms old. Mostly the response had been sent and only its completion was not seen; a request that had been read and had no response yet was cut. For a call of another node that means an unknown result.

caller_drain now covers these servers too. They serve until no caller is connected and the node is handed over, so that the load balancer and other nodes get answers to the end; then they stop accepting, and the exit waits for their connections, at most until the end of the schedule. What is in progress when answers are due gets 504, which other nodes read as an unknown result, as they do a cut.

That a client of before saw a connection cut was not observed.

--- a/mangospan/daemon/operator_endpoint.h
+++ b/mangospan/daemon/operator_endpoint.h
@@ -46,6 +46,9 @@
 
   void Stop();
 
+  // For a process that drains its servers itself.
+  http::server& Server() { return mServer; }
+
 private:
   http::response Answer(const http::request& aRequest);
   http::response Metrics();
--- a/mangospan/node/caller_drain.cc
+++ b/mangospan/node/caller_drain.cc
@@ -28,9 +28,11 @@
 caller_drain::caller_drain(boost::asio::io_context& aIo,
                            const clock_source& aClock,
                            http::server& aServer,
+                           std::vector<http::server*> aOthers,
                            std::function<bool()> aIsHandedOver)
   : mClock(aClock)
   , mServer(aServer)
+  , mOthers(std::move(aOthers))
   , mIsHandedOver(std::move(aIsHandedOver))
   , mTimer(aIo)
 {
@@ -64,7 +66,8 @@
 caller_drain::Poll()
 {
   const time_point now = mClock.Now();
-  const bool isClosed = mServer.OpenConnections() == 0 && mIsHandedOver();
+  const bool isClosed =
+    mServer.OpenConnections() == 0 && mIsHandedOver() && AreOthersClosed();
   // Responses get one more interval to be sent if the process runs late.
   const bool isOver = mIsRestAnswered && now >= mSchedule->ExitBy();
   if (isClosed || isOver) {
@@ -77,12 +80,30 @@
   After(kPollInterval, &caller_drain::Poll);
 }
 
+// The load balancer, other nodes and operators are answered to the end.
+bool
+caller_drain::AreOthersClosed()
+{
+  if (!mAreOthersStopped) {
+    mAreOthersStopped = true;
+    for (http::server* const each : mOthers) {
+      each->StopAccepting();
+    }
+  }
+  return std::all_of(
+    mOthers.begin(), mOthers.end(), [](const http::server* aServer) {
+      return aServer->OpenConnections() == 0;
+    });
+}
+
 void
 caller_drain::AnswerRest()
 {
   mIsRestAnswered = true;
-  const std::size_t count =
-    mServer.AnswerActiveRequests(UnknownResultResponse());
+  std::size_t count = mServer.AnswerActiveRequests(UnknownResultResponse());
+  for (http::server* const each : mOthers) {
+    count += each->AnswerActiveRequests(UnknownResultResponse());
+  }
   if (count > 0) {
     LogEvent(log_level::kWarning,
              "stop.answered_unfinished",
--- a/mangospan/node/caller_drain_test.cc
+++ b/mangospan/node/caller_drain_test.cc
@@ -23,6 +23,7 @@
   caller_drain_test()
   {
     EXPECT_TRUE(mServer.Listen("127.0.0.1:0").has_value());
+    EXPECT_TRUE(mOther.Listen("127.0.0.1:0").has_value());
   }
 
   void Start()
@@ -53,10 +54,18 @@
                                const http::responder& aRespond) {
                           mKept.push_back(aRespond);
                         } };
+  http::server mOther{ mIo,
+                       {},
+                       [this](const http::request& /*aRequest*/,
+                              const http::responder& aRespond) {
+                         mKept.push_back(aRespond);
+                       } };
   http::client mClient{ mIo, {} };
   bool mIsHandedOver = true;
   bool mIsDone = false;
-  caller_drain mDrain{ mIo, mClock, mServer, [this] { return mIsHandedOver; } };
+  caller_drain mDrain{ mIo, mClock, mServer, { &mOther }, [this] {
+                        return mIsHandedOver;
+                      } };
 };
 
 // A busy process may run its timers only when the whole schedule is over.
@@ -94,5 +103,49 @@
   EXPECT_TRUE(mIsDone);
 }
 
+// The exit came while a check of the readiness, which had been read, had no
+// answer: only callers' requests were waited for.
+TEST_F(caller_drain_test, ExitWaitsForARequestThatAnotherServerHasRead)
+{
+  std::optional<result<http::response>> answer;
+  http::request request;
+  request.mTarget = "/readiness";
+  mClient.Send("127.0.0.1:" + std::to_string(mOther.Port()),
+               request,
+               kStopTimeout,
+               [&answer](const result<http::response>& aResult) {
+                 answer.emplace(aResult);
+               });
+  Run();
+  ASSERT_EQ(mKept.size(), 1U);
+  Start();
+  AdvanceAndRun(milliseconds(3'000));
+  AdvanceAndRun(milliseconds(50));
+  EXPECT_FALSE(mIsDone);
+  mKept.front()(http::JsonResponse(503, "{}"));
+  Run();
+  ASSERT_TRUE(answer && answer->has_value());
+  EXPECT_EQ(answer->assume_value().mStatus, 503);
+  AdvanceAndRun(milliseconds(50));
+  EXPECT_TRUE(mIsDone);
+}
+
+// The load balancer learns to the end that the node is not ready.
+TEST_F(caller_drain_test, OtherServersServeUntilTheHandOver)
+{
+  mIsHandedOver = false;
+  Start();
+  AdvanceAndRun(milliseconds(3'000));
+  AdvanceAndRun(milliseconds(50));
+  http::request request;
+  request.mTarget = "/readiness";
+  mClient.Send("127.0.0.1:" + std::to_string(mOther.Port()),
+               request,
+               kStopTimeout,
+               [](const result<http::response>& /*aResult*/) {});
+  Run();
+  EXPECT_EQ(mKept.size(), 1U);
+}
+
 } // namespace
 } // namespace mangospan::node
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -69,6 +69,11 @@
   // node owns. Requests get the time that the returned schedule leaves; see
   // `caller_drain`. Call once.
   stop_schedule Stop();
+  // Returns the servers that `Start()` has opened: not for callers.
+  std::vector<http::server*> Servers() const
+  {
+    return { mReadinessServer.get(), mNodeServer.get() };
+  }
   // Returns whether the hand-over of a stop has ended.
   bool IsHandedOver() const { return mIsHandedOver; }
 
