An owner that falls behind refuses new jobs at once

Cause, measured with the waits that are logged now (while the owner refuses; not without it): not the event loop, whose delay stayed at 20 to 60 ms, but the queue of new jobs for their write: 0.2 s after 3 s of the burst, up to 1.8 s later. The write timer fires once a pass of the event loop, and one write takes seven new jobs, so a busy owner stores the less the longer its passes are.

Now `overload_guard` (pure) is told the lateness of the owner's timers and the time for which a full write left a new job out, beyond the store's answer time. After 100 ms above 30 ms new jobs get 503 `overloaded`, before they are in memory; known jobs, cancels, reads and control traffic do not. Retry-After is 1 to 3 s, by how many are refused for each that is accepted, and spread.

It works because a refusal costs little and an accepted job is answered while its caller waits.

What is left is admission against what the pool can run (part 2 of the issue).

--- a/mangospan/node/job_service.cc
+++ b/mangospan/node/job_service.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<refusal_reason, const char*>, 10> kReasonNames{ {
+constexpr std::array<std::pair<refusal_reason, const char*>, 12> kReasonNames{ {
   { refusal_reason::kNone, "" },
   { refusal_reason::kNoOwner, "no_owner" },
   { refusal_reason::kOwnerUnreachable, "owner_unreachable" },
@@ -19,6 +19,8 @@
   { refusal_reason::kNoSuchQueue, "no_such_queue" },
   { refusal_reason::kRecordRefused, "record_refused" },
   { refusal_reason::kStopping, "stopping" },
+  { refusal_reason::kOverloaded, "overloaded" },
+  { refusal_reason::kTimeIsUp, "time_is_up" },
 } };
 
 } // namespace
--- a/mangospan/node/job_service.h
+++ b/mangospan/node/job_service.h
@@ -37,6 +37,8 @@
   kNoSuchQueue,      // the catalog of the owner has no such queue
   kRecordRefused,    // the store does not take the job's record
   kStopping,         // the node that the caller has asked is about to exit
+  kOverloaded,       // the owner's work waits too long
+  kTimeIsUp,         // the caller does not wait any more
 };
 
 // The reason in one word, as logs, metrics and other nodes spell it.
--- a/mangospan/node/job_service_test.cc
+++ b/mangospan/node/job_service_test.cc
@@ -17,7 +17,9 @@
                            refusal_reason::kOtherService,
                            refusal_reason::kNoSuchQueue,
                            refusal_reason::kRecordRefused,
-                           refusal_reason::kStopping }) {
+                           refusal_reason::kStopping,
+                           refusal_reason::kOverloaded,
+                           refusal_reason::kTimeIsUp }) {
     EXPECT_EQ(ParseRefusalReason(Name(each)), each);
   }
   EXPECT_EQ(ParseRefusalReason("of a newer version"), refusal_reason::kNone);
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -11,6 +11,7 @@
 
 using jobs::order_outcome;
 using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
 
 namespace {
 
@@ -68,6 +69,7 @@
   }
   mIsStopped = true;
   SetWaitMetrics({});
+  SetOverloadMetric(nanoseconds(0));
   mRunnerMirror->Stop();
   mTickTimer.cancel();
   mPlanTimer.cancel();
@@ -144,11 +146,14 @@
   if (mIsStopped) {
     return;
   }
+  ObserveWait(mTickDueAt);
   Plan();
   ReportWaits();
+  ReportOverload();
   AnswerWaiters();
   DeleteExpiredJobs();
   ScheduleWrite();
+  mTickDueAt = mDeps.mClock.Now() + mSettings.mTickInterval;
   mTickTimer.expires_after(mSettings.mTickInterval);
   mTickTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aAbort) {
@@ -240,6 +245,37 @@
   }
 }
 
+void
+owner::SetOverloadMetric(nanoseconds aLongestWait)
+{
+  mDeps.mMetrics.Set("mangospan_node_owner_wait_seconds",
+                     { { "service", mService.Str() } },
+                     std::chrono::duration<double>(aLongestWait).count());
+}
+
+// Reports how long work has waited, while new jobs are refused for it.
+void
+owner::ReportOverload()
+{
+  const time_point now = mDeps.mClock.Now();
+  if (now < mNextOverloadReportAt) {
+    return;
+  }
+  mNextOverloadReportAt = now + kWaitReportInterval;
+  SetOverloadMetric(std::max(mLongestProcessWait, mLongestWriteWait));
+  if (mRefusedSinceReport > 0) {
+    LogEvent(log_level::kWarning,
+             "owner.overloaded",
+             { { "service", mService.Str() },
+               { "refused", mRefusedSinceReport },
+               { "process_wait_ms", CountMilliseconds(mLongestProcessWait) },
+               { "write_wait_ms", CountMilliseconds(mLongestWriteWait) } });
+  }
+  mRefusedSinceReport = 0;
+  mLongestProcessWait = nanoseconds(0);
+  mLongestWriteWait = nanoseconds(0);
+}
+
 runner_target
 owner::TargetOf(const jobs::runner_name& aRunner) const
 {
@@ -369,22 +405,26 @@
 {
   const time_point now = mDeps.mClock.Now();
   const bool isKnown = mScheduler.Find(aJob) != nullptr;
-  const refusal_reason reason = ReasonToRefuse(aSpec.mQueue, isKnown);
+  const refusal_reason reason = ReasonToRefuse(aSpec.mQueue, isKnown, aTimeout);
   if (reason != refusal_reason::kNone) {
     if (reason == refusal_reason::kStoreUnavailable ||
-        reason == refusal_reason::kNotLoaded) {
+        reason == refusal_reason::kNotLoaded ||
+        reason == refusal_reason::kOverloaded) {
       mScheduler.OnTurnedAway(aJob, aSpec, now);
     }
     job_reply unavailable = Reply(reply_kind::kUnavailable);
     unavailable.mReason = reason;
-    unavailable.mRetryAfter =
-      mFailedWrites > 0 ? kUnavailableRetryAfter : kHandoverRetryAfter;
+    unavailable.mRetryAfter = RetryAfter(reason, now);
     aHandler(unavailable);
     return;
   }
   const jobs::submit_answer answer =
     mScheduler.Submit(aJob, aSpec, now, WallNow());
   if (answer.mOutcome == jobs::submit_outcome::kPending) {
+    if (!isKnown) {
+      mNotWritten.emplace_back(now, aJob);
+      mOverload.OnAccepted(now);
+    }
     mWaiters.emplace(aJob, waiter{ now + aTimeout, std::move(aHandler) });
     ScheduleWrite();
     return;
@@ -401,9 +441,13 @@
 
 // Returns why this owner can not take a job of the queue now, or kNone.
 // `aIsKnown` says that it has a job of that name already, which is only
-// reported.
+// reported. `aTimeout` is for how long the caller waits, as of when the call
+// was sent; it has waited for this process since, and its job would wait for a
+// write.
 refusal_reason
-owner::ReasonToRefuse(const jobs::queue_name& aQueue, bool aIsKnown) const
+owner::ReasonToRefuse(const jobs::queue_name& aQueue,
+                      bool aIsKnown,
+                      milliseconds aTimeout) const
 {
   if (!IsLoaded()) {
     return refusal_reason::kNotLoaded;
@@ -417,8 +461,27 @@
   if (mFailedWrites > 0) {
     return refusal_reason::kStoreUnavailable;
   }
-  return IsQueueOfThisService(aQueue) ? refusal_reason::kNone
-                                      : refusal_reason::kOtherService;
+  if (!IsQueueOfThisService(aQueue)) {
+    return refusal_reason::kOtherService;
+  }
+  if (aTimeout <= mProcessWait + mWriteWait) {
+    return refusal_reason::kTimeIsUp;
+  }
+  return mOverload.IsOverloaded() ? refusal_reason::kOverloaded
+                                  : refusal_reason::kNone;
+}
+
+// Returns when a caller that is refused for the reason comes back.
+milliseconds
+owner::RetryAfter(refusal_reason aReason, time_point aNow)
+{
+  if (aReason == refusal_reason::kOverloaded) {
+    ++mRefusedSinceReport;
+    return mOverload.OnRefused(aNow);
+  }
+  const bool isSoon =
+    mFailedWrites == 0 && aReason != refusal_reason::kTimeIsUp;
+  return isSoon ? kHandoverRetryAfter : kUnavailableRetryAfter;
 }
 
 // Returns whether the catalog of this node assigns new jobs of the queue to
@@ -567,12 +630,13 @@
 {
   const time_point now = mDeps.mClock.Now();
   for (auto it = mWaiters.begin(); it != mWaiters.end();) {
-    const waiter each = it->second;
+    const waiter& each = it->second;
     if (AnswerIfStored(it->first, each)) {
       it = mWaiters.erase(it);
     } else if (now >= each.mDeadline) {
+      const waiter expired = std::move(it->second);
       it = mWaiters.erase(it);
-      each.mHandler(Reply(reply_kind::kUnknown));
+      expired.mHandler(Reply(reply_kind::kUnknown));
     } else {
       ++it;
     }
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -6,11 +6,13 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -21,6 +23,7 @@
 #include "mangospan/node/election.h"
 #include "mangospan/node/job_service.h"
 #include "mangospan/node/mirror.h"
+#include "mangospan/node/overload_guard.h"
 #include "mangospan/node/pool_link.h"
 #include "mangospan/node/ports.h"
 #include "mangospan/node/refused_records.h"
@@ -156,6 +159,7 @@
   {
     std::vector<written_job> mJobs;
     written_roster mRoster;
+    time_point mSentAt{};
 
     bool HasRoster() const { return !mRoster.mText.empty(); }
     std::size_t Count() const { return mJobs.size() + (HasRoster() ? 1 : 0); }
@@ -166,7 +170,9 @@
   std::string JobKey(const jobs::job_name& aJob) const;
   bool IsQueueOfThisService(const jobs::queue_name& aQueue) const;
   refusal_reason ReasonToRefuse(const jobs::queue_name& aQueue,
-                                bool aIsKnown) const;
+                                bool aIsKnown,
+                                std::chrono::milliseconds aTimeout) const;
+  std::chrono::milliseconds RetryAfter(refusal_reason aReason, time_point aNow);
   pool_state BuildPoolState(time_point aNow);
   void Load();
   void RetryLoad(const error& aError);
@@ -180,6 +186,8 @@
   void Wake(); // schedules a plan
   void Plan();
   void ReportWaits();
+  void ReportOverload();
+  void SetOverloadMetric(std::chrono::nanoseconds aLongestWait);
   void SetWaitMetrics(const jobs::waiting_tasks& aWaiting);
   time_point::duration PlanInterval() const;
   void Send(const jobs::order& aOrder);
@@ -192,6 +200,8 @@
   bool IsRosterWriteDue() const;
   bool IsWriteNeeded() const;
   void ScheduleWrite();
+  void ObserveWait(time_point aDueAt);
+  std::chrono::nanoseconds WaitForWrite();
   void Write();
   bool AddJobWrite(const jobs::job& aJob,
                    platform::transaction& aChange,
@@ -233,6 +243,21 @@
   time_point mNextProgressWriteAt{};
   time_point mLastPlanAt{};
   time_point mNextWaitReportAt{};
+  time_point mTickDueAt{};
+  time_point mWriteDueAt{};
+  time_point mLastWriteAt{};
+  std::chrono::nanoseconds mAnswerTime{ 0 }; // of the store to the last write
+  time_point mNextOverloadReportAt{};
+  overload_guard mOverload{ overload_settings{} };
+  // New jobs in the order of their arrival, until their first write.
+  std::deque<std::pair<time_point, jobs::job_name>> mNotWritten;
+  // The latest wait of a call for this process and of a new job for its write,
+  // and the longest ones since the last report.
+  std::chrono::nanoseconds mProcessWait{ 0 };
+  std::chrono::nanoseconds mWriteWait{ 0 };
+  std::chrono::nanoseconds mLongestProcessWait{ 0 };
+  std::chrono::nanoseconds mLongestWriteWait{ 0 };
+  std::uint64_t mRefusedSinceReport = 0;
   time_point::duration mLastPlanDuration{};
   platform::revision mRosterRevision = 0;
   std::uint64_t mFleetTerm = 0; // highest fleet term received so far
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -1,5 +1,6 @@
 #include "mangospan/node/owner.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "mangospan/base/log.h"
@@ -10,6 +11,8 @@
 
 namespace mangospan::node {
 
+using std::chrono::nanoseconds;
+
 namespace {
 
 constexpr const char* kOwnedPrefix = "mangospan/owned/";
@@ -188,6 +191,7 @@
                                  mDeps.mClock.Now()) } });
   mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now(), WallNow());
   mIsLoaded = true;
+  mTickDueAt = mDeps.mClock.Now();
   Tick();
 }
 
@@ -240,18 +244,55 @@
     return;
   }
   mIsWriteScheduled = true;
-  mWriteTimer.expires_after(mFailedWrites > 0 ? mSettings.mRetryDelay
-                                              : mSettings.mWriteDelay);
+  const auto delay =
+    mFailedWrites > 0 ? mSettings.mRetryDelay : mSettings.mWriteDelay;
+  mWriteDueAt = mDeps.mClock.Now() + delay;
+  mWriteTimer.expires_after(delay);
   mWriteTimer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aAbort) {
       self->mIsWriteScheduled = false;
       if (!aAbort && !self->mIsStopped) {
+        self->ObserveWait(self->mWriteDueAt);
         self->Write();
         self->ScheduleWrite();
       }
     });
 }
 
+// Measures for how long work waits. Calls wait for this process as long as a
+// timer that was due at `aDueAt` did.
+void
+owner::ObserveWait(time_point aDueAt)
+{
+  const time_point now = mDeps.mClock.Now();
+  mProcessWait = std::max(nanoseconds(0), now - aDueAt);
+  mWriteWait = WaitForWrite();
+  mLongestProcessWait = std::max(mLongestProcessWait, mProcessWait);
+  mLongestWriteWait = std::max(mLongestWriteWait, mWriteWait);
+  mOverload.OnWait(now, std::max(mProcessWait, mWriteWait));
+}
+
+// Returns for how long the first of the new jobs had waited when the last write
+// was sent without it, for want of room, beyond the time that the store takes
+// to answer. A job that no write has left out only waits for a slow store.
+nanoseconds
+owner::WaitForWrite()
+{
+  while (!mNotWritten.empty()) {
+    const auto& [acceptedAt, name] = mNotWritten.front();
+    const jobs::job* const found = mScheduler.Find(name);
+    const bool isWaiting = found != nullptr && found->mStoredVersion == 0 &&
+                           mJobsBeingWritten.count(name) == 0 &&
+                           mPossiblyStored.count(name) == 0 &&
+                           !mRefusedRecords.MustBeAlone(name);
+    if (isWaiting) {
+      return std::max(nanoseconds(0), mLastWriteAt - acceptedAt - mAnswerTime);
+    }
+    mNotWritten.pop_front();
+  }
+  return nanoseconds(0);
+}
+
 void
 owner::AddRosterWrite(platform::transaction& aChange, written_records& aWritten)
 {
@@ -284,6 +325,8 @@
   if (change.mWrites.empty()) {
     return;
   }
+  mLastWriteAt = mDeps.mClock.Now();
+  written.mSentAt = mLastWriteAt;
   const std::uint64_t number = ++mWriteCount;
   mWritesInFlight.emplace(number, written);
   mNextProgressWriteAt = mDeps.mClock.Now() + mSettings.mMinProgressInterval;
@@ -346,6 +389,7 @@
   }
   const written_records written = std::move(found->second);
   mWritesInFlight.erase(found);
+  mAnswerTime = mDeps.mClock.Now() - written.mSentAt;
   ClearInFlight(written);
   if (!mIsStopped) {
     OnCommitResult(written, aResult);
