A new job may wait for its write longer than a call for its owner

At one and a half times their load callers lost by the refusals: they are better off waiting for a moment than coming back after a second. So the target for the wait of new jobs for their write is 120 ms now; that for the wait of calls for the process stays 30 ms, since a refusal waits as long.

Ruled out: 120 ms for both (a refusal then takes 130 ms in the middle in OverloadGuard.ThreeTimesTheLoadTakesLittleOfTheGoodput).

--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -30,6 +30,9 @@
 constexpr std::size_t kJobsPerDelete = 10;
 // A write with records of more than these bytes in total has only one.
 constexpr std::size_t kMaxBytesPerWrite = std::size_t{ 256 } * 1024;
+// A new job may wait for its write by this much longer than a call for this
+// process: its caller is better off waiting than coming back.
+constexpr std::chrono::milliseconds kWriteWaitAllowance{ 90 };
 // A caller whose job the store does not take is told to wait for so long.
 constexpr std::chrono::milliseconds kRefusedRecordRetryAfter{ 60'000 };
 
@@ -281,7 +284,8 @@
   mWriteWait = WaitForWrite();
   mLongestProcessWait = std::max(mLongestProcessWait, mProcessWait);
   mLongestWriteWait = std::max(mLongestWriteWait, mWriteWait);
-  mOverload.OnWait(now, std::max(mProcessWait, mWriteWait));
+  mOverload.OnWait(now,
+                   std::max(mProcessWait, mWriteWait - kWriteWaitAllowance));
 }
 
 // Returns for how long the first of the new jobs had waited when the last full
