A task that crashes runners in quiet times is given up though it was not alone

Cause: the likely cause starts beside others once it has waited 3 s for a runner of its own and no runner has crashed meanwhile. A job was given up only for a crash of a task that was alone on its runner, so that such starts told nothing.

Now a crash at the same time after a start that was ordered while runners crashed nowhere counts as well, if the task was the likely cause before: outside a series nothing else explains it. Innocent tasks that look like the cause come by that in series only.

--- a/mangospan/jobs/crash_series_test.cc
+++ b/mangospan/jobs/crash_series_test.cc
@@ -169,6 +169,44 @@
   }
 }
 
+// A small pool has one runner for suspects, and several deadly tasks wait for
+// it.
+TEST(small_pool_test, DeadlyTasksThatNeedNotBeAloneAreGivenUp)
+{
+  constexpr std::uint64_t kSeeds = 10;
+  constexpr int kRunnersOfPool = 4;
+  constexpr int kDeadlyJobs = 3;
+  constexpr int kOtherJobs = 160;
+  // Three runners may crash under a task, and it may be started twice more.
+  constexpr std::size_t kMaxStarts = 5;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    fake_world world(seed, fault_rates{});
+    world.SetRunnersReturnRenamed(true);
+    for (int i = 0; i < kRunnersOfPool; ++i) {
+      world.AddRunner("r" + std::to_string(i), "s", kCapacity);
+    }
+    world.RunFor(milliseconds(300));
+    world.Submit("lasting", LongRunningJob(4, 500));
+    world.RunFor(seconds(2));
+    for (int i = 0; i < kOtherJobs; ++i) {
+      const std::string deadly = "deadly" + std::to_string(i / 20);
+      if (i % 20 == 0 && i / 20 < kDeadlyJobs) {
+        world.SetCrashesRunners(deadly + ".0.0.0", milliseconds(10));
+        world.Submit(deadly, Job(5, 500, milliseconds(500)));
+      }
+      world.Submit("other" + std::to_string(i), Job(4, 500, milliseconds(500)));
+      world.RunFor(milliseconds(300));
+    }
+    world.RunFor(seconds(42));
+    for (int i = 0; i < kDeadlyJobs; ++i) {
+      EXPECT_LE(world.StartsOf("deadly" + std::to_string(i) + ".0.0.0"),
+                kMaxStarts)
+        << "seed " << seed;
+    }
+    EXPECT_EQ(world.Violations(), std::vector<std::string>());
+  }
+}
+
 // Tasks start on each runner all the time, so that each crash comes soon after
 // the start of some.
 TEST(busy_runners_test, SeriesOfCrashesFailsNoJob)
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -66,6 +66,8 @@
   time_point mPhaseSince{}; // When the run reached its phase.
   // The task is suspected to crash its runners: nothing else starts there.
   bool mIsIsolated = false;
+  // Runners had just crashed when the start order was made.
+  bool mIsOrderedInCrashSeries = false;
   bool mStopWanted = false;   // The run is to be stopped.
   bool mStopInFlight = false; // A stop order was sent and is not yet answered.
   time_point mStopSentAt{};   // When the latest stop order was sent.
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -354,7 +354,9 @@
   bool IsCertainCause(const job& aJob,
                       const task& aTask,
                       const run& aRun,
-                      bool aWasAlone) const;
+                      bool aWasAlone,
+                      double aChanceBefore) const;
+  bool IsInCrashSeries(time_point aNow) const;
   void FailJobsOfCrashingTasks(time_point aNow, wall_time aWall);
   void RememberLostRunner(const runner& aRunner, time_point aNow);
   void OnRunnerAtAddress(const std::string& aAddress, time_point aNow);
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -291,18 +291,24 @@
 }
 
 // Returns whether the crashes so far leave no other explanation than the task.
-// `aWasAlone` says that no other run on the runner can have caused the last
-// one. A gang can not wait for runners that its members have for themselves.
+// `aChanceBefore` is their probability without the last one. Either no other
+// run on the runner can have caused that, which `aWasAlone` says, or it came at
+// the same time after the start as those before, while runners crashed nowhere
+// else. A gang can not wait for runners that its members have for themselves.
 bool
 scheduler::IsCertainCause(const job& aJob,
                           const task& aTask,
                           const run& aRun,
-                          bool aWasAlone) const
+                          bool aWasAlone,
+                          double aChanceBefore) const
 {
+  const crash_history& crashes = aTask.mCrashes;
   const bool isGang = aJob.mSpec.mSteps[aRun.mTask.mStep].mGang;
-  return aTask.mCrashes.mChance <= kMaxChance &&
-         aTask.mCrashes.mAtSeveralAddresses &&
-         (isGang || (aRun.mIsIsolated && aWasAlone));
+  const bool isOnlyCrash = !aRun.mIsOrderedInCrashSeries &&
+                           aChanceBefore <= kMaxChance &&
+                           crashes.mChance < aChanceBefore;
+  return crashes.mChance <= kMaxChance && crashes.mAtSeveralAddresses &&
+         (isGang || isOnlyCrash || (aRun.mIsIsolated && aWasAlone));
 }
 
 void
@@ -320,6 +326,7 @@
   }
   const bool isGang = foundJob->mSpec.mSteps[aRun.mTask.mStep].mGang;
   crash_history& crashes = foundTask->mCrashes;
+  const double chanceBefore = crashes.mChance;
   if (aRun.mOrderedAt != time_point{}) {
     AddEvidence(
       *foundTask, aRunner, aRun, aCrashedAt, UnexplainedCrashRate(aCrashedAt));
@@ -335,7 +342,7 @@
     crashes.mNotBefore = aCrashedAt + StartDelay(crashes);
   }
   if (!foundJob->mSpec.HasLongRunningStep() &&
-      IsCertainCause(*foundJob, *foundTask, aRun, wasAlone)) {
+      IsCertainCause(*foundJob, *foundTask, aRun, wasAlone, chanceBefore)) {
     mCrashingTasks.push_back(aRun.mTask);
   }
   MarkChanged(*foundJob);
@@ -420,6 +427,12 @@
   }
 }
 
+bool
+scheduler::IsInCrashSeries(time_point aNow) const
+{
+  return aNow < mLatestCrashAt + kCrashSeriesGap;
+}
+
 // Returns whether the suspected task may only start on a runner of its own.
 // Most suspects of a series of crashes are innocent, and more than there are
 // runners for them.
@@ -432,7 +445,7 @@
   const crash_history& crashes = aSuspect.mCrashes;
   const time_point since =
     std::max(WaitingSince(aJob, aStep, aSuspect), crashes.mNotBefore);
-  if (aNow < mLatestCrashAt + kCrashSeriesGap) {
+  if (IsInCrashSeries(aNow)) {
     const bool hasEvidence = crashes.mChance < 1.0;
     return hasEvidence || aNow < since + kMaxIsolationWaitInSeries;
   }
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -354,6 +354,7 @@
   newRun.mProgressAt = aNow;
   newRun.mExpiry = aRunner.ClockAt(aNow) + mSettings.mStartValidity;
   newRun.mCheckpoint = startedTask.mCheckpoint;
+  newRun.mIsOrderedInCrashSeries = IsInCrashSeries(aNow);
   aRunner.ExtendLease(newRun.mExpiry, aNow);
   ++aRunner.mStartsInFlight;
   mRunnersByJob[aCandidate.mJob->mName].insert(aRunner.mInfo.mName);
