--- a/mangospan/node/node_process_requests.cc
+++ b/mangospan/node/node_process_requests.cc
@@ -22,17 +22,6 @@
   return out;
 }
 
-// The reply to a submission whose caller does not wait for its answer any more.
-job_reply
-TimeIsUpReply()
-{
-  job_reply out;
-  out.mKind = reply_kind::kUnavailable;
-  out.mReason = refusal_reason::kTimeIsUp;
-  out.mRetryAfter = kUnavailableRetryAfter;
-  return out;
-}
-
 } // namespace
 
 job_service_finder
@@ -81,10 +70,6 @@
   if (!timeout) {
     return;
   }
-  if (*timeout <= milliseconds(0)) {
-    aHandler(TimeIsUpReply());
-    return;
-  }
   if (aCallerWaits) {
     aSpec.mElapsed = mCallerPatience.ElapsedSinceFirstTry(
       aSpec.mQueue, *aCallerWaits, mClock.Now());
