--- a/mangospan/jobs/crash_series_test.cc
+++ b/mangospan/jobs/crash_series_test.cc
@@ -1,5 +1,5 @@
-// Runners that crash one after the other by no fault of their tasks, and how
-// soon the tasks are back, in virtual time.
+// Runners that crash one after the other, how soon their tasks are back, and
+// whether deadly tasks are still told from the others, in virtual time.
 #include <algorithm>
 #include <chrono>
 #include <map>
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -60,12 +60,12 @@
 constexpr milliseconds kMaxStartDelayOfCause{ 5'000 };
 // Runners crash in a series as long as one has crashed within this time.
 constexpr milliseconds kCrashSeriesGap{ 3'000 };
-// The longest time for which a suspected task waits for a runner of its own:
-// after a series, the same if it is the likely cause, and in a series, if
-// nothing but the number of its crashes is against it. In a series the others
-// wait on.
+// The longest time for which a suspected task waits for a runner of its own
+// while runners do not crash in a series; the second if it is the likely cause.
 constexpr milliseconds kMaxIsolationWait{ 1'500 };
 constexpr milliseconds kMaxIsolationWaitOfCause{ 3'000 };
+// The same in a series, for a task that only the number of its crashes speaks
+// against. The others have no such limit until the series is over.
 constexpr milliseconds kMaxIsolationWaitInSeries{ 5'000 };
 // The least and the longest time for which a suspected task runs alone.
 constexpr milliseconds kMinProbation{ 1'000 };
--- a/mangospan/jobs/waiting_tasks.h
+++ b/mangospan/jobs/waiting_tasks.h
@@ -40,8 +40,8 @@
 struct waiting_tasks
 {
   std::map<wait_reason, std::size_t> mCounts;
-  // The task that has waited longest, and since when it could have started; of
-  // use only if `mCounts` is not empty.
+  // The task that has waited longest, why, and for how long; of use only if
+  // `mCounts` is not empty.
   task_id mOldest;
   wait_reason mOldestReason = wait_reason::kCapacity;
   std::chrono::milliseconds mOldestAge{ 0 };
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -167,6 +167,7 @@
   {
     std::vector<written_job> mJobs;
     written_roster mRoster;
+    // How many jobs the write may have, by what it carries already.
     std::size_t mMaxJobs = platform::kMaxTransactionKeys;
 
     bool HasRoster() const { return !mRoster.mText.empty(); }
