Healthy runners are not quarantined by chance any more

What callers saw: tasks fail by themselves in about one of a hundred runs, and a runner got no new runs for 4 s once tasks of two jobs had failed there within 4 s.

Cause: a count without regard to how many runs end there, or fail elsewhere.

Now the failures on a runner are compared with what is usual on the runners of its pool that look sound, by a sequential test (Page's): a sound runner is taken to be faulty once in 100,000 runs. The runs of one job weigh no more than one failure until tasks of its step have succeeded, and those of a task that fails on a second runner are withdrawn, which also lifts a quarantine. Weak evidence only makes other runners preferred; a task that has failed goes where none has failed lately. After the quarantine a runner is on trial with one run at a time, until one succeeds or 4 s have passed. At most half of a pool is in quarantine, and a quarter while tasks wait for room. A refused start counts apart.

Tried and dropped: votes by job only, and the mean of all other runners as what is usual: slower where many are faulty.

--- a/mangospan/jobs/placement.cc
+++ b/mangospan/jobs/placement.cc
@@ -58,10 +58,15 @@
   const bool isConcentrated =
     spec.mLongRunning && aRunner.CountRuns(id.mJob, id.mOccurrence, id.mStep) >=
                            kPreferredMaxLongRunning;
-  return { aRunner.mInfo.mName == aRequest.mAvoidRunner,
+  // A task that has failed goes where none has failed lately.
+  const bool mayFailAgain = !aRequest.mAvoidRunner.Empty() &&
+                            (aRunner.mInfo.mName == aRequest.mAvoidRunner ||
+                             aNow < aRunner.mFailedLatelyUntil);
+  return { mayFailAgain,
            isFarFromData,
            isFarFromSiblings,
-           aRunner.mAnswerRecord.IsUnreliable(aNow),
+           aRunner.mAnswerRecord.IsUnreliable(aNow) ||
+             aNow < aRunner.mDoubtfulUntil,
            isConcentrated,
            spec.mLongRunning && !HasLongRunning(aRunner),
            aRunner.FreeCapacity().mCpu };
@@ -97,7 +102,7 @@
     const char* mName;
     bool (*mApplies)(const runner&, time_point);
   };
-  static constexpr std::array<obstacle, 9> kObstacles{ {
+  static constexpr std::array<obstacle, 11> kObstacles{ {
     { "unlisted",
       [](const runner& aEach, time_point) { return !aEach.mListed; } },
     { "draining",
@@ -114,6 +119,12 @@
       [](const runner& aEach, time_point aAt) {
         return aAt < aEach.mQuarantinedUntil;
       } },
+    { "on_trial",
+      [](const runner& aEach, time_point aAt) { return aEach.IsTried(aAt); } },
+    { "refused_start",
+      [](const runner& aEach, time_point aAt) {
+        return aAt < aEach.mRefusesUntil;
+      } },
     { "old_clock",
       [](const runner& aEach, time_point aAt) {
         return !aEach.IsClockCurrent(aAt);
--- a/mangospan/jobs/runner.cc
+++ b/mangospan/jobs/runner.cc
@@ -137,6 +137,15 @@
   return !mIsUnresponsive && mFailedPolls <= kToleratedFailedPolls;
 }
 
+bool
+runner::IsTried(time_point aNow) const
+{
+  return aNow < mOnTrialUntil &&
+         std::any_of(mRuns.begin(), mRuns.end(), [this](const auto& aEntry) {
+           return aEntry.second.mOrderedAt >= mQuarantinedUntil;
+         });
+}
+
 bool
 runner::HasLabel(const std::string& aLabel) const
 {
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -165,6 +165,8 @@
   // gets no new runs, its lease is not extended, and its pool has to do without
   // it.
   bool IsAnswering() const;
+  // Returns whether the runner is on trial and has its one run.
+  bool IsTried(time_point aNow) const;
   // Returns whether the runner carries the label.
   bool HasLabel(const std::string& aLabel) const;
 
@@ -200,9 +202,17 @@
   // so none may start and no lease be extended there.
   bool mIsUnresponsive = false;
   bool mIsReserved = false; // For a task that has to run alone.
-  // The runner gets no new runs before this time, because tasks of several jobs
-  // failed there or it refused a start.
+  // The runner gets no new runs before this time, because it refused a start.
+  time_point mRefusesUntil{};
+  // The same, because it is faulty by the jobs that it failed.
   time_point mQuarantinedUntil{};
+  // After that the runner gets one run at a time until this time, or until one
+  // has succeeded.
+  time_point mOnTrialUntil{};
+  // Other runners are preferred before this time, because it may be faulty.
+  time_point mDoubtfulUntil{};
+  // A run has failed there within the last seconds, until this time.
+  time_point mFailedLatelyUntil{};
   // The runner gets no new runs, because its host is needed elsewhere.
   bool mCordoned = false;
   int mStartsInFlight = 0;     // Runs whose start is not yet answered.
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -30,6 +30,7 @@
 #include "mangospan/base/time.h"
 #include "mangospan/jobs/answer_times.h"
 #include "mangospan/jobs/arrival_forecast.h"
+#include "mangospan/jobs/faulty_runner_detector.h"
 #include "mangospan/jobs/job.h"
 #include "mangospan/jobs/orders.h"
 #include "mangospan/jobs/outage_detector.h"
@@ -75,8 +76,7 @@
   std::chrono::microseconds mPollIntervalPerRunner{ 1'200 };
   // The minimum time between two stop orders for the same run.
   std::chrono::milliseconds mStopRetryInterval{ 500 };
-  // The time for which a runner gets no new runs after tasks of several jobs
-  // have failed on it.
+  // The time for which a runner that is taken to be faulty gets no new runs.
   std::chrono::milliseconds mQuarantineTime{ 4'000 };
   // The time for which the record of a job is kept after the job has ended.
   std::chrono::milliseconds mEndedJobRetention{ 150'000 };
@@ -112,6 +112,13 @@
   std::chrono::milliseconds mRetryAfter{ 0 };
 };
 
+// How often runners got no new runs for a while, by the reason.
+struct quarantine_counts
+{
+  std::uint64_t mFaulty = 0;  // by the jobs that they failed
+  std::uint64_t mRefused = 0; // they refused a start
+};
+
 // The version of a job's record that a write to the store has stored.
 struct stored_job
 {
@@ -266,6 +273,11 @@
   // Returns which ready tasks wait for what. Takes time for every task.
   waiting_tasks WaitingTasks(time_point aNow, wall_time aWall) const;
 
+  const quarantine_counts& QuarantineCounts() const
+  {
+    return mQuarantineCounts;
+  }
+
   const std::map<runner_name, runner>& Runners() const { return mRunners; }
   const std::map<job_name, job>& Jobs() const { return mJobs; }
 
@@ -417,10 +429,13 @@
                     const task_id& aTask,
                     time_point aNow,
                     wall_time aWall);
-  bool MayShun(const runner& aRunner, time_point aNow) const;
-  void RecordRunnerFailure(runner& aRunner,
-                           const job_name& aJob,
-                           time_point aNow);
+  bool MayQuarantine(const runner& aRunner, time_point aNow) const;
+  void OnRunFailed(runner& aRunner,
+                   const job& aJob,
+                   const task_id& aTask,
+                   time_point aNow);
+  void OnRunSucceeded(runner& aRunner, const job_name& aJob, time_point aNow);
+  void JudgeRunner(runner& aRunner, time_point aNow);
   void OnLiveRun(runner& aRunner, const live_run& aLive, time_point aNow);
   void AdoptRun(runner& aRunner,
                 const task_id& aTask,
@@ -445,8 +460,10 @@
   unstored_jobs mUnstoredJobs;
   std::map<runner_name, runner> mRunners;
   std::map<job_name, std::set<runner_name>> mRunnersByJob;
-  // The time of each job's latest failure on each runner, for recent failures.
-  std::map<runner_name, std::map<job_name, time_point>> mFailuresByRunner;
+  faulty_runner_detector mFaultyRunners;
+  quarantine_counts mQuarantineCounts;
+  // Services with ready tasks that the latest plan had no room for.
+  std::set<service_name> mServicesWithoutRoom;
   outage_detector mOutages;
   answer_time_estimator mStartAnswerTimes;
   // Runners whose runs were given up while they could not be reached, as they
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -11,13 +11,15 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// If tasks of this many jobs fail on one runner within `kFailureWindow`, the
-// runner is taken to be faulty.
-constexpr std::size_t kFailedJobsToQuarantine = 2;
-constexpr milliseconds kFailureWindow{ 4'000 };
-// One of this many runners of a service may be taken to be faulty at a time: if
-// tasks fail on all of them, the others still have to start.
+// One of this many runners of a service may be in quarantine at a time, since
+// the tasks that do not fail still have to start; the second while tasks wait
+// for room.
 constexpr std::size_t kRunnersPerFaultyOne = 2;
+constexpr std::size_t kRunnersPerFaultyOneWithoutRoom = 4;
+// Other runners are preferred to one that may be faulty for this long.
+constexpr milliseconds kDoubtTime{ 4'000 };
+// A runner back from quarantine gets one run at a time for no longer than this.
+constexpr milliseconds kMaxTrialTime{ 4'000 };
 
 const char*
 Name(run_end aEnd)
@@ -54,8 +56,10 @@
   if (foundJob != nullptr && foundJob->Find(*id) != nullptr &&
       !IsFinal(foundJob->mState)) {
     if (aEnd.mEnd == run_end::kFailed) {
-      RecordRunnerFailure(aRunner, id->mJob, aNow);
+      OnRunFailed(aRunner, *foundJob, *id, aNow);
       foundJob->Find(*id)->mFailedOn = aRunner.mInfo.mName;
+    } else if (aEnd.mEnd == run_end::kDone) {
+      OnRunSucceeded(aRunner, id->mJob, aNow);
     }
     if (aEnd.mEnd != run_end::kDone) {
       LogEvent(log_level::kInfo,
@@ -150,37 +154,47 @@
 
 // Returns whether enough runners of the service would be left without this one.
 bool
-scheduler::MayShun(const runner& aRunner, time_point aNow) const
+scheduler::MayQuarantine(const runner& aRunner, time_point aNow) const
 {
+  const service_name& service = aRunner.mInfo.mService;
   std::size_t poolSize = 0;
-  std::size_t shunned = 0;
+  std::size_t quarantined = 0;
   for (const auto& [runnerName, each] : mRunners) {
-    if (each.mInfo.mService == aRunner.mInfo.mService && each.mListed) {
+    if (each.mInfo.mService == service && each.mListed) {
       ++poolSize;
-      shunned += aNow < each.mQuarantinedUntil ? 1 : 0;
+      quarantined += aNow < each.mQuarantinedUntil ? 1 : 0;
     }
   }
-  return shunned < poolSize / kRunnersPerFaultyOne;
+  const std::size_t runnersPerFaultyOne =
+    mServicesWithoutRoom.count(service) > 0 ? kRunnersPerFaultyOneWithoutRoom
+                                            : kRunnersPerFaultyOne;
+  return quarantined < poolSize / runnersPerFaultyOne;
 }
 
-// Records a failed run, and quarantines the runner if tasks of several jobs
-// have failed on it recently. Failures of one job count once, because a task
-// that fails on every runner is faulty itself.
+// Draws the conclusions from the ends of runs on the runner.
 void
-scheduler::RecordRunnerFailure(runner& aRunner,
-                               const job_name& aJob,
-                               time_point aNow)
+scheduler::JudgeRunner(runner& aRunner, time_point aNow)
 {
-  auto& failures = mFailuresByRunner[aRunner.mInfo.mName];
-  for (auto it = failures.begin(); it != failures.end();) {
-    it = aNow - it->second > kFailureWindow ? failures.erase(it) : ++it;
+  const runner_verdict verdict =
+    mFaultyRunners.Judge(aRunner.mInfo.mService, aRunner.mInfo.mName, aNow);
+  const bool isQuarantined = aNow < aRunner.mQuarantinedUntil;
+  aRunner.mDoubtfulUntil =
+    verdict == runner_verdict::kSound ? time_point{} : aNow + kDoubtTime;
+  if (verdict != runner_verdict::kFaulty && isQuarantined) {
+    aRunner.mQuarantinedUntil = aNow;
+    aRunner.mOnTrialUntil = aNow;
+    LogEvent(log_level::kInfo,
+             "runner.quarantine_lifted",
+             { { "runner", aRunner.mInfo.mName.Str() } });
   }
-  failures[aJob] = aNow;
-  if (failures.size() < kFailedJobsToQuarantine || !MayShun(aRunner, aNow)) {
+  if (verdict != runner_verdict::kFaulty || isQuarantined ||
+      !MayQuarantine(aRunner, aNow)) {
     return;
   }
-  failures.clear();
+  ++mQuarantineCounts.mFaulty;
   aRunner.mQuarantinedUntil = aNow + mSettings.mQuarantineTime;
+  aRunner.mOnTrialUntil = aRunner.mQuarantinedUntil + kMaxTrialTime;
+  aRunner.mDoubtfulUntil = aRunner.mOnTrialUntil;
   LogEvent(
     log_level::kInfo,
     "runner.shunned",
@@ -189,4 +203,45 @@
         static_cast<std::int64_t>(mSettings.mQuarantineTime.count()) } });
 }
 
+// Holds a failed run against its runner, unless the task has failed on another
+// one before: then neither runner is to blame.
+void
+scheduler::OnRunFailed(runner& aRunner,
+                       const job& aJob,
+                       const task_id& aTask,
+                       time_point aNow)
+{
+  const step& ofTask =
+    aJob.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
+  const runner_name& failedBefore = ofTask.mTasks[aTask.mIndex].mFailedOn;
+  aRunner.mFailedLatelyUntil = aNow + kDoubtTime;
+  if (failedBefore.Empty() || failedBefore == aRunner.mInfo.mName) {
+    mFaultyRunners.Add(
+      aRunner.mInfo.mService,
+      { aNow, aRunner.mInfo.mName, aJob.mName, true, ofTask.mDoneCount > 0 });
+    JudgeRunner(aRunner, aNow);
+    return;
+  }
+  mFaultyRunners.Withdraw(failedBefore, aJob.mName);
+  const auto acquitted = mRunners.find(failedBefore);
+  if (acquitted != mRunners.end()) {
+    JudgeRunner(acquitted->second, aNow);
+  }
+}
+
+void
+scheduler::OnRunSucceeded(runner& aRunner,
+                          const job_name& aJob,
+                          time_point aNow)
+{
+  mFaultyRunners.Add(aRunner.mInfo.mService,
+                     { aNow, aRunner.mInfo.mName, aJob, false, false });
+  if (aNow >= aRunner.mQuarantinedUntil) {
+    aRunner.mOnTrialUntil = std::min(aRunner.mOnTrialUntil, aNow);
+  }
+  if (aNow < aRunner.mDoubtfulUntil) {
+    JudgeRunner(aRunner, aNow);
+  }
+}
+
 } // namespace mangospan::jobs
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -204,6 +204,7 @@
   for (const job_name& each : mActiveJobs) {
     CollectCandidates(mJobs.at(each), aNow, aWall, startable);
   }
+  mServicesWithoutRoom.clear();
   for (auto& [service, candidates] : startable.mByService) {
     std::vector<runner*> pool;
     for (auto& [runnerName, each] : mRunners) {
@@ -212,6 +213,7 @@
       }
     }
     if (pool.empty()) {
+      mServicesWithoutRoom.insert(service);
       continue;
     }
     std::stable_sort(candidates.begin(),
@@ -223,6 +225,7 @@
     pool_free_capacity freeCapacity(pool, aNow);
     for (const candidate& each : candidates) {
       if (!freeCapacity.MayFit(each.Spec())) {
+        mServicesWithoutRoom.insert(service);
         continue;
       }
       if (each.Spec().mGang) {
@@ -230,6 +233,7 @@
         PlaceGang(each, pool, aNow, aOrders);
       } else if (!PlaceStep(each, pool, aNow, aOrders)) {
         freeCapacity.OnPlacementFailed(each.Spec());
+        mServicesWithoutRoom.insert(service);
       }
     }
   }
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -98,8 +98,9 @@
     return;
   }
   ReleaseRun(targetRunner, key, aNow);
-  targetRunner.mQuarantinedUntil =
-    std::max(targetRunner.mQuarantinedUntil, aNow + kRunnerRetryDelay);
+  targetRunner.mRefusesUntil =
+    std::max(targetRunner.mRefusesUntil, aNow + kRunnerRetryDelay);
+  ++mQuarantineCounts.mRefused;
 }
 
 // Notes that the runner has answered a start order of the run as done.
@@ -251,6 +252,7 @@
 {
   OnRunnerAtAddress(aRunner.mInfo.mAddress, aNow);
   OnRunnerCrashed(aRunner, aNow);
+  mFaultyRunners.Forget(aRunner.mInfo.mName);
   std::vector<run> unsettled = TakeUnsettledRuns(aRunner, aNow);
   const bool isNewBoot = aInfo.mBoot != aRunner.mInfo.mBoot;
   ReleaseAllRuns(aRunner, loss_reason::kNewBoot, aNow);
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -108,7 +108,7 @@
     std::uniform_real_distribution<double>(0.98, 1.0)(mRandom);
   auto made = std::make_unique<fake_runner>(info, rate, mNow);
   made->SetHooks(
-    [this](const std::string& aTask) {
+    [this, aName](const std::string& aTask) {
       const task_id id = *ParseTaskId(aTask);
       const step_spec& spec = mSpecs.at(id.mJob.Str()).mSteps.at(id.mStep);
       const auto failing = mFailingJobs.find(id.mJob.Str());
@@ -121,7 +121,7 @@
       return fake_work{ spec.mLongRunning
                           ? kLongRunningDuration
                           : milliseconds(actualDuration(mRandom)),
-                        Chance(mRates.mTaskFails),
+                        Chance(FailureRateOn(aName)),
                         spec.Reservation() };
     },
     [this, aName](const std::string& aTask, std::uint32_t aRun) {
@@ -584,6 +584,20 @@
   mFailingJobs[aJob] = aAfter;
 }
 
+void
+fake_world::SetFaulty(const std::string& aRunner, double aProbability)
+{
+  mFaultyRunners[aRunner] = aProbability;
+}
+
+double
+fake_world::FailureRateOn(const std::string& aRunner) const
+{
+  const auto faulty = mFaultyRunners.find(aRunner);
+  return std::max(mRates.mTaskFails,
+                  faulty == mFaultyRunners.end() ? 0 : faulty->second);
+}
+
 void
 fake_world::Unlist(const std::string& aRunner)
 {
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -91,6 +91,8 @@
                          std::chrono::milliseconds aAfter);
   // Each run of the job fails `aAfter` its begin.
   void SetFails(const std::string& aJob, std::chrono::milliseconds aAfter);
+  // Runs on the runner fail with this probability.
+  void SetFaulty(const std::string& aRunner, double aProbability);
   void Unlist(const std::string& aRunner);
   void Relist(const std::string& aRunner);
 
@@ -151,6 +153,7 @@
   void Schedule(std::chrono::milliseconds aDelay,
                 std::function<void()> aAction);
   bool Chance(double aProbability);
+  double FailureRateOn(const std::string& aRunner) const;
   // Returns the time after which an unanswered order is executed.
   std::chrono::milliseconds LateDelay();
   std::chrono::milliseconds RandomDelay();
@@ -215,6 +218,7 @@
   std::map<std::string, std::chrono::milliseconds> mCrashingTasks;
   // Jobs whose runs fail, with the time from the begin of a run.
   std::map<std::string, std::chrono::milliseconds> mFailingJobs;
+  std::map<std::string, double> mFaultyRunners; // probabilities of failure
   std::unique_ptr<scheduler> mOwner;
   std::uint64_t mTerm = 0;
   time_point mConfirmedAt{};
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -231,7 +231,20 @@
     std::chrono::duration<double>(aWaiting.mOldestAge).count());
 }
 
-// Reports why ready tasks wait.
+void
+owner::SetQuarantineMetrics()
+{
+  const jobs::quarantine_counts& counts = mScheduler.QuarantineCounts();
+  const auto set = [this](const char* aReason, std::uint64_t aCount) {
+    mDeps.mMetrics.Set("mangospan_node_quarantines",
+                       { { "service", mService.Str() }, { "reason", aReason } },
+                       static_cast<double>(aCount));
+  };
+  set("faulty", counts.mFaulty);
+  set("refused", counts.mRefused);
+}
+
+// Reports why ready tasks wait, and how many runners were kept from them.
 void
 owner::ReportWaits()
 {
@@ -242,6 +255,7 @@
   mNextWaitReportAt = now + kWaitReportInterval;
   const jobs::waiting_tasks waiting = mScheduler.WaitingTasks(now, WallNow());
   SetWaitMetrics(waiting);
+  SetQuarantineMetrics();
   if (waiting.mOldestAge >= kLongWait) {
     LogEvent(log_level::kInfo,
              "task.waits",
@@ -604,7 +618,8 @@
     runner_state state;
     state.mAreRunsKnown = mScheduler.KnowsRunsOf(runnerName, aNow);
     state.mIsUnschedulable = !each.IsAnswering() || each.mInfo.mDraining ||
-                             aNow < each.mQuarantinedUntil;
+                             aNow < each.mQuarantinedUntil ||
+                             aNow < each.mRefusesUntil;
     state.mCanGetRuns = each.mContacted && each.mIsInRoster;
     state.mIsCordoned = each.mCordoned;
     for (const auto& [key, run] : each.Runs()) {
