Hosts are not kept from tasks for orders that can't be sent

Class: a wait for a scarce place without a limit of its own.

Cause: the fleet's owner cordons hosts before it announces their orders, and planned on by the last listing, however old.

Now no order is planned by a listing older than 3 s. Hosts whose order is not announced are given back, and a wave drains them anew afterwards, so that the time of the first drain cuts no run short. A host whose order was announced stays cordoned: the order may be executed late.

Evidence: RunnersAreGivenBackWhileNoHostsAreListed failed before (with the limit at an hour); RunnerOfAnnouncedMoveIsNotGivenBack and HostsThatWereGivenBackAreDrainedAnew guard the other side.

Not done: a lease of the cordon at the owner of the pool, for a fleet's owner that does not reach it.

--- a/mangospan/jobs/maintenance_planner.cc
+++ b/mangospan/jobs/maintenance_planner.cc
@@ -213,6 +213,33 @@
   }
 }
 
+void
+maintenance_planner::StopDraining()
+{
+  for (auto& [number, each] : mWaves) {
+    for (auto& [host, hostMember] : each.mMembers) {
+      if (hostMember.mPhase == phase::kDraining) {
+        hostMember.mPhase = phase::kPending;
+      }
+    }
+  }
+}
+
+std::set<host_name>
+maintenance_planner::OrderedHosts() const
+{
+  std::set<host_name> out;
+  for (const auto& [number, each] : mWaves) {
+    for (const auto& [host, hostMember] : each.mMembers) {
+      if (hostMember.mPhase == phase::kOrdered ||
+          hostMember.mPhase == phase::kDown) {
+        out.insert(host);
+      }
+    }
+  }
+  return out;
+}
+
 void
 maintenance_planner::OnExecuted(const maintenance_order& aOrder,
                                 time_point aNow)
--- a/mangospan/jobs/maintenance_planner.h
+++ b/mangospan/jobs/maintenance_planner.h
@@ -112,6 +112,13 @@
                               time_point aListedAt,
                               time_point aNow);
 
+  // Gives back the hosts that are drained and not ordered down: they may get
+  // runs, and are drained anew from the next Decide() on. For use while no
+  // order can be sent.
+  void StopDraining();
+  // Returns the hosts that were ordered down, or may have been.
+  std::set<host_name> OrderedHosts() const;
+
   // Records that the order was executed, now or by an earlier attempt.
   void OnExecuted(const maintenance_order& aOrder, time_point aNow);
   // Records that the result of the order is unknown. Decide() returns the order
--- a/mangospan/jobs/maintenance_planner_test.cc
+++ b/mangospan/jobs/maintenance_planner_test.cc
@@ -48,6 +48,24 @@
   EXPECT_EQ(decision.mOrders.size(), 2U);
 }
 
+// A host that was given back gets runs, which are not to be cut short because
+// its drain had begun long ago.
+TEST(maintenance_planner_test, HostsThatWereGivenBackAreDrainedAnew)
+{
+  maintenance_planner planner{ maintenance_settings{} };
+  const auto hosts = Hosts(2);
+  planner.AddWave(1, hosts, kStart + seconds(20), 1);
+  auto views = Views(hosts);
+  views[0].mRunCount = 1;
+  views[1].mRunCount = 1;
+  planner.Decide(views, kStart, kStart);
+  planner.StopDraining();
+  EXPECT_TRUE(planner.OrderedHosts().empty());
+  const time_point later = kStart + seconds(10);
+  EXPECT_TRUE(planner.Decide(views, later, later).mOrders.empty());
+  EXPECT_TRUE(planner.Decide(views, later, later + seconds(5)).mOrders.empty());
+}
+
 TEST(maintenance_planner_test,
      HostsThatAnEarlierOwnerTookDownCountAgainstTheLimit)
 {
--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -19,6 +19,9 @@
 // An order without an answer may still be executed within this time.
 constexpr milliseconds kLateOrderTime{ 2'000 };
 constexpr milliseconds kReadTimeout{ 1'000 };
+// Without a newer listing for this long no order is made, and hosts are not
+// kept for one.
+constexpr milliseconds kMaxListingAge{ 3'000 };
 constexpr milliseconds kAnnounceTimeout{ 500 };
 
 const char*
@@ -395,6 +398,11 @@
     return; // the listing may not show the predecessor's last orders yet
   }
   const time_point now = mDeps.mClock.Now();
+  if (now - mListedAt > kMaxListingAge) {
+    GiveHostsBack();
+    return;
+  }
+  NoteListingIsCurrent();
   // A listing does not show yet whether these hosts have moved.
   for (const auto* const moves : { &mPendingMoves, &mUnansweredMoves }) {
     for (const auto& [host, each] : *moves) {
@@ -415,6 +423,37 @@
   AnnounceOrders(maintenance.mOrders, ReadyMoves(views));
 }
 
+// Lets the hosts have runs that wait for an order which has not been announced:
+// whoever lists no hosts takes no orders either. The others stay cordoned,
+// since their orders may be executed late.
+void
+fleet_controller::GiveHostsBack()
+{
+  if (!mAreHostsGivenBack) {
+    mAreHostsGivenBack = true;
+    LogEvent(log_level::kWarning,
+             "hosts.given_back",
+             { { "moves", static_cast<std::uint64_t>(mPendingMoves.size()) },
+               { "listing_age_ms",
+                 CountMilliseconds(mDeps.mClock.Now() - mListedAt) } });
+  }
+  for (const auto& [host, each] : mPendingMoves) {
+    mAutoscaler.OnMoveNotExecuted(host);
+  }
+  mPendingMoves.clear();
+  mMaintenancePlanner.StopDraining();
+  SetCordoned(mMaintenancePlanner.OrderedHosts());
+}
+
+void
+fleet_controller::NoteListingIsCurrent()
+{
+  if (mAreHostsGivenBack) {
+    mAreHostsGivenBack = false;
+    LogEvent(log_level::kInfo, "hosts.listed_again", {});
+  }
+}
+
 // Queues the moves. A host cannot move before its runner is cordoned, even if
 // nothing runs on it.
 void
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -103,6 +103,8 @@
   void AddPendingMoves(const std::vector<jobs::move_order>& aMoves);
   std::vector<jobs::move_order> ReadyMoves(
     const std::vector<jobs::host_view>& aHosts);
+  void GiveHostsBack();
+  void NoteListingIsCurrent();
   void SetCordoned(const std::set<host_name>& aMaintenance);
   const host_entry* FindHost(const host_name& aHost) const;
   host_entry LastListedHost(const host_name& aHost) const;
@@ -147,6 +149,7 @@
   bool mIsAnnouncementInFlight = false;
   time_point mStartedAt{};
   time_point mNextList{};
+  bool mAreHostsGivenBack = false; // since the listing is too old
   time_point mListedAt{};
   std::vector<host_entry> mHosts;
   std::set<host_name> mMaintenanceInFlight;
--- a/mangospan/node/fleet_controller_test.cc
+++ b/mangospan/node/fleet_controller_test.cc
@@ -45,6 +45,11 @@
   void List(
     std::function<void(result<std::vector<host_entry>>)> aHandler) override
   {
+    if (mIsSilent) {
+      const error silence{ error_code::kTimeout, "hosts.list", "", "silent" };
+      boost::asio::post(mIo, [silence, aHandler] { aHandler(silence); });
+      return;
+    }
     boost::asio::post(mIo, [this, aHandler] { aHandler(mHosts); });
   }
   void Move(const order_fence& /*aFence*/,
@@ -78,6 +83,7 @@
       });
   }
 
+  bool mIsSilent = false; // lists no hosts
   std::vector<host_name> mMovedHosts;
   int mMaintainCount = 0;
   // Executes a maintenance order.
@@ -123,6 +129,9 @@
       return; // the answer has not arrived yet
     }
     mIsCordonRequested = mIsCordonRequested || !aInstructions.mCordoned.empty();
+    if (aPool == kCold) {
+      mCordonedNow = aInstructions.mCordoned;
+    }
     boost::asio::post(mIo, [state, aHandler] { aHandler(state); });
   }
 
@@ -131,6 +140,7 @@
   bool mAlwaysReportsCordoned = false; // whatever the instructions say
   bool mAnswersForCold = true;         // replies for the cold pool
   bool mIsCordonRequested = false;
+  std::set<runner_name> mCordonedNow; // of the cold pool
   int mExchangeCount = 0;
   std::set<runner_name> mDeadRunners; // that were reported
 
@@ -280,6 +290,31 @@
   EXPECT_TRUE(isCordoned);
 }
 
+// A move that waits for its order keeps tasks from its runner, while nobody
+// takes orders.
+TEST_F(fleet_controller_test, RunnersAreGivenBackWhileNoHostsAreListed)
+{
+  mPools.mCordons = false; // so that no order goes out
+  Start();
+  RunUntil([this] { return mPools.mIsCordonRequested; });
+  mHosts.mIsSilent = true;
+  RunFor(milliseconds(3'500));
+  EXPECT_TRUE(mPools.mCordonedNow.empty());
+  mHosts.mIsSilent = false;
+  RunFor(milliseconds(1'000));
+  EXPECT_FALSE(mPools.mCordonedNow.empty());
+}
+
+TEST_F(fleet_controller_test, RunnerOfAnnouncedMoveIsNotGivenBack)
+{
+  Start();
+  RunUntil([this] { return !mHosts.mMovedHosts.empty(); });
+  const runner_name leaving = mHosts.Entry(mHosts.mMovedHosts.front()).mRunner;
+  mHosts.mIsSilent = true;
+  RunFor(milliseconds(3'500));
+  EXPECT_EQ(mPools.mCordonedNow.count(leaving), 1U);
+}
+
 // Keeps two fleet owners from ordering one host in turn: the time of day of the
 // second one may be ahead of that of the first, which says nothing of how long
 // ago the order was sent.
