An occurrence that has begun goes on though the time of day jumps back

A job that repeats starts the tasks of its occurrences only while they are due by the owner's time of day. If that jumps back, or a successor's is behind, an occurrence that has begun stops in the middle: its next step does not begin, and a lasting task that is lost with its runner does not come back, until the time of day has caught up. Nothing bounds that, and neither `task.waits` nor the load of the pool counted these tasks.

An occurrence that has begun was due, so it goes on: one of its tasks is done, or a run of one is or was live. One that was only opened still waits for its time, also when the time of day was ahead as it was opened.

Tests, in virtual time, with a jump of an hour: three of the four of begun_occurrence_test failed before (the next step, a lost lasting task, a successor); OneThatHasNotBegunWaitsForItsTime passed before and guards the other direction.

--- a/mangospan/jobs/job.cc
+++ b/mangospan/jobs/job.cc
@@ -203,6 +203,20 @@
   return std::min(mSpec.mRepetitions, later + 1);
 }
 
+bool
+job::IsDueOrBegun(std::size_t aOccurrence, std::size_t aDue) const
+{
+  const auto hasBegun = [](const task& aTask) {
+    return aTask.mDone || aTask.mLastRun > 0;
+  };
+  const auto& steps = mOccurrences.at(aOccurrence).mSteps;
+  return aOccurrence < aDue ||
+         std::any_of(steps.begin(), steps.end(), [&](const step& aStep) {
+           return std::any_of(
+             aStep.mTasks.begin(), aStep.mTasks.end(), hasBegun);
+         });
+}
+
 bool
 job::AllDone() const
 {
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -213,6 +213,11 @@
   // after `aWall`. The only occurrence of a job without repetitions is always
   // due.
   std::size_t DueOccurrences(wall_time aWall) const;
+  // Returns whether tasks of the occurrence, which is open, may start as far as
+  // the time goes: it is among the first `aDue`, or has begun. One that has
+  // begun goes on though the time of day jumps back, or is behind that of the
+  // owner that began it.
+  bool IsDueOrBegun(std::size_t aOccurrence, std::size_t aDue) const;
   // Returns whether every task of every occurrence is done.
   bool AllDone() const;
 
--- a/mangospan/jobs/scheduler_demand.cc
+++ b/mangospan/jobs/scheduler_demand.cc
@@ -95,8 +95,8 @@
   bool isDue = false;
   const std::size_t due = aJob.DueOccurrences(aWall);
   for (const auto& [k, each] : aJob.mOccurrences) {
-    if (k >= due) {
-      break;
+    if (!aJob.IsDueOrBegun(k, due)) {
+      continue;
     }
     for (std::size_t s = 0; s < aJob.mSpec.mSteps.size(); ++s) {
       const step& stepState = each.mSteps[s];
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -260,8 +260,8 @@
   aJob.OpenDueOccurrences(aWall);
   const std::size_t due = aJob.DueOccurrences(aWall);
   for (auto& [k, each] : aJob.mOccurrences) {
-    if (k >= due) {
-      break;
+    if (!aJob.IsDueOrBegun(k, due)) {
+      continue;
     }
     auto& steps = each.mSteps;
     for (std::size_t s = 0; s < steps.size(); ++s) {
--- a/mangospan/jobs/scheduler_waits.cc
+++ b/mangospan/jobs/scheduler_waits.cc
@@ -157,7 +157,8 @@
     const std::size_t due = each.DueOccurrences(aWall);
     const auto ofJob = ReasonOfJob(each, aNow);
     for (const auto& [k, occurrence] : each.mOccurrences) {
-      for (std::size_t s = 0; k < due && s < occurrence.mSteps.size(); ++s) {
+      const bool mayStart = each.IsDueOrBegun(k, due);
+      for (std::size_t s = 0; mayStart && s < occurrence.mSteps.size(); ++s) {
         if (each.IsStepReady(k, s)) {
           AddWaitingTasks(each, k, s, ofJob, aNow, out);
         }
--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -1,5 +1,6 @@
 // Tasks that are ready and have room once the faults are over, in virtual time.
 #include <chrono>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,94 @@
   EXPECT_EQ(world.Violations(), std::vector<std::string>());
 }
 
+// A job of one occurrence, due a second after its submission, with two steps.
+class begun_occurrence_test : public ::testing::Test
+{
+protected:
+  void Submit(bool aLasts)
+  {
+    AddRunners(mWorld);
+    step_spec first;
+    first.mTaskResources = { 500, 512, 0 };
+    first.mEstimate = seconds(1);
+    step_spec second = first;
+    second.mAfter = { 0 };
+    job_spec spec;
+    spec.mQueue = queue_name{ "q" };
+    spec.mSteps = { first, second };
+    spec.mSteps[0].mLongRunning = aLasts;
+    spec.mRepetitions = 1;
+    spec.mFirstDue = mWorld.Wall() + seconds(1);
+    mWorld.Submit("a1", spec);
+    mWorld.RunFor(milliseconds(1'500));
+    ASSERT_EQ(mWorld.StartsOf("a1.0.0.0"), 1U);
+  }
+
+  fake_world mWorld{ 1, fault_rates{} };
+};
+
+TEST_F(begun_occurrence_test, NextStepBeginsThoughTheTimeOfDayJumpedBack)
+{
+  Submit(/*aLasts=*/false);
+  mWorld.StepTimeOfDay(-std::chrono::hours(1));
+  mWorld.RunFor(seconds(4));
+  EXPECT_EQ(mWorld.StateOf("a1"), job_state::kCompleted);
+}
+
+TEST_F(begun_occurrence_test, LostTaskIsBackThoughTheTimeOfDayJumpedBack)
+{
+  Submit(/*aLasts=*/true);
+  mWorld.StepTimeOfDay(-std::chrono::hours(1));
+  std::set<runner_name> all;
+  for (const std::string& each : mWorld.RunnerNames()) {
+    all.insert(runner_name{ each });
+    mWorld.CrashFor(each, milliseconds(800));
+  }
+  mWorld.Owner()->SetCordoned(all);
+  mWorld.RunFor(seconds(3));
+  const waiting_tasks waiting =
+    mWorld.Owner()->WaitingTasks(mWorld.Now(), mWorld.Wall());
+  EXPECT_EQ(waiting.mOldestReason, wait_reason::kRunner);
+  EXPECT_EQ(waiting.mOldest.Text(), "a1.0.0.0");
+  EXPECT_GT(mWorld.Owner()
+              ->ComputeLoads(mWorld.Now(), mWorld.Wall())
+              .at(service_name{ "s" })
+              .mMinHosts,
+            0U);
+  mWorld.Owner()->SetCordoned({});
+  mWorld.RunFor(seconds(1));
+  EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 2U);
+}
+
+// The successor knows by the record, or by the run, that it has begun.
+TEST_F(begun_occurrence_test, GoesOnWithASuccessorWhoseTimeOfDayIsBehind)
+{
+  Submit(/*aLasts=*/false);
+  mWorld.KillOwner(milliseconds(100));
+  mWorld.StepTimeOfDay(-std::chrono::hours(1));
+  mWorld.RunFor(seconds(12));
+  EXPECT_EQ(mWorld.StateOf("a1"), job_state::kCompleted);
+}
+
+// One that was only opened waits for its time.
+TEST_F(begun_occurrence_test, OneThatHasNotBegunWaitsForItsTime)
+{
+  mWorld.RunFor(milliseconds(200)); // until there is an owner
+  job_spec spec = LongRunningJob(1);
+  spec.mRepetitions = 1;
+  spec.mFirstDue = mWorld.Wall() + seconds(10);
+  mWorld.Submit("a1", spec);
+  mWorld.RunFor(seconds(1));
+  mWorld.StepTimeOfDay(seconds(10)); // due, but there is no runner yet
+  mWorld.RunFor(seconds(1));
+  mWorld.StepTimeOfDay(-seconds(10));
+  AddRunners(mWorld);
+  mWorld.RunFor(seconds(5));
+  EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 0U);
+  mWorld.RunFor(seconds(5));
+  EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 1U);
+}
+
 // One long-running task and three runners with room for it.
 class runs_out_of_order_test : public ::testing::Test
 {
