A wave gives a host back that its lasting tasks cannot leave

A host that a wave drains gets no new runs, and goes down only once no lasting run is left. A lasting run may not leave while as many tasks of its step are away as its specification allows. If one that is away has room on that host only, the two wait for each other: the task does not start ("cordoned"), the host stays closed and the wave is never over. Only the drain of tasks that end had a limit (`mDrainTimeout`).

The same limit holds now since a lasting run has left the host last. Then the host is given back for `mGiveBackTime`, in which the tasks that wait start there, and other hosts of the wave are drained first.

Not better: where the room is too small for the drain in any case, the task is evicted again later, so it is at work a part of the time only.

Tests: CordonEndsWhileNoTaskMayLeaveTheRunner (owner, runners and planner in virtual time) failed before: the host was closed for the whole minute, with room for the task twice over, and the task had one start. HostIsGivenBackForAWhileOnlyIfItsDrainIsStuck is new.

--- a/mangospan/jobs/maintenance_planner.cc
+++ b/mangospan/jobs/maintenance_planner.cc
@@ -143,6 +143,22 @@
   return counts;
 }
 
+// Returns whether long-running runs do not leave the host. They may have to
+// stay until others of their step are back, which wait for a runner with room.
+bool
+maintenance_planner::IsStuck(const host_view& aHost,
+                             time_point aNow,
+                             member& aMember) const
+{
+  if (aHost.mLongRunningCount != aMember.mLongRunningLeft) {
+    aMember.mLongRunningLeft = aHost.mLongRunningCount;
+    aMember.mLongRunningSince = aNow;
+  }
+  const time_point since =
+    std::max(aMember.mPhaseSince, aMember.mLongRunningSince);
+  return aHost.mLongRunningCount > 0 && aNow - since > mSettings.mDrainTimeout;
+}
+
 void
 maintenance_planner::AssessUpHost(const host_view& aHost,
                                   std::uint64_t aNumber,
@@ -155,7 +171,11 @@
     aDecision.mOrders.push_back(
       { aHost.mHost, aNumber }); // resolves the unknown result
     aMember.mNotBefore = aNow + mSettings.mRetryDelay;
-  } else if (aMember.mPhase == phase::kPending) {
+  } else if (aMember.mPhase == phase::kDraining &&
+             IsStuck(aHost, aNow, aMember)) {
+    aMember.mPhase = phase::kPending;
+    aMember.mNotBefore = aNow + mSettings.mGiveBackTime;
+  } else if (aMember.mPhase == phase::kPending && aNow >= aMember.mNotBefore) {
     aCounts.mPending.emplace_back(aHost.mRunCount + kLongRunningWeight *
                                                       aHost.mLongRunningCount,
                                   aHost.mHost);
--- a/mangospan/jobs/maintenance_planner.h
+++ b/mangospan/jobs/maintenance_planner.h
@@ -75,6 +75,9 @@
   // A host that has been draining for longer than this may go down although it
   // still has runs, unless one of them is long-running.
   std::chrono::milliseconds mDrainTimeout{ 6'000 };
+  // A host that no long-running run has left for the drain timeout is given
+  // back for this long: what keeps the others there may wait for its room.
+  std::chrono::milliseconds mGiveBackTime{ 2'000 };
   // The delay before an order is sent again that was not executed, or that has
   // no result yet.
   std::chrono::milliseconds mRetryDelay{ 300 };
@@ -146,7 +149,11 @@
   {
     phase mPhase = phase::kPending;
     time_point mPhaseSince{};
-    time_point mNotBefore{}; // no order is sent before this time
+    time_point mNotBefore{}; // no order is sent, or drain begun, before this
+    // While it is drained: the long-running runs that were left, and since
+    // when.
+    std::size_t mLongRunningLeft = 0;
+    time_point mLongRunningSince{};
     // When it was last listed as up or in maintenance, or first missed.
     time_point mPresentAt{};
   };
@@ -179,6 +186,7 @@
                          const std::map<host_name, host_view>& aHosts,
                          time_point aNow,
                          maintenance_decision& aDecision) const;
+  bool IsStuck(const host_view& aHost, time_point aNow, member& aMember) const;
   void AssessUpHost(const host_view& aHost,
                     std::uint64_t aNumber,
                     time_point aNow,
--- a/mangospan/jobs/maintenance_planner_test.cc
+++ b/mangospan/jobs/maintenance_planner_test.cc
@@ -1,6 +1,7 @@
 #include "mangospan/jobs/maintenance_planner.h"
 
 #include <set>
+#include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -91,6 +92,23 @@
   EXPECT_EQ(decision.mCordoned.size(), 1U);
 }
 
+TEST(maintenance_planner_test, HostIsGivenBackForAWhileOnlyIfItsDrainIsStuck)
+{
+  maintenance_planner planner{ maintenance_settings{} };
+  const auto hosts = Hosts(1);
+  planner.AddWave(1, hosts, kStart + seconds(60), 1);
+  auto views = Views(hosts);
+  views[0].mRunCount = 3;
+  views[0].mLongRunningCount = 3;
+  std::string cordoned; // one character for each second
+  for (int i = 0; i < 24; ++i) {
+    views[0].mLongRunningCount -= i == 5 || i == 10 ? 1 : 0;
+    const time_point now = kStart + seconds(i);
+    cordoned += planner.Decide(views, now, now).mCordoned.empty() ? '-' : 'x';
+  }
+  EXPECT_EQ(cordoned, "xxxxxxxxxxxxxxxxx--xxxxx");
+}
+
 TEST(maintenance_planner_test, AnUnknownResultIsResolvedByRepeatingTheOrder)
 {
   maintenance_planner planner{ maintenance_settings{} };
--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -1,4 +1,5 @@
 // Tasks that are ready and have room once the faults are over, in virtual time.
+#include <algorithm>
 #include <chrono>
 #include <set>
 #include <string>
@@ -6,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include "mangospan/jobs/maintenance_planner.h"
 #include "mangospan/jobs/scheduler.h"
 #include "mangospan/jobs/testing/fake_world.h"
 
@@ -186,6 +188,52 @@
   EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 1U);
 }
 
+// A wave drains "big", which has one of two tasks; the other one was lost with
+// its runner and has room on "big" only.
+TEST(drained_runner_test, CordonEndsWhileNoTaskMayLeaveTheRunner)
+{
+  fake_world world(1, fault_rates{});
+  world.AddRunner("small", "s", { 6'000, 65'536, 0 });
+  world.RunFor(milliseconds(300));
+  job_spec spec = LongRunningJob(2);
+  spec.mSteps[0].mTaskResources.mCpu = 5'000;
+  spec.mSteps[0].mMaxUnavailable = 1;
+  world.Submit("a1", spec);
+  world.RunFor(seconds(1));
+  world.AddRunner("big", "s", { 16'000, 65'536, 0 });
+  world.RunFor(seconds(2));
+  ASSERT_EQ(world.Runner("big").Runs().size(), 1U);
+  ASSERT_EQ(world.Runner("small").Runs().size(), 1U);
+  world.Unlist("small");
+  world.SetReachable("small", false); // for good
+  world.AddRunner("other", "s", { 4'000, 65'536, 0 });
+  maintenance_planner planner{ maintenance_settings{} };
+  const host_name host{ "h" };
+  planner.AddWave(1, { host }, world.Now() + seconds(30), 1);
+  host_view view;
+  view.mHost = host;
+  view.mIsUp = true;
+  view.mAreRunsKnown = true;
+  std::size_t cordonedFor = 0;
+  std::size_t longest = 0;
+  for (int i = 0; i < 600; ++i) {
+    view.mRunCount = world.Runner("big").Runs().size();
+    view.mLongRunningCount = view.mRunCount;
+    const auto decision = planner.Decide({ view }, world.Now(), world.Now());
+    world.Owner()->SetCordoned(decision.mCordoned.empty()
+                                 ? std::set<runner_name>{}
+                                 : std::set{ runner_name{ "big" } });
+    if (!decision.mEvictFrom.empty()) {
+      world.Owner()->Evict(runner_name{ "big" }, world.Now());
+    }
+    cordonedFor = decision.mCordoned.empty() ? 0 : cordonedFor + 1;
+    longest = std::max(longest, cordonedFor);
+    world.RunFor(milliseconds(100));
+  }
+  EXPECT_LE(milliseconds(100) * longest, seconds(10));
+  EXPECT_GE(world.StartsOf("a1.0.0.0"), 2U);
+}
+
 // One long-running task and three runners with room for it.
 class runs_out_of_order_test : public ::testing::Test
 {
