--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -1,10 +1,13 @@
 // Tasks that are ready and have room once the faults are over, in virtual time.
+#include <algorithm>
 #include <chrono>
+#include <set>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
+#include "mangospan/jobs/maintenance_planner.h"
 #include "mangospan/jobs/scheduler.h"
 #include "mangospan/jobs/testing/fake_world.h"
 
@@ -97,6 +100,140 @@
   EXPECT_EQ(world.Violations(), std::vector<std::string>());
 }
 
+// A job of one occurrence, due a second after its submission, with two steps.
+class begun_occurrence_test : public ::testing::Test
+{
+protected:
+  void Submit(bool aLasts)
+  {
+    AddRunners(mWorld);
+    step_spec first;
+    first.mTaskResources = { 500, 512, 0 };
+    first.mEstimate = seconds(1);
+    step_spec second = first;
+    second.mAfter = { 0 };
+    job_spec spec;
+    spec.mQueue = queue_name{ "q" };
+    spec.mSteps = { first, second };
+    spec.mSteps[0].mLongRunning = aLasts;
+    spec.mRepetitions = 1;
+    spec.mFirstDue = mWorld.Wall() + seconds(1);
+    mWorld.Submit("a1", spec);
+    mWorld.RunFor(milliseconds(1'500));
+    ASSERT_EQ(mWorld.StartsOf("a1.0.0.0"), 1U);
+  }
+
+  fake_world mWorld{ 1, fault_rates{} };
+};
+
+TEST_F(begun_occurrence_test, NextStepBeginsThoughTheTimeOfDayJumpedBack)
+{
+  Submit(/*aLasts=*/false);
+  mWorld.StepTimeOfDay(-std::chrono::hours(1));
+  mWorld.RunFor(seconds(4));
+  EXPECT_EQ(mWorld.StateOf("a1"), job_state::kCompleted);
+}
+
+TEST_F(begun_occurrence_test, LostTaskIsBackThoughTheTimeOfDayJumpedBack)
+{
+  Submit(/*aLasts=*/true);
+  mWorld.StepTimeOfDay(-std::chrono::hours(1));
+  std::set<runner_name> all;
+  for (const std::string& each : mWorld.RunnerNames()) {
+    all.insert(runner_name{ each });
+    mWorld.CrashFor(each, milliseconds(800));
+  }
+  mWorld.Owner()->SetCordoned(all);
+  mWorld.RunFor(seconds(3));
+  const waiting_tasks waiting =
+    mWorld.Owner()->WaitingTasks(mWorld.Now(), mWorld.Wall());
+  EXPECT_EQ(waiting.mOldestReason, wait_reason::kRunner);
+  EXPECT_EQ(waiting.mOldest.Text(), "a1.0.0.0");
+  EXPECT_GT(mWorld.Owner()
+              ->ComputeLoads(mWorld.Now(), mWorld.Wall())
+              .at(service_name{ "s" })
+              .mMinHosts,
+            0U);
+  mWorld.Owner()->SetCordoned({});
+  mWorld.RunFor(seconds(1));
+  EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 2U);
+}
+
+// The successor knows by the record, or by the run, that it has begun.
+TEST_F(begun_occurrence_test, GoesOnWithASuccessorWhoseTimeOfDayIsBehind)
+{
+  Submit(/*aLasts=*/false);
+  mWorld.KillOwner(milliseconds(100));
+  mWorld.StepTimeOfDay(-std::chrono::hours(1));
+  mWorld.RunFor(seconds(12));
+  EXPECT_EQ(mWorld.StateOf("a1"), job_state::kCompleted);
+}
+
+// One that was only opened waits for its time.
+TEST_F(begun_occurrence_test, OneThatHasNotBegunWaitsForItsTime)
+{
+  mWorld.RunFor(milliseconds(200)); // until there is an owner
+  job_spec spec = LongRunningJob(1);
+  spec.mRepetitions = 1;
+  spec.mFirstDue = mWorld.Wall() + seconds(10);
+  mWorld.Submit("a1", spec);
+  mWorld.RunFor(seconds(1));
+  mWorld.StepTimeOfDay(seconds(10)); // due, but there is no runner yet
+  mWorld.RunFor(seconds(1));
+  mWorld.StepTimeOfDay(-seconds(10));
+  AddRunners(mWorld);
+  mWorld.RunFor(seconds(5));
+  EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 0U);
+  mWorld.RunFor(seconds(5));
+  EXPECT_EQ(mWorld.StartsOf("a1.0.0.0"), 1U);
+}
+
+// A wave drains "big", which has one of two tasks; the other one was lost with
+// its runner and has room on "big" only.
+TEST(drained_runner_test, CordonEndsWhileNoTaskMayLeaveTheRunner)
+{
+  fake_world world(1, fault_rates{});
+  world.AddRunner("small", "s", { 6'000, 65'536, 0 });
+  world.RunFor(milliseconds(300));
+  job_spec spec = LongRunningJob(2);
+  spec.mSteps[0].mTaskResources.mCpu = 5'000;
+  spec.mSteps[0].mMaxUnavailable = 1;
+  world.Submit("a1", spec);
+  world.RunFor(seconds(1));
+  world.AddRunner("big", "s", { 16'000, 65'536, 0 });
+  world.RunFor(seconds(2));
+  ASSERT_EQ(world.Runner("big").Runs().size(), 1U);
+  ASSERT_EQ(world.Runner("small").Runs().size(), 1U);
+  world.Unlist("small");
+  world.SetReachable("small", false); // for good
+  world.AddRunner("other", "s", { 4'000, 65'536, 0 });
+  maintenance_planner planner{ maintenance_settings{} };
+  const host_name host{ "h" };
+  planner.AddWave(1, { host }, world.Now() + seconds(30), 1);
+  host_view view;
+  view.mHost = host;
+  view.mIsUp = true;
+  view.mAreRunsKnown = true;
+  std::size_t cordonedFor = 0;
+  std::size_t longest = 0;
+  for (int i = 0; i < 600; ++i) {
+    view.mRunCount = world.Runner("big").Runs().size();
+    view.mLongRunningCount = view.mRunCount;
+    const auto decision = planner.Decide({ view }, world.Now(), world.Now());
+    world.Owner()->SetCordoned(decision.mCordoned.empty()
+                                 ? std::set<runner_name>{}
+                                 : std::set{ runner_name{ "big" } });
+    if (!decision.mEvictFrom.empty()) {
+      world.Owner()->Evict(runner_name{ "big" }, world.Now());
+    }
+    cordonedFor = decision.mCordoned.empty() ? 0 : cordonedFor + 1;
+    longest = std::max(longest, cordonedFor);
+    world.RunFor(milliseconds(100));
+  }
+  EXPECT_LE(milliseconds(100) * longest, seconds(10));
+  EXPECT_GE(world.StartsOf("a1.0.0.0"), 2U);
+}
+
 // One long-running task and three runners with room for it.
 class runs_out_of_order_test : public ::testing::Test
 {
