Tests: one fixture for an owner on its own, whose process may be late

The tests of an owner under overload and of lost answers wrote the same runners, catalog, job and owner twice. Both now use testing::lone_owner. The owner's loop and the store's are apart in it, so that a test can let the owner's process be late while its store is not; the answers to a virtual_store_client arrive in the work of the io_context that it is given.

--- a/mangospan/node/owner_lost_answers_test.cc
+++ b/mangospan/node/owner_lost_answers_test.cc
@@ -11,14 +11,10 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
-#include "mangospan/daemon/metrics.h"
-#include "mangospan/node/owner.h"
-#include "mangospan/node/testing/runner_records.h"
+#include "mangospan/node/testing/lone_owner.h"
 #include "mangospan/node/testing/virtual_cluster.h"
-#include "mangospan/node/testing/virtual_store.h"
 
 namespace mangospan::node {
 namespace {
@@ -34,64 +30,11 @@
 constexpr milliseconds kStoredWithin{ 100 };
 // The time after which a job that has ended is deleted.
 constexpr milliseconds kRetention{ 10'000 };
-const service_name kService{ "ours" };
-const jobs::queue_name kQueue{ "queue" };
 const std::string kJobsPrefix = "mangospan/owned/ours/jobs/";
 
 constexpr commit_fate kDoneUnanswered{ false, true, milliseconds(0) };
 constexpr commit_fate kNotDone{ false, false, milliseconds(0) };
 
-class no_runners final : public runner_port
-{
-public:
-  void Start(const runner_target& /*aTarget*/,
-             const jobs::start_order& /*aOrder*/,
-             outcome_handler /*aHandler*/) override
-  {
-  }
-  void Stop(const runner_target& /*aTarget*/,
-            const jobs::stop_order& /*aOrder*/,
-            outcome_handler /*aHandler*/) override
-  {
-  }
-  void Throttle(const runner_target& /*aTarget*/,
-                const jobs::throttle_order& /*aOrder*/,
-                outcome_handler /*aHandler*/) override
-  {
-  }
-  void Poll(const runner_target& /*aTarget*/,
-            const jobs::poll_order& /*aOrder*/,
-            poll_handler /*aHandler*/) override
-  {
-  }
-};
-
-jobs::catalog
-OneQueue()
-{
-  jobs::queue_policy policy;
-  policy.mName = kQueue;
-  policy.mService = kService;
-  jobs::catalog out;
-  out.mVersion = 1;
-  out.mQueues.emplace(kQueue, policy);
-  out.mServices.emplace(kService, jobs::service_policy{ kService, false });
-  return out;
-}
-
-jobs::job_spec
-OneTask()
-{
-  jobs::step_spec step;
-  step.mTaskCount = 1;
-  step.mTaskResources = { 100, 100, 0 };
-  step.mEstimate = milliseconds(100);
-  jobs::job_spec out;
-  out.mQueue = kQueue;
-  out.mSteps = { step };
-  return out;
-}
-
 jobs::scheduler_settings
 Scheduling()
 {
@@ -121,66 +64,37 @@
     milliseconds mTook{ 0 };
   };
 
-  owner_lost_answers_test()
-  {
-    const std::string term = election::TermKey(JobsSubject(kService));
-    mStore.Put(term, "1");
-    mOwner = std::make_shared<owner>(
-      owner_dependencies{ mIo, mClock, mClient, mRunners, mFormat, mMetrics },
-      owner_settings{},
-      Scheduling(),
-      kService,
-      owner_record{ 1, "n", "", 0, mStore.Find(term).front().mRevision },
-      [this] {
-        return ownership_status{ true, mClock.Now() };
-      },
-      [] {});
-    mOwner->Start(OneQueue());
-    RunFor(milliseconds(200));
-    EXPECT_TRUE(mOwner->IsLoaded());
-  }
-  ~owner_lost_answers_test() override
-  {
-    mOwner->Stop();
-    RunFor(milliseconds(1'000));
-  }
-
-  void RunFor(milliseconds aTime)
-  {
-    for (milliseconds passed{ 0 }; passed < aTime; ++passed) {
-      mClock.Advance(milliseconds(1));
-      mStore.Advance();
-      mIo.restart();
-      mIo.poll();
-    }
-  }
+  time_point Now() const { return mLone.Now(); }
+  owner& Owner() { return mLone.Owner(); }
+  void RunFor(milliseconds aTime) { mLone.RunFor(aTime); }
   reply_handler Note(const std::shared_ptr<call>& aCall)
   {
-    return [this, aCall, sentAt = mClock.Now()](const job_reply& aReply) {
+    return [this, aCall, sentAt = Now()](const job_reply& aReply) {
       aCall->mReply = aReply.mKind;
-      aCall->mTook =
-        std::chrono::duration_cast<milliseconds>(mClock.Now() - sentAt);
+      aCall->mTook = std::chrono::duration_cast<milliseconds>(Now() - sentAt);
     };
   }
   std::shared_ptr<call> Submit(const std::string& aJob)
   {
     auto out = std::make_shared<call>();
-    mOwner->Submit(job_name{ aJob }, OneTask(), kCallerTimeout, Note(out));
+    Owner().Submit(
+      job_name{ aJob }, testing::OneTask(), kCallerTimeout, Note(out));
     return out;
   }
   std::shared_ptr<call> Cancel(const std::string& aJob)
   {
     auto out = std::make_shared<call>();
-    mOwner->Cancel(job_name{ aJob }, kCallerTimeout, Note(out));
+    Owner().Cancel(job_name{ aJob }, kCallerTimeout, Note(out));
     return out;
   }
   // The next transaction has this fate.
   void SetNextFate(commit_fate aFate)
   {
-    mClient.SetCommitFate([aFate, isFirst = true](
-                            const platform::transaction& /*aChange*/) mutable {
-      return std::exchange(isFirst, false) ? aFate : commit_fate{};
-    });
+    mLone.Client().SetCommitFate(
+      [aFate,
+       isFirst = true](const platform::transaction& /*aChange*/) mutable {
+        return std::exchange(isFirst, false) ? aFate : commit_fate{};
+      });
   }
   // Expects that the job is accepted in time, and another one besides it as
   // fast as ever.
@@ -195,30 +109,22 @@
     EXPECT_LE(first->mTook.count(), kSettledWithin.count());
     EXPECT_EQ(other->mReply, reply_kind::kOk);
     EXPECT_LE(other->mTook.count(), kStoredWithin.count());
-    EXPECT_TRUE(mOwner->CanWrite());
-    EXPECT_EQ(mStore.Find(kJobsPrefix).size(), 2U);
-    EXPECT_EQ(mStore.Value("mangospan/homes/a1"), "ours");
+    EXPECT_TRUE(Owner().CanWrite());
+    EXPECT_EQ(mLone.Store().Find(kJobsPrefix).size(), 2U);
+    EXPECT_EQ(mLone.Store().Value("mangospan/homes/a1"), "ours");
     ExpectStoredAsKnown("a1");
   }
   void ExpectStoredAsKnown(const std::string& aJob)
   {
-    const auto stored = mStore.Find(kJobsPrefix + aJob);
-    const jobs::job* const known = mOwner->Scheduler().Find(job_name{ aJob });
+    const auto stored = mLone.Store().Find(kJobsPrefix + aJob);
+    const jobs::job* const known = Owner().Scheduler().Find(job_name{ aJob });
     ASSERT_EQ(stored.size(), 1U);
     ASSERT_NE(known, nullptr);
     EXPECT_EQ(known->mRevision, stored.front().mRevision);
     EXPECT_TRUE(known->IsStored());
   }
 
-  manual_clock mClock;
-  const virtual_time_scope mScope{ mClock };
-  boost::asio::io_context mIo;
-  daemon::metrics mMetrics;
-  testing::virtual_store mStore{ mIo, mClock };
-  testing::virtual_store_client mClient{ mStore };
-  testing::runner_records mFormat;
-  no_runners mRunners;
-  std::shared_ptr<owner> mOwner;
+  testing::lone_owner mLone{ Scheduling() };
 };
 
 TEST_F(owner_lost_answers_test, WriteThatWasDoneIsSettled)
@@ -243,10 +149,10 @@
   const auto cancel = Cancel("a1");
   RunFor(kStoredWithin);
   EXPECT_EQ(cancel->mReply, reply_kind::kOk);
-  const auto before = mStore.Find(kJobsPrefix + "a1");
+  const auto before = mLone.Store().Find(kJobsPrefix + "a1");
   ASSERT_EQ(before.size(), 1U);
   RunFor(milliseconds(3'000));
-  const auto after = mStore.Find(kJobsPrefix + "a1");
+  const auto after = mLone.Store().Find(kJobsPrefix + "a1");
   ASSERT_EQ(after.size(), 1U);
   EXPECT_EQ(after.front().mRevision, before.front().mRevision);
   EXPECT_EQ(after.front().mValue, before.front().mValue);
@@ -256,10 +162,10 @@
 // The answer is not lost, but arrives after newer writes were answered.
 TEST_F(owner_lost_answers_test, LateAnswerDoesNotUndoWhatIsKnown)
 {
-  mClient.SetAnswerDelay(milliseconds(400));
+  mLone.Client().SetAnswerDelay(milliseconds(400));
   const auto submission = Submit("a1");
   RunFor(milliseconds(20));
-  mClient.SetAnswerDelay(milliseconds(0));
+  mLone.Client().SetAnswerDelay(milliseconds(0));
   RunFor(milliseconds(200));
   EXPECT_EQ(submission->mReply, reply_kind::kOk);
   const auto cancel = Cancel("a1");
@@ -272,7 +178,7 @@
 TEST_F(owner_lost_answers_test, RecordThatStaysUnsettledHoldsUpNoOther)
 {
   constexpr int kJobs = 100;
-  mClient.SetCommitFate([](const platform::transaction& aChange) {
+  mLone.Client().SetCommitFate([](const platform::transaction& aChange) {
     return Writes(aChange, "stuck") ? kNotDone : commit_fate{};
   });
   const auto stuck = Submit("stuck");
@@ -289,9 +195,9 @@
     EXPECT_EQ(each->mReply, reply_kind::kOk) << job;
     EXPECT_LE(each->mTook.count(), kSettledWithin.count()) << job;
   }
-  EXPECT_TRUE(mOwner->CanWrite());
+  EXPECT_TRUE(Owner().CanWrite());
   EXPECT_EQ(stuck->mReply, std::nullopt);
-  mClient.SetCommitFate(nullptr);
+  mLone.Client().SetCommitFate(nullptr);
   RunFor(milliseconds(600));
   EXPECT_EQ(stuck->mReply, reply_kind::kOk);
   ExpectStoredAsKnown("stuck");
@@ -305,13 +211,13 @@
   RunFor(kStoredWithin);
   Cancel("a1");
   RunFor(kStoredWithin);
-  mClient.SetCommitFate([](const platform::transaction& aChange) {
+  mLone.Client().SetCommitFate([](const platform::transaction& aChange) {
     return aChange.mDeletes.empty()
              ? commit_fate{}
              : commit_fate{ false, true, milliseconds(2'000) };
   });
   RunFor(kRetention);
-  ASSERT_EQ(mOwner->Scheduler().Find(job_name{ "a1" }), nullptr);
+  ASSERT_EQ(Owner().Scheduler().Find(job_name{ "a1" }), nullptr);
   const auto again = Submit("a1");
   RunFor(kSettledWithin);
   EXPECT_EQ(again->mReply, reply_kind::kOk);
@@ -323,7 +229,7 @@
 // there is nothing else to write.
 TEST_F(owner_lost_answers_test, JobsAreAcceptedBesideTheOnlyUnsettledRecord)
 {
-  mClient.SetCommitFate([](const platform::transaction& aChange) {
+  mLone.Client().SetCommitFate([](const platform::transaction& aChange) {
     return Writes(aChange, "stuck") ? kNotDone : commit_fate{};
   });
   const auto stuck = Submit("stuck");
--- a/mangospan/node/testing/virtual_store.cc
+++ b/mangospan/node/testing/virtual_store.cc
@@ -4,6 +4,8 @@
 #include <iterator>
 #include <utility>
 
+#include <boost/asio/dispatch.hpp>
+
 namespace mangospan::node::testing {
 
 using platform::change;
@@ -233,7 +235,14 @@
 }
 
 virtual_store_client::virtual_store_client(virtual_store& aStore)
+  : virtual_store_client(aStore, aStore.mIo)
+{
+}
+
+virtual_store_client::virtual_store_client(virtual_store& aStore,
+                                           boost::asio::io_context& aIo)
   : mStore(aStore)
+  , mIo(aIo)
 {
 }
 
@@ -277,7 +286,11 @@
                            std::function<result<T>()> aCall,
                            commit_fate aFate)
 {
-  const once<T> answer(std::move(aHandler));
+  const once<T> answer([this, reply = std::move(aHandler)](result<T> aResult) {
+    boost::asio::dispatch(mIo, [reply, got = std::move(aResult)]() mutable {
+      reply(std::move(got));
+    });
+  });
   const bool isLost = (mIsLost && mIsLost(aStep)) || !aFate.mIsAnswered;
   const milliseconds back = virtual_store::kLatency + mAnswerDelay;
   After(mStore.mIo,
--- a/mangospan/node/testing/virtual_store.h
+++ b/mangospan/node/testing/virtual_store.h
@@ -94,6 +94,9 @@
 {
 public:
   explicit virtual_store_client(virtual_store& aStore);
+  // The answers to calls other than watches arrive in the work of `aIo`, which
+  // may be that of a process that is late.
+  virtual_store_client(virtual_store& aStore, boost::asio::io_context& aIo);
 
   // Cuts the client off from the store, or reconnects it. A watch that waits
   // meanwhile is lost.
@@ -150,6 +153,7 @@
   bool IsConnected() const { return !mIsCut && !mStore.mIsSilent; }
 
   virtual_store& mStore;
+  boost::asio::io_context& mIo;
   bool mIsCut = false;
   std::uint64_t mCuts = 0;
   std::function<bool(const std::string&)> mIsLost;
