Owner: a full write is followed at once by the next one

Callers saw: under a burst, new jobs waited 260 to 640 ms for a write of the owner, and were refused for it, while its process was only some 40 ms late and the store took all that it was sent.

Cause: each write was started by a timer of 8 ms, which a process that is late runs some 40 ms late. So it sent one full write of seven new jobs each 50 ms, some 150 jobs a second, of the four writes that may be under way.

Now what a full write has left behind is written at once, as far as the limit of concurrent writes goes, also when an answer makes room. It waits for nobody to share its write, so the timer would gain nothing. The order of age, the limit and a store that fails, refuses or does not answer are as before: after any of the latter, and for a record that has to be alone, the timer starts the next write.

owner_overload_test.LateLoopDoesNotHoldUpFullWrites (the owner's loop runs each 40 ms, 600 new jobs a second) fails before, with 504 of 1,800 jobs accepted, and passes with all of them. FullWritesKeepTheOrderOfArrival passes before and after.

--- a/mangospan/node/owner_overload_test.cc
+++ b/mangospan/node/owner_overload_test.cc
@@ -176,5 +176,48 @@
   EXPECT_EQ(Owner().Scheduler().Find(job_name{ "late" }), nullptr);
 }
 
+// The owner's process is busy with other work and gets to its timers and to the
+// answers of the store only each 40 ms.
+TEST_F(owner_overload_test, LateLoopDoesNotHoldUpFullWrites)
+{
+  constexpr milliseconds kLoopInterval{ 40 };
+  constexpr std::size_t kJobsPerLoop = 24; // 600 a second, three full writes
+  mLone.Client().SetAnswerDelay(milliseconds(0));
+  mLone.SetLoopInterval(kLoopInterval);
+  mLone.SetOnLoop([this] {
+    for (std::size_t i = 0; i < kJobsPerLoop; ++i) {
+      Submit(std::to_string(++mSubmitted));
+    }
+  });
+  RunFor(kBurst);
+  mLone.SetOnLoop(nullptr);
+  RunFor(kTimeout);
+  EXPECT_EQ(mAnswers.size(), static_cast<std::size_t>(mSubmitted));
+  EXPECT_EQ(Count(reply_kind::kOk), static_cast<std::size_t>(mSubmitted));
+  EXPECT_LE(MedianAnswerTime(), 3 * kLoopInterval);
+}
+
+TEST_F(owner_overload_test, FullWritesKeepTheOrderOfArrival)
+{
+  constexpr int kJobs = 100;
+  const std::string prefix = "mangospan/owned/ours/jobs/";
+  std::vector<std::string> sent;
+  std::vector<std::string> written;
+  mLone.Client().SetCommitFate([&](const platform::transaction& aChange) {
+    for (const platform::key_write& each : aChange.mWrites) {
+      if (each.mKey.compare(0, prefix.size(), prefix) == 0) {
+        written.push_back(each.mKey.substr(prefix.size()));
+      }
+    }
+    return testing::commit_fate{};
+  });
+  for (int i = 0; i < kJobs; ++i) {
+    sent.push_back(std::to_string(2 * kJobs - i));
+    Submit(sent.back());
+  }
+  RunFor(kTimeout);
+  EXPECT_EQ(written, sent);
+}
+
 } // namespace
 } // namespace mangospan::node
