Owner: the cost of a submission does not grow with the jobs that wait

A write listed all jobs whose record is not stored, to take fifteen at most, and its answer looked through all callers that wait: with N jobs waiting, N look-ups and copies of names for some eight jobs stored. So an owner was slowest when it was behind.

The list now ends with what a write can take, and an answer looks only for the callers of the jobs it has stored. Callers whose time is up are found by the tick, as before.

Still growing: records of progress (not urgent) that wait ahead of new jobs are passed over one by one at each write.

--- a/bench/owner/main.cc
+++ b/bench/owner/main.cc
@@ -1,5 +1,7 @@
 // Processor time that one owner takes for each task, at the worst load: a queue
-// at five times its mean, on a pool that holds it.
+// at five times its mean, on a pool that holds it. Or, with --burst, the
+// processor time for each of as many submissions at once, which wait for their
+// write behind each other.
 #include <ctime>
 #include <iostream>
 #include <memory>
@@ -25,6 +27,7 @@
 
 constexpr milliseconds kSubmitTick{ 2 };
 constexpr milliseconds kPatience{ 3'000 };
+constexpr milliseconds kBurstPatience{ 60'000 };
 constexpr std::size_t kIdlePerAddress = 20'000;
 
 struct load
@@ -33,6 +36,7 @@
   double mJobsPerSecond = 180;
   std::size_t mTasks = 13; // of a job
   int mSeconds = 8;
+  std::size_t mBurst = 0; // jobs at once instead, on a pool without runners
 };
 
 double
@@ -102,6 +106,13 @@
     mTimer.async_wait(
       [this](const boost::system::error_code& /*aAbort*/) { Tick(); });
   }
+  // Submits the burst, and stops the loop once all of it is answered.
+  void SendBurst()
+  {
+    while (mSent < mLoad.mBurst) {
+      Submit();
+    }
+  }
   std::size_t Sent() const { return mSent; }
   std::size_t Accepted() const { return mAccepted; }
 
@@ -112,9 +123,12 @@
     name.insert(0, 16 - name.size(), '0');
     mOwner.Submit(jobs::job_name{ name },
                   mSpec,
-                  kPatience,
+                  mLoad.mBurst > 0 ? kBurstPatience : kPatience,
                   [this](const node::job_reply& aReply) {
                     mAccepted += aReply.mKind == node::reply_kind::kOk ? 1 : 0;
+                    if (++mAnswered == mLoad.mBurst) {
+                      mIo.stop();
+                    }
                   });
   }
 
@@ -127,6 +141,7 @@
   const time_point mBegan;
   std::size_t mSent = 0;
   std::size_t mAccepted = 0;
+  std::size_t mAnswered = 0;
 };
 
 int
@@ -140,7 +155,7 @@
   http::client client(io, options);
   node::testing::memory_store store(io);
   adapter::runner_client runners(client);
-  const bench::runner_farm farm(aLoad.mRunners,
+  const bench::runner_farm farm(aLoad.mBurst > 0 ? 0 : aLoad.mRunners,
                                 { 16'000, 64'000, 0 },
                                 milliseconds(800),
                                 { 1'500, 1'024, 0 });
@@ -168,9 +183,22 @@
   }
   bench_run run(io, *one, aLoad);
   const double before = ProcessorSeconds();
-  run.Tick();
+  if (aLoad.mBurst > 0) {
+    run.SendBurst();
+  } else {
+    run.Tick();
+  }
   io.run();
   const double took = ProcessorSeconds() - before;
+  if (aLoad.mBurst > 0) {
+    const double accepted = static_cast<double>(run.Accepted());
+    std::cout << "burst=" << run.Sent() << " accepted=" << run.Accepted()
+              << " processor_s=" << took
+              << " us_per_submission=" << took / accepted * 1e6
+              << " submissions_per_s=" << accepted / took << '\n';
+    one->Stop();
+    return 0;
+  }
   std::size_t ended = 0;
   for (const auto& [jobName, each] : one->Scheduler().Jobs()) {
     ended += jobs::IsFinal(each.mState) ? 1 : 0;
@@ -196,6 +224,7 @@
   app.add_option("--jobs", wanted.mJobsPerSecond, "jobs a second");
   app.add_option("--tasks", wanted.mTasks, "of a job");
   app.add_option("--seconds", wanted.mSeconds, "of load");
+  app.add_option("--burst", wanted.mBurst, "jobs at once, without runners");
   CLI11_PARSE(app, aCount, aArguments);
   return Run(wanted);
 }
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -350,7 +350,13 @@
   std::vector<job_name> urgent;
   std::vector<job_name> others;
   for (const auto& [number, each] : mUnstoredJobs.InOrder()) {
-    (IsWriteUrgent(each) ? urgent : others).push_back(each);
+    if (urgent.size() == aMaxCount) {
+      break; // however many jobs wait, a write takes only so many
+    }
+    std::vector<job_name>& listed = IsWriteUrgent(each) ? urgent : others;
+    if (listed.size() < aMaxCount) {
+      listed.push_back(each);
+    }
   }
   // The other records fill up a write that is due anyway.
   urgent.insert(urgent.end(), others.begin(), others.end());
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -1,6 +1,7 @@
 #include "mangospan/node/owner.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "mangospan/base/log.h"
@@ -633,6 +634,15 @@
   return isStored;
 }
 
+void
+owner::AnswerWaitersOf(const jobs::job_name& aJob)
+{
+  const auto waiters = mWaiters.equal_range(aJob);
+  for (auto it = waiters.first; it != waiters.second;) {
+    it = AnswerIfStored(aJob, it->second) ? mWaiters.erase(it) : std::next(it);
+  }
+}
+
 void
 owner::AnswerWaiters()
 {
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -249,6 +249,7 @@
   void DeleteExpiredJobs();
   void AnswerAll(const jobs::job_name& aJob, const job_reply& aReply);
   void AnswerWaiters();
+  void AnswerWaitersOf(const jobs::job_name& aJob);
   bool AnswerIfStored(const jobs::job_name& aJob, const waiter& aWaiter);
   void CheckFence();
   void NotifySuperseded();
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -606,7 +606,9 @@
     mUnsettled.Remove(each.mJob);
   }
   mScheduler.OnStored(aStored);
-  AnswerWaiters();
+  for (const jobs::stored_job& each : aStored) {
+    AnswerWaitersOf(each.mJob);
+  }
   ScheduleWrite();
 }
 
