--- a/mangospan/node/owner_overload_test.cc
+++ b/mangospan/node/owner_overload_test.cc
@@ -181,7 +181,7 @@
 TEST_F(owner_overload_test, LateLoopDoesNotHoldUpFullWrites)
 {
   constexpr milliseconds kLoopInterval{ 40 };
-  constexpr std::size_t kJobsPerLoop = 24; // 600 a second, three full writes
+  constexpr std::size_t kJobsPerLoop = 24; // 600 a second, four writes
   mLone.Client().SetAnswerDelay(milliseconds(0));
   mLone.SetLoopInterval(kLoopInterval);
   mLone.SetOnLoop([this] {
