Full writes follow each other only as long as each takes a record

A guard, found by reading: if a write were left empty although records wait, the loop that follows a full write would not end.

--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -265,6 +265,7 @@
 owner::ScheduleWrite()
 {
   while (mHasLeftJobsBehind && mFailedWrites == 0 && MayWrite()) {
+    mHasLeftJobsBehind = false; // unless the next write is full, too
     Write();
   }
   if (mIsWriteScheduled || !MayWrite()) {
