Crashes of runners: tasks are compared with the runners that they don't run on

Callers of jobs on busy runners that crashed in series by another cause saw accepted jobs fail as if their tasks were deadly.

Cause: the rate of crashes that a task's own ones are compared with counted only crashes that no start explains. Where tasks start all the time, each crash comes soon after some start, so that the rate stayed at its least, and three crashes in a row seemed impossible by chance.

Now the rate is that of the runners of the same pool on which the task did not run: the cumulative hazard by Nelson and Aalen over the last 20 s, or since the first crash if that is less (but 5 s at least), with the runners that answered as those at risk, and crashes of runners without runs included, which are as good a sample as the others. So that deadly tasks don't hide each other, a crash counts less as far as another task that was there has become its probable cause, after two crashes, and not at all once one is the cause for certain. A rate that has just risen also holds for the earlier crashes of the task: at the start of a series nothing is known of it.

Deadly tasks are given up within the starts allowed in all other tests of crashes. Trials that did not hold: only runners with runs at risk (deadly tasks hid each other, up to 16 starts); a window of 2 s beside that of 20 s (6 starts of a deadly task); the same without the crashes of idle runners (11 to 24 jobs given up); without the rise held against earlier crashes (5 jobs).

--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "mangospan/base/time.h"
@@ -29,6 +30,13 @@
 
   // Returns the text form, which `ParseTaskId` reads.
   std::string Text() const;
+
+  bool operator==(const task_id& aOther) const
+  {
+    return std::tie(mIndex, mStep, mOccurrence, mJob) ==
+           std::tie(
+             aOther.mIndex, aOther.mStep, aOther.mOccurrence, aOther.mJob);
+  }
 };
 
 // Parses the text form of a task id. Returns nothing if it is malformed.
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -273,6 +273,16 @@
   struct candidate;
   struct start_candidates;
 
+  // A crash of a runner, to compare others with.
+  struct recent_crash
+  {
+    time_point mAt;
+    service_name mService;
+    std::size_t mRunnersAtRisk = 1; // of the service, which might have crashed
+    std::vector<task_id> mTasks{};  // that had runs there
+    bool mIsCauseKnown = false;     // One of them is it.
+  };
+
   bool IsWriteUrgent(const job_name& aJob) const;
   const service_name& ServiceOf(const queue_policy& aQueue) const;
   const queue_policy& PolicyOf(const job& aJob) const;
@@ -345,7 +355,15 @@
                   std::uint32_t aSuspicion,
                   time_point aCrashedAt);
   std::chrono::milliseconds CrashNoticeTime() const;
-  double UnexplainedCrashRate(time_point aNow);
+  void OnIdleRunnerCrashed(const runner& aRunner,
+                           bool aIsOutage,
+                           time_point aNow);
+  void RememberCrash(const runner& aRunner, time_point aNow);
+  double ProbabilityOfCause(const task_id& aTask);
+  double CrashRateWithout(const task_id& aTask,
+                          const service_name& aService,
+                          time_point aNow);
+  void ChargeCrashesTo(const task_id& aTask);
   void AddEvidence(task& aTask,
                    const runner& aRunner,
                    const run& aRun,
@@ -454,8 +472,7 @@
   std::map<std::string, runner> mLostRunners;
   std::map<std::string, time_point> mCrashedAt; // latest crash by address
   time_point mLatestCrashAt{};                  // of any runner
-  // The latest crashes of runners on which no run had just started.
-  std::deque<time_point> mUnexplainedCrashes;
+  std::deque<recent_crash> mRecentCrashes;      // oldest first
   std::vector<task_id> mCrashingTasks; // whose jobs the next plan gives up
   time_point mNoEvictionBefore{};
   std::map<service_name, arrival_forecast> mArrivalForecasts;
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -10,6 +10,7 @@
 // frequent as they are, would not. Only then is its job given up, and never one
 // with tasks that last, which have to be restarted however they end.
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <set>
 #include <tuple>
@@ -44,9 +45,15 @@
 // A task is the cause if its crashes had at most this probability otherwise:
 // thousands of tasks start while runners crash by another cause.
 constexpr double kMaxChance = 1e-6;
-// Crashes by another cause are counted over this time, and taken to happen at
-// least this often, for each runner.
+// The share of tasks that crash their runners, before anything is known.
+constexpr double kShareOfCauses = 1e-3;
+// A task is not taken to explain crashes to others before it was under so many.
+constexpr std::uint32_t kMinCrashesOfCause = 2;
+// Crashes by another cause are counted over this time, or since the first one
+// if that is less, as they may have begun with it, but not over less than the
+// second; and they are taken to happen at least this often, for each runner.
 constexpr milliseconds kCrashRateWindow{ 20'000 };
+constexpr milliseconds kMinCrashRateWindow{ 5'000 };
 constexpr double kMinCrashesPerSecond = 0.01;
 // A crash is at the same time after the start as the one before if the two
 // differ by at most this, or by this share of the time.
@@ -75,6 +82,8 @@
 // A runner at an address where one has crashed is not reserved for this long,
 // if there is another: a host that fails again would have its task blamed.
 constexpr milliseconds kCrashMemory{ 20'000 };
+// An owner may learn of one crash more than once in this time.
+constexpr milliseconds kSameCrash{ 1'000 };
 // A runner that is back later than this is not asked what was lost with it.
 constexpr milliseconds kLostRunnerMemory{ 60'000 };
 
@@ -185,12 +194,29 @@
   }
 }
 
+// Notes that a runner without runs has started again. It may have ended by
+// itself, as well as the others, whose crashes are compared with that. One that
+// this owner has given up already is counted once.
+void
+scheduler::OnIdleRunnerCrashed(const runner& aRunner,
+                               bool aIsOutage,
+                               time_point aNow)
+{
+  const auto latest = mCrashedAt.find(aRunner.mInfo.mAddress);
+  const bool isKnown =
+    latest != mCrashedAt.end() && aNow - latest->second <= kSameCrash;
+  if (aRunner.mContacted && aRunner.IsAnswering() && !aIsOutage && !isKnown) {
+    mCrashedAt[aRunner.mInfo.mAddress] = aNow;
+    RememberCrash(aRunner, aNow);
+  }
+}
+
 // Counts the crash of a runner, which has certainly ended, for the tasks whose
 // runs had begun on it. Not for those of a runner that was to leave.
 void
 scheduler::OnRunnerCrashed(const runner& aRunner, time_point aNow)
 {
-  if (aRunner.mInfo.mDraining || aRunner.mCordoned || aRunner.Runs().empty()) {
+  if (aRunner.mInfo.mDraining || aRunner.mCordoned) {
     return;
   }
   const bool isNoticed = aRunner.mSilentSince != time_point{};
@@ -204,6 +230,10 @@
   const bool isOutage =
     mOutages.IsOutage({ crashedAt, aRunner.mInfo.mName, aRunner.mInfo.mRack },
                       static_cast<std::size_t>(answering));
+  if (aRunner.Runs().empty()) {
+    OnIdleRunnerCrashed(aRunner, isOutage, aNow);
+    return;
+  }
   const auto recentStarts = std::count_if(
     aRunner.Runs().begin(), aRunner.Runs().end(), [&](const auto& aEntry) {
       return IsRecentStart(aEntry.second, crashedAt);
@@ -219,14 +249,7 @@
   if (isOutage) {
     return;
   }
-  const milliseconds explained = kShortFuse + CrashNoticeTime();
-  const bool isExplained = std::any_of(
-    aRunner.Runs().begin(), aRunner.Runs().end(), [&](const auto& aEntry) {
-      return HasStartedWithin(aEntry.second, explained, crashedAt);
-    });
-  if (!isExplained) {
-    mUnexplainedCrashes.push_back(aNow);
-  }
+  RememberCrash(aRunner, aNow);
   for (const auto& [key, each] : aRunner.Runs()) {
     // A runner that was back before its silence was noticed may have taken
     // orders in its new boot.
@@ -250,21 +273,87 @@
   return std::chrono::ceil<milliseconds>(2 * PollInterval());
 }
 
-// Returns how often a runner of this owner crashes in a second for a reason
-// that no start explains.
+// Notes the crash for the comparison with tasks that were not there.
+void
+scheduler::RememberCrash(const runner& aRunner, time_point aNow)
+{
+  while (!mRecentCrashes.empty() &&
+         aNow - mRecentCrashes.front().mAt > kCrashRateWindow) {
+    mRecentCrashes.pop_front();
+  }
+  const service_name& service = aRunner.mInfo.mService;
+  recent_crash crash{ aNow, service };
+  for (const auto& [name, each] : mRunners) {
+    const bool isAtRisk = &each != &aRunner && each.mInfo.mService == service &&
+                          each.mContacted && each.IsAnswering();
+    crash.mRunnersAtRisk += isAtRisk ? 1 : 0;
+  }
+  for (const auto& [key, each] : aRunner.Runs()) {
+    crash.mTasks.push_back(each.mTask);
+  }
+  mRecentCrashes.push_back(std::move(crash));
+}
+
+// Returns the probability that the task crashes its runners, by its crashes so
+// far. One alone speaks against all tasks that were there, so it does not
+// count: if it did, the first crashes of a series would hide the next ones.
+double
+scheduler::ProbabilityOfCause(const task_id& aTask)
+{
+  const job* const foundJob = Find(aTask.mJob);
+  const task* const foundTask = foundJob == nullptr || IsFinal(foundJob->mState)
+                                  ? nullptr
+                                  : FindTask(aTask);
+  if (foundTask == nullptr || foundTask->mDone ||
+      foundTask->mCrashes.mCount < kMinCrashesOfCause) {
+    return 0;
+  }
+  return kShareOfCauses / (kShareOfCauses + foundTask->mCrashes.mChance);
+}
+
+// Returns how often in a second a runner of the service crashes without the
+// task: the cumulative hazard by Nelson and Aalen over the time. Nearly each
+// crash of a busy runner comes soon after some start, which thus explains none;
+// but a crash counts only as far as no other task that was there has turned out
+// to be the probable cause.
 double
-scheduler::UnexplainedCrashRate(time_point aNow)
+scheduler::CrashRateWithout(const task_id& aTask,
+                            const service_name& aService,
+                            time_point aNow)
+{
+  double hazard = 0;
+  for (const recent_crash& each : mRecentCrashes) {
+    if (each.mIsCauseKnown || each.mService != aService ||
+        aNow - each.mAt > kCrashRateWindow) {
+      continue;
+    }
+    double weight = 1;
+    for (const task_id& other : each.mTasks) {
+      weight =
+        std::min(weight, other == aTask ? 0 : 1 - ProbabilityOfCause(other));
+    }
+    hazard += weight / static_cast<double>(each.mRunnersAtRisk);
+  }
+  const auto sinceFirst =
+    mRecentCrashes.empty()
+      ? kCrashRateWindow
+      : duration_cast<milliseconds>(aNow - mRecentCrashes.front().mAt);
+  const std::chrono::duration<double> window =
+    std::clamp(sinceFirst, kMinCrashRateWindow, kCrashRateWindow);
+  return std::max(kMinCrashesPerSecond, hazard / window.count());
+}
+
+// Leaves the crashes under the task, which is the cause for certain, out of
+// what others are compared with.
+void
+scheduler::ChargeCrashesTo(const task_id& aTask)
 {
-  while (!mUnexplainedCrashes.empty() &&
-         aNow - mUnexplainedCrashes.front() > kCrashRateWindow) {
-    mUnexplainedCrashes.pop_front();
+  for (recent_crash& each : mRecentCrashes) {
+    each.mIsCauseKnown =
+      each.mIsCauseKnown ||
+      std::find(each.mTasks.begin(), each.mTasks.end(), aTask) !=
+        each.mTasks.end();
   }
-  const double perSecond =
-    static_cast<double>(mUnexplainedCrashes.size()) /
-    std::chrono::duration<double>(kCrashRateWindow).count();
-  const double runners =
-    static_cast<double>(std::max<std::size_t>(1, mRunners.size()));
-  return std::max(kMinCrashesPerSecond, perSecond / runners);
 }
 
 void
@@ -279,7 +368,10 @@
   const milliseconds telling = TellingTime(fuse, CrashNoticeTime(), crashes);
   if (telling.count() > 0) {
     const double seconds = std::chrono::duration<double>(telling).count();
-    crashes.mChance *= std::min(1.0, aCrashRate * seconds);
+    const double chance = -std::expm1(-aCrashRate * seconds);
+    // Crashes that have become frequent may have been so at the earlier ones.
+    crashes.mChance =
+      std::max(crashes.mChance * chance, std::pow(chance, crashes.mCount + 1));
   }
   crashes.mLongestFuse = std::max(crashes.mLongestFuse, fuse);
   crashes.mLatestFuse = fuse;
@@ -329,7 +421,11 @@
   const double chanceBefore = crashes.mChance;
   if (aRun.mOrderedAt != time_point{}) {
     AddEvidence(
-      *foundTask, aRunner, aRun, aCrashedAt, UnexplainedCrashRate(aCrashedAt));
+      *foundTask,
+      aRunner,
+      aRun,
+      aCrashedAt,
+      CrashRateWithout(aRun.mTask, aRunner.mInfo.mService, aCrashedAt));
   }
   ++crashes.mCount;
   crashes.mSuspicion += aSuspicion;
@@ -344,6 +440,7 @@
   if (!foundJob->mSpec.HasLongRunningStep() &&
       IsCertainCause(*foundJob, *foundTask, aRun, wasAlone, chanceBefore)) {
     mCrashingTasks.push_back(aRun.mTask);
+    ChargeCrashesTo(aRun.mTask);
   }
   MarkChanged(*foundJob);
   foundJob->mCrashVersion = foundJob->mVersion;
