--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -49,9 +49,11 @@
 constexpr double kShareOfCauses = 1e-3;
 // A task is not taken to explain crashes to others before it was under so many.
 constexpr std::uint32_t kMinCrashesOfCause = 2;
-// Crashes by another cause are counted over this time, and taken to happen at
-// least this often, for each runner.
+// Crashes by another cause are counted over this time, or since the first one
+// if that is less, as they may have begun with it, but not over less than the
+// second; and they are taken to happen at least this often, for each runner.
 constexpr milliseconds kCrashRateWindow{ 20'000 };
+constexpr milliseconds kMinCrashRateWindow{ 5'000 };
 constexpr double kMinCrashesPerSecond = 0.01;
 // A crash is at the same time after the start as the one before if the two
 // differ by at most this, or by this share of the time.
@@ -332,9 +334,13 @@
     }
     hazard += weight / static_cast<double>(each.mRunnersAtRisk);
   }
-  return std::max(kMinCrashesPerSecond,
-                  hazard /
-                    std::chrono::duration<double>(kCrashRateWindow).count());
+  const auto sinceFirst =
+    mRecentCrashes.empty()
+      ? kCrashRateWindow
+      : duration_cast<milliseconds>(aNow - mRecentCrashes.front().mAt);
+  const std::chrono::duration<double> window =
+    std::clamp(sinceFirst, kMinCrashRateWindow, kCrashRateWindow);
+  return std::max(kMinCrashesPerSecond, hazard / window.count());
 }
 
 // Leaves the crashes under the task, which is the cause for certain, out of
