Taken back: a full write is followed at once by the next one

What callers saw with: under overload an owner accepts what it refused before, which the pools can not run in time, so that more jobs are late and fewer are in time.

--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -169,8 +169,6 @@
     written_roster mRoster;
     // How many jobs the write may have, by what it carries already.
     std::size_t mMaxJobs = platform::kMaxTransactionKeys;
-    // Whether it had no room for a job that could have shared it.
-    bool mIsFull = false;
 
     bool HasRoster() const { return !mRoster.mText.empty(); }
     std::size_t Count() const { return mJobs.size() + (HasRoster() ? 1 : 0); }
@@ -221,7 +219,6 @@
   std::set<jobs::job_name> JobsNotToWrite() const;
   bool IsRosterWriteDue() const;
   bool IsWriteNeeded() const;
-  bool MayWrite() const;
   void ScheduleWrite();
   void ObserveWait(time_point aDueAt);
   std::chrono::nanoseconds WaitForWrite();
@@ -295,8 +292,6 @@
   bool mIsStopped = false;
   bool mIsPlanScheduled = false;
   bool mIsWriteScheduled = false;
-  // Whether the last write was full, and none has failed since.
-  bool mHasLeftJobsBehind = false;
   std::map<std::uint64_t, write_in_flight> mWritesInFlight; // by number
   std::uint64_t mWriteCount = 0;
   std::set<jobs::job_name> mJobsBeingWritten;
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -248,27 +248,14 @@
          mScheduler.HasUnstoredJobs(JobsNotToWrite(), !isProgressDue);
 }
 
-bool
-owner::MayWrite() const
+void
+owner::ScheduleWrite()
 {
   const bool isAtWriteLimit =
     CountCurrentWrites() >=
     (mFailedWrites > 0 ? 1 : mSettings.mMaxConcurrentWrites);
-  return !isAtWriteLimit && !mIsStopped && mIsLoaded && IsWriteNeeded();
-}
-
-// Writes at once what a full write has left behind, and after a delay what
-// others may yet share a write with. While this process is busy, its timers are
-// late by several times that delay: if each full write waited for one, the
-// owner would send one at a time, however many the store takes.
-void
-owner::ScheduleWrite()
-{
-  while (mHasLeftJobsBehind && mFailedWrites == 0 && MayWrite()) {
-    mHasLeftJobsBehind = false; // unless the next write is full, too
-    Write();
-  }
-  if (mIsWriteScheduled || !MayWrite()) {
+  if (mIsWriteScheduled || isAtWriteLimit || mIsStopped || !mIsLoaded ||
+      !IsWriteNeeded()) {
     return;
   }
   mIsWriteScheduled = true;
@@ -369,7 +356,6 @@
       self->OnWriteOverdue(number);
     }
   });
-  mHasLeftJobsBehind = write.mRecords.mIsFull;
   mNextProgressWriteAt = mDeps.mClock.Now() + mSettings.mMinProgressInterval;
   mDeps.mMetrics.Add("mangospan_node_store_writes_total", {});
   mDeps.mStore.Commit(std::move(change),
@@ -394,11 +380,8 @@
   const std::size_t entries = aChange.mExpectations.size() +
                               aChange.mWrites.size() +
                               (isNew ? kEntriesPerNewJob : kEntriesPerJob);
-  if (aWritten.HasRoster() && mMustRosterBeAlone) {
-    return false;
-  }
-  if (entries > platform::kMaxTransactionKeys) {
-    aWritten.mIsFull = true;
+  if (entries > platform::kMaxTransactionKeys ||
+      (aWritten.HasRoster() && mMustRosterBeAlone)) {
     return false;
   }
   // A write of unsettled records is likely to be in conflict, which would hold
@@ -419,7 +402,6 @@
     bytes += each.mText.size();
   }
   if (bytes > kMaxBytesPerWrite && !isFirst) {
-    aWritten.mIsFull = true;
     return false;
   }
   if (isNew) {
@@ -466,7 +448,6 @@
     return;
   }
   found->second.mIsOverdue = true;
-  mHasLeftJobsBehind = false;
   mDeps.mMetrics.Add("mangospan_node_overdue_writes_total", {});
   ClearInFlight(found->second.mRecords);
   NoteUnsettled(found->second);
@@ -545,9 +526,6 @@
                       const result<platform::commit_outcome>& aResult)
 {
   const written_records& written = aWrite.mRecords;
-  if (aResult.has_error()) {
-    mHasLeftJobsBehind = false;
-  }
   if (aResult.has_error() && !IsRefusal(aResult.assume_error())) {
     if (aResult.assume_error().mCode == error_code::kUnknownResult &&
         !aWrite.mIsOverdue) {
