--- a/mangospan/jobs/faulty_runner_detector.cc
+++ b/mangospan/jobs/faulty_runner_detector.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstddef>
 
 namespace mangospan::jobs {
 
@@ -11,24 +12,24 @@
 
 // The end of a run tells of the state of its runner for this long.
 constexpr milliseconds kMemory{ 120'000 };
-constexpr milliseconds kSecond{ 1'000 };
-// No more jobs of each runner are remembered.
+// The runs of a pool are counted in slices of this length.
+constexpr milliseconds kSliceLength{ 1'000 };
+// At most this many jobs are remembered for each runner.
 constexpr std::size_t kMaxJobs = 100;
 
-// A faulty runner fails at least this share of its runs, and more where all
-// runners fail many.
+// A faulty runner fails at least this share of its runs, and at least so many
+// times the share that sound ones fail.
 constexpr double kMinFaultyRate = 0.3;
 constexpr double kMinRateRatio = 3;
-constexpr double kMaxFaultyRate = 0.9;
-// The share that a sound runner fails is taken to lie within these bounds, and
-// to be this as long as no more than so many runs have ended.
-constexpr double kMinSoundRate = 0.005;
-constexpr double kMaxSoundRate = 0.3;
+// The failure rate of sound runners is estimated with a prior of `kPriorRate`,
+// which weighs as much as `kPriorRuns` runs, and clamped to these bounds.
 constexpr double kPriorRate = 0.02;
 constexpr double kPriorRuns = 100;
+constexpr double kMinSoundRate = 0.005;
+constexpr double kMaxSoundRate = 0.3;
 
-// By how much likelier the ends are if the runner is faulty.
-const double kDoubtfulLogRatio = std::log(2e1);
+// Thresholds of the log-likelihood ratio of "faulty" to "sound".
+const double kSuspectLogRatio = std::log(20.0);
 const double kFaultyLogRatio = std::log(1e5);
 // The runs of one job weigh no more than so many failures: the second if its
 // step is proven.
@@ -47,19 +48,29 @@
   return found == mJobs.rend() ? nullptr : &*found;
 }
 
+void
+faulty_runner_detector::runner_record::ForgetOldJobs(time_point aNow)
+{
+  while (!mJobs.empty() &&
+         (mJobs.size() >= kMaxJobs || aNow - mJobs.front().mSince > kMemory)) {
+    mJobs.pop_front();
+  }
+}
+
 void
 faulty_runner_detector::Add(const service_name& aPool,
                             const run_outcome& aOutcome)
 {
-  auto& seconds = mPools[aPool];
-  if (seconds.empty() || aOutcome.mAt - seconds.back().mSince >= kSecond) {
-    seconds.push_back({ aOutcome.mAt, {} });
+  auto& slices = mPools[aPool];
+  if (slices.empty() || aOutcome.mAt - slices.back().mSince >= kSliceLength) {
+    slices.push_back({ aOutcome.mAt, {} });
   }
-  while (aOutcome.mAt - seconds.front().mSince > kMemory) {
-    seconds.pop_front();
+  while (aOutcome.mAt - slices.front().mSince > kMemory) {
+    slices.pop_front();
   }
 
   runner_record& onRunner = mRunners[aOutcome.mRunner];
+  onRunner.ForgetOldJobs(aOutcome.mAt);
   job_record* ofJob = onRunner.Find(aOutcome.mJob);
   if (ofJob == nullptr) {
     onRunner.mJobs.push_back({ aOutcome.mJob, aOutcome.mAt, {}, false });
@@ -68,11 +79,7 @@
   ofJob->mIsStepProven = ofJob->mIsStepProven || aOutcome.mIsStepProven;
   ofJob->mCounts.Add(aOutcome.mIsFailure);
   if (onRunner.mVerdict == runner_verdict::kSound) {
-    seconds.back().mCounts.Add(aOutcome.mIsFailure);
-  }
-  while (onRunner.mJobs.size() > kMaxJobs ||
-         aOutcome.mAt - onRunner.mJobs.front().mSince > kMemory) {
-    onRunner.mJobs.pop_front();
+    slices.back().mCounts.Add(aOutcome.mIsFailure);
   }
 }
 
@@ -98,12 +105,16 @@
 
 // Returns the share of the runs on the sound runners that have failed.
 double
-faulty_runner_detector::UsualFailureRate(const service_name& aPool) const
+faulty_runner_detector::UsualFailureRate(const service_name& aPool,
+                                         time_point aNow) const
 {
   run_counts all;
   const auto pool = mPools.find(aPool);
   if (pool != mPools.end()) {
-    for (const second& each : pool->second) {
+    for (const time_slice& each : pool->second) {
+      if (aNow - each.mSince > kMemory) {
+        continue;
+      }
       all.mEnded += each.mCounts.mEnded;
       all.mFailed += each.mCounts.mFailed;
     }
@@ -114,8 +125,9 @@
   return std::clamp(rate, kMinSoundRate, kMaxSoundRate);
 }
 
-// Page's test: adds up the evidence since the runner last looked sound, so that
-// one that has just become faulty is soon found.
+// Page's test (CUSUM) over the jobs in the order of their first ends. Clamping
+// at 0 drops the evidence from before the runner last looked sound; clamping at
+// the threshold lets a runner that has recovered be cleared soon.
 runner_verdict
 faulty_runner_detector::Judge(const service_name& aPool,
                               const runner_name& aRunner,
@@ -125,9 +137,8 @@
   if (found == mRunners.end()) {
     return runner_verdict::kSound;
   }
-  const double soundRate = UsualFailureRate(aPool);
-  const double faultyRate =
-    std::clamp(kMinRateRatio * soundRate, kMinFaultyRate, kMaxFaultyRate);
+  const double soundRate = UsualFailureRate(aPool, aNow);
+  const double faultyRate = std::max(kMinRateRatio * soundRate, kMinFaultyRate);
   const double ofFailure = std::log(faultyRate / soundRate);
   const double ofSuccess = std::log((1 - faultyRate) / (1 - soundRate));
   double evidence = 0;
@@ -145,9 +156,9 @@
     evidence = std::clamp(evidence + ofJob, 0.0, kFaultyLogRatio);
   }
   runner_verdict& verdict = found->second.mVerdict;
-  verdict = evidence >= kFaultyLogRatio     ? runner_verdict::kFaulty
-            : evidence >= kDoubtfulLogRatio ? runner_verdict::kDoubtful
-                                            : runner_verdict::kSound;
+  verdict = evidence >= kFaultyLogRatio    ? runner_verdict::kFaulty
+            : evidence >= kSuspectLogRatio ? runner_verdict::kSuspect
+                                           : runner_verdict::kSound;
   return verdict;
 }
 
--- a/mangospan/jobs/faulty_runner_detector.h
+++ b/mangospan/jobs/faulty_runner_detector.h
@@ -25,9 +25,9 @@
 // What the ends of runs say of their runner.
 enum class runner_verdict
 {
-  kSound,    // no more failures than elsewhere, or too little is known
-  kDoubtful, // probably faulty: other runners are preferred
-  kFaulty,   // a sound one fails so often once in a hundred thousand runs
+  kSound,   // no more failures than elsewhere, or too little is known
+  kSuspect, // the ends are 20 times likelier if the runner is faulty
+  kFaulty,  // 100,000 times likelier
 };
 
 // The end of a run on a runner.
@@ -44,7 +44,8 @@
 {
 public:
   void Add(const service_name& aPool, const run_outcome& aOutcome);
-  // Forgets the failures of the job on the runner: the job is to blame.
+  // Forgets the failures of all tasks of the job on the runner, since the job
+  // is to blame. They still count towards what is usual in the pool.
   void Withdraw(const runner_name& aRunner, const job_name& aJob);
   // Forgets the runs on a runner that has started again or is gone.
   void Forget(const runner_name& aRunner);
@@ -73,6 +74,7 @@
     job_name mJob;
     time_point mSince{}; // when the first of them ended
     run_counts mCounts;
+    // A run has failed of a step of which other tasks had succeeded.
     bool mIsStepProven = false;
   };
   struct runner_record
@@ -81,18 +83,20 @@
     runner_verdict mVerdict = runner_verdict::kSound;
 
     job_record* Find(const job_name& aJob);
+    // Leaves room for one job more.
+    void ForgetOldJobs(time_point aNow);
   };
-  // The runs on the sound runners of a pool within one second.
-  struct second
+  // The runs on the sound runners of a pool within some time.
+  struct time_slice
   {
     time_point mSince{};
     run_counts mCounts;
   };
 
-  double UsualFailureRate(const service_name& aPool) const;
+  double UsualFailureRate(const service_name& aPool, time_point aNow) const;
 
   std::map<runner_name, runner_record> mRunners;
-  std::map<service_name, std::deque<second>> mPools; // oldest second first
+  std::map<service_name, std::deque<time_slice>> mPools; // oldest first
 };
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/maintenance_planner.cc
+++ b/mangospan/jobs/maintenance_planner.cc
@@ -143,20 +143,24 @@
   return counts;
 }
 
-// Returns whether long-running runs do not leave the host. They may have to
-// stay until others of their step are back, which wait for a runner with room.
-bool
-maintenance_planner::IsStuck(const host_view& aHost,
-                             time_point aNow,
-                             member& aMember) const
+void
+maintenance_planner::NoteLongRunningRuns(const host_view& aHost,
+                                         time_point aNow,
+                                         member& aMember)
 {
   if (aHost.mLongRunningCount != aMember.mLongRunningLeft) {
     aMember.mLongRunningLeft = aHost.mLongRunningCount;
     aMember.mLongRunningSince = aNow;
   }
+}
+
+// Returns whether no long-running run has left the host for the drain timeout.
+bool
+maintenance_planner::IsStuck(const member& aMember, time_point aNow) const
+{
   const time_point since =
     std::max(aMember.mPhaseSince, aMember.mLongRunningSince);
-  return aHost.mLongRunningCount > 0 && aNow - since > mSettings.mDrainTimeout;
+  return aMember.mLongRunningLeft > 0 && aNow - since > mSettings.mDrainTimeout;
 }
 
 void
@@ -167,12 +171,12 @@
                                   wave_counts& aCounts,
                                   maintenance_decision& aDecision) const
 {
+  NoteLongRunningRuns(aHost, aNow, aMember);
   if (aMember.mPhase == phase::kOrdered && aNow >= aMember.mNotBefore) {
     aDecision.mOrders.push_back(
       { aHost.mHost, aNumber }); // resolves the unknown result
     aMember.mNotBefore = aNow + mSettings.mRetryDelay;
-  } else if (aMember.mPhase == phase::kDraining &&
-             IsStuck(aHost, aNow, aMember)) {
+  } else if (aMember.mPhase == phase::kDraining && IsStuck(aMember, aNow)) {
     aMember.mPhase = phase::kPending;
     aMember.mNotBefore = aNow + mSettings.mGiveBackTime;
   } else if (aMember.mPhase == phase::kPending && aNow >= aMember.mNotBefore) {
--- a/mangospan/jobs/maintenance_planner.h
+++ b/mangospan/jobs/maintenance_planner.h
@@ -75,8 +75,9 @@
   // A host that has been draining for longer than this may go down although it
   // still has runs, unless one of them is long-running.
   std::chrono::milliseconds mDrainTimeout{ 6'000 };
-  // A host that no long-running run has left for the drain timeout is given
-  // back for this long: what keeps the others there may wait for its room.
+  // A host is uncordoned for this long if no long-running run has left it
+  // within the drain timeout: the missing tasks of the same step may fit only
+  // there.
   std::chrono::milliseconds mGiveBackTime{ 2'000 };
   // The delay before an order is sent again that was not executed, or that has
   // no result yet.
@@ -115,9 +116,8 @@
                               time_point aListedAt,
                               time_point aNow);
 
-  // Gives back the hosts that are drained and not ordered down: they may get
-  // runs, and are drained anew from the next Decide() on. For use while no
-  // order can be sent.
+  // Uncordons the hosts that are draining and not yet ordered down. The next
+  // Decide() may drain them again. For use while no order can be sent.
   void StopDraining();
   // Returns the hosts that were ordered down, or may have been.
   std::set<host_name> OrderedHosts() const;
@@ -157,8 +157,7 @@
     phase mPhase = phase::kPending;
     time_point mPhaseSince{};
     time_point mNotBefore{}; // no order is sent, or drain begun, before this
-    // While it is drained: the long-running runs that were left, and since
-    // when.
+    // The long-running runs on the host, and since when there are so many.
     std::size_t mLongRunningLeft = 0;
     time_point mLongRunningSince{};
     // When it was last listed as up or in maintenance, or first missed.
@@ -193,7 +192,10 @@
                          const std::map<host_name, host_view>& aHosts,
                          time_point aNow,
                          maintenance_decision& aDecision) const;
-  bool IsStuck(const host_view& aHost, time_point aNow, member& aMember) const;
+  static void NoteLongRunningRuns(const host_view& aHost,
+                                  time_point aNow,
+                                  member& aMember);
+  bool IsStuck(const member& aMember, time_point aNow) const;
   void AssessUpHost(const host_view& aHost,
                     std::uint64_t aNumber,
                     time_point aNow,
--- a/mangospan/jobs/placement.cc
+++ b/mangospan/jobs/placement.cc
@@ -66,7 +66,7 @@
            isFarFromData,
            isFarFromSiblings,
            aRunner.mAnswerRecord.IsUnreliable(aNow) ||
-             aNow < aRunner.mDoubtfulUntil,
+             aNow < aRunner.mSuspectUntil,
            isConcentrated,
            spec.mLongRunning && !HasLongRunning(aRunner),
            aRunner.FreeCapacity().mCpu };
@@ -120,7 +120,9 @@
         return aAt < aEach.mQuarantinedUntil;
       } },
     { "on_trial",
-      [](const runner& aEach, time_point aAt) { return aEach.IsTried(aAt); } },
+      [](const runner& aEach, time_point aAt) {
+        return aEach.HasTrialRun(aAt);
+      } },
     { "refused_start",
       [](const runner& aEach, time_point aAt) {
         return aAt < aEach.mRefusesUntil;
--- a/mangospan/jobs/runner.cc
+++ b/mangospan/jobs/runner.cc
@@ -138,7 +138,7 @@
 }
 
 bool
-runner::IsTried(time_point aNow) const
+runner::HasTrialRun(time_point aNow) const
 {
   return aNow < mOnTrialUntil &&
          std::any_of(mRuns.begin(), mRuns.end(), [this](const auto& aEntry) {
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -166,7 +166,7 @@
   // it.
   bool IsAnswering() const;
   // Returns whether the runner is on trial and has its one run.
-  bool IsTried(time_point aNow) const;
+  bool HasTrialRun(time_point aNow) const;
   // Returns whether the runner carries the label.
   bool HasLabel(const std::string& aLabel) const;
 
@@ -202,15 +202,15 @@
   // so none may start and no lease be extended there.
   bool mIsUnresponsive = false;
   bool mIsReserved = false; // For a task that has to run alone.
-  // The runner gets no new runs before this time, because it refused a start.
+  // It refused a start: no new runs before this time.
   time_point mRefusesUntil{};
-  // The same, because it is faulty by the jobs that it failed.
+  // It is taken to be faulty: no new runs before this time.
   time_point mQuarantinedUntil{};
   // After that the runner gets one run at a time until this time, or until one
   // has succeeded.
   time_point mOnTrialUntil{};
   // Other runners are preferred before this time, because it may be faulty.
-  time_point mDoubtfulUntil{};
+  time_point mSuspectUntil{};
   // A run has failed there within the last seconds, until this time.
   time_point mFailedLatelyUntil{};
   // The runner gets no new runs, because its host is needed elsewhere.
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -182,6 +182,7 @@
     return;
   }
   ReleaseAllRuns(found->second, loss_reason::kRunnerDead, aNow);
+  mFaultyRunners.Forget(aRunner);
   mRunners.erase(found);
   ++mRosterVersion;
 }
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -113,7 +113,7 @@
 };
 
 // How often runners got no new runs for a while, by the reason.
-struct quarantine_counts
+struct pause_counts
 {
   std::uint64_t mFaulty = 0;  // by the jobs that they failed
   std::uint64_t mRefused = 0; // they refused a start
@@ -273,10 +273,7 @@
   // Returns which ready tasks wait for what. Takes time for every task.
   waiting_tasks WaitingTasks(time_point aNow, wall_time aWall) const;
 
-  const quarantine_counts& QuarantineCounts() const
-  {
-    return mQuarantineCounts;
-  }
+  const pause_counts& PauseCounts() const { return mPauseCounts; }
 
   const std::map<runner_name, runner>& Runners() const { return mRunners; }
   const std::map<job_name, job>& Jobs() const { return mJobs; }
@@ -453,7 +450,7 @@
                    const task_id& aTask,
                    time_point aNow);
   void OnRunSucceeded(runner& aRunner, const job_name& aJob, time_point aNow);
-  void JudgeRunner(runner& aRunner, time_point aNow);
+  void JudgeRunner(runner& aRunner, bool aHasFailed, time_point aNow);
   void OnLiveRun(runner& aRunner, const live_run& aLive, time_point aNow);
   void AdoptRun(runner& aRunner,
                 const task_id& aTask,
@@ -479,9 +476,9 @@
   std::map<runner_name, runner> mRunners;
   std::map<job_name, std::set<runner_name>> mRunnersByJob;
   faulty_runner_detector mFaultyRunners;
-  quarantine_counts mQuarantineCounts;
+  pause_counts mPauseCounts;
   // Services with ready tasks that the latest plan had no room for.
-  std::set<service_name> mServicesWithoutRoom;
+  std::set<service_name> mServicesWithoutFreeCapacity;
   outage_detector mOutages;
   answer_time_estimator mStartAnswerTimes;
   // Runners whose runs were given up while they could not be reached, as they
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -49,9 +49,8 @@
 constexpr double kShareOfCauses = 1e-3;
 // A task is not taken to explain crashes to others before it was under so many.
 constexpr std::uint32_t kMinCrashesOfCause = 2;
-// Crashes by another cause are counted over this time, or since the first one
-// if that is less, as they may have begun with it, but not over less than the
-// second; and they are taken to happen at least this often, for each runner.
+// The crash rate is averaged over the time since the first crash, within these
+// bounds, and is at least `kMinCrashesPerSecond` for each runner.
 constexpr milliseconds kCrashRateWindow{ 20'000 };
 constexpr milliseconds kMinCrashRateWindow{ 5'000 };
 constexpr double kMinCrashesPerSecond = 0.01;
@@ -194,9 +193,9 @@
   }
 }
 
-// Notes that a runner without runs has started again. It may have ended by
-// itself, as well as the others, whose crashes are compared with that. One that
-// this owner has given up already is counted once.
+// Counts the crash of a runner without runs as one that no task has caused. A
+// crash that was counted for the same address within `kSameCrash` is not
+// counted again.
 void
 scheduler::OnIdleRunnerCrashed(const runner& aRunner,
                                bool aIsOutage,
@@ -207,6 +206,10 @@
     latest != mCrashedAt.end() && aNow - latest->second <= kSameCrash;
   if (aRunner.mContacted && aRunner.IsAnswering() && !aIsOutage && !isKnown) {
     mCrashedAt[aRunner.mInfo.mAddress] = aNow;
+    LogEvent(log_level::kInfo,
+             "runner.crashed",
+             { { "runner", aRunner.mInfo.mName.Str() },
+               { "runs", std::uint64_t{ 0 } } });
     RememberCrash(aRunner, aNow);
   }
 }
@@ -322,11 +325,13 @@
                             time_point aNow)
 {
   double hazard = 0;
+  time_point first = aNow;
   for (const recent_crash& each : mRecentCrashes) {
     if (each.mIsCauseKnown || each.mService != aService ||
         aNow - each.mAt > kCrashRateWindow) {
       continue;
     }
+    first = std::min(first, each.mAt);
     double weight = 1;
     for (const task_id& other : each.mTasks) {
       weight =
@@ -334,12 +339,10 @@
     }
     hazard += weight / static_cast<double>(each.mRunnersAtRisk);
   }
-  const auto sinceFirst =
-    mRecentCrashes.empty()
-      ? kCrashRateWindow
-      : duration_cast<milliseconds>(aNow - mRecentCrashes.front().mAt);
   const std::chrono::duration<double> window =
-    std::clamp(sinceFirst, kMinCrashRateWindow, kCrashRateWindow);
+    std::clamp(duration_cast<milliseconds>(aNow - first),
+               kMinCrashRateWindow,
+               kCrashRateWindow);
   return std::max(kMinCrashesPerSecond, hazard / window.count());
 }
 
@@ -369,9 +372,10 @@
   if (telling.count() > 0) {
     const double seconds = std::chrono::duration<double>(telling).count();
     const double chance = -std::expm1(-aCrashRate * seconds);
+    ++crashes.mTellingCount;
     // Crashes that have become frequent may have been so at the earlier ones.
-    crashes.mChance =
-      std::max(crashes.mChance * chance, std::pow(chance, crashes.mCount + 1));
+    crashes.mChance = std::max(crashes.mChance * chance,
+                               std::pow(chance, crashes.mTellingCount));
   }
   crashes.mLongestFuse = std::max(crashes.mLongestFuse, fuse);
   crashes.mLatestFuse = fuse;
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -11,13 +11,13 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-// One of this many runners of a service may be in quarantine at a time, since
-// the tasks that do not fail still have to start; the second while tasks wait
-// for room.
-constexpr std::size_t kRunnersPerFaultyOne = 2;
-constexpr std::size_t kRunnersPerFaultyOneWithoutRoom = 4;
+// At most one in so many runners of a service, rounded down, is in quarantine
+// at a time, so that tasks can still start; the second while tasks wait for
+// free capacity.
+constexpr std::size_t kRunnersPerQuarantinedOne = 2;
+constexpr std::size_t kRunnersPerQuarantinedOneWhenFull = 4;
 // Other runners are preferred to one that may be faulty for this long.
-constexpr milliseconds kDoubtTime{ 4'000 };
+constexpr milliseconds kSuspectTime{ 4'000 };
 // A runner back from quarantine gets one run at a time for no longer than this.
 constexpr milliseconds kMaxTrialTime{ 4'000 };
 
@@ -166,35 +166,39 @@
     }
   }
   const std::size_t runnersPerFaultyOne =
-    mServicesWithoutRoom.count(service) > 0 ? kRunnersPerFaultyOneWithoutRoom
-                                            : kRunnersPerFaultyOne;
+    mServicesWithoutFreeCapacity.count(service) > 0
+      ? kRunnersPerQuarantinedOneWhenFull
+      : kRunnersPerQuarantinedOne;
   return quarantined < poolSize / runnersPerFaultyOne;
 }
 
-// Draws the conclusions from the ends of runs on the runner.
+// Draws the conclusions from the ends of runs on the runner. Only a failure
+// begins a quarantine.
 void
-scheduler::JudgeRunner(runner& aRunner, time_point aNow)
+scheduler::JudgeRunner(runner& aRunner, bool aHasFailed, time_point aNow)
 {
   const runner_verdict verdict =
     mFaultyRunners.Judge(aRunner.mInfo.mService, aRunner.mInfo.mName, aNow);
   const bool isQuarantined = aNow < aRunner.mQuarantinedUntil;
-  aRunner.mDoubtfulUntil =
-    verdict == runner_verdict::kSound ? time_point{} : aNow + kDoubtTime;
-  if (verdict != runner_verdict::kFaulty && isQuarantined) {
+  aRunner.mSuspectUntil =
+    verdict == runner_verdict::kSound
+      ? time_point{}
+      : std::max(aNow + kSuspectTime, aRunner.mOnTrialUntil);
+  if (verdict == runner_verdict::kSound && isQuarantined) {
     aRunner.mQuarantinedUntil = aNow;
     aRunner.mOnTrialUntil = aNow;
     LogEvent(log_level::kInfo,
              "runner.quarantine_lifted",
              { { "runner", aRunner.mInfo.mName.Str() } });
   }
-  if (verdict != runner_verdict::kFaulty || isQuarantined ||
+  if (!aHasFailed || verdict != runner_verdict::kFaulty || isQuarantined ||
       !MayQuarantine(aRunner, aNow)) {
     return;
   }
-  ++mQuarantineCounts.mFaulty;
+  ++mPauseCounts.mFaulty;
   aRunner.mQuarantinedUntil = aNow + mSettings.mQuarantineTime;
   aRunner.mOnTrialUntil = aRunner.mQuarantinedUntil + kMaxTrialTime;
-  aRunner.mDoubtfulUntil = aRunner.mOnTrialUntil;
+  aRunner.mSuspectUntil = aRunner.mOnTrialUntil;
   LogEvent(
     log_level::kInfo,
     "runner.shunned",
@@ -214,18 +218,18 @@
   const step& ofTask =
     aJob.mOccurrences.at(aTask.mOccurrence).mSteps[aTask.mStep];
   const runner_name& failedBefore = ofTask.mTasks[aTask.mIndex].mFailedOn;
-  aRunner.mFailedLatelyUntil = aNow + kDoubtTime;
+  aRunner.mFailedLatelyUntil = aNow + kSuspectTime;
   if (failedBefore.Empty() || failedBefore == aRunner.mInfo.mName) {
     mFaultyRunners.Add(
       aRunner.mInfo.mService,
       { aNow, aRunner.mInfo.mName, aJob.mName, true, ofTask.mDoneCount > 0 });
-    JudgeRunner(aRunner, aNow);
+    JudgeRunner(aRunner, /*aHasFailed=*/true, aNow);
     return;
   }
   mFaultyRunners.Withdraw(failedBefore, aJob.mName);
   const auto acquitted = mRunners.find(failedBefore);
   if (acquitted != mRunners.end()) {
-    JudgeRunner(acquitted->second, aNow);
+    JudgeRunner(acquitted->second, /*aHasFailed=*/false, aNow);
   }
 }
 
@@ -239,8 +243,8 @@
   if (aNow >= aRunner.mQuarantinedUntil) {
     aRunner.mOnTrialUntil = std::min(aRunner.mOnTrialUntil, aNow);
   }
-  if (aNow < aRunner.mDoubtfulUntil) {
-    JudgeRunner(aRunner, aNow);
+  if (aNow < aRunner.mSuspectUntil) {
+    JudgeRunner(aRunner, /*aHasFailed=*/false, aNow);
   }
 }
 
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -121,6 +121,7 @@
       ReleaseAllRuns(each, loss_reason::kLeaseOver, aNow);
       ReportEndInRoster(each);
       if (!each.mListed) {
+        mFaultyRunners.Forget(it->first);
         it = mRunners.erase(it);
         continue;
       }
@@ -204,7 +205,7 @@
   for (const job_name& each : mActiveJobs) {
     CollectCandidates(mJobs.at(each), aNow, aWall, startable);
   }
-  mServicesWithoutRoom.clear();
+  mServicesWithoutFreeCapacity.clear();
   for (auto& [service, candidates] : startable.mByService) {
     std::vector<runner*> pool;
     for (auto& [runnerName, each] : mRunners) {
@@ -213,7 +214,7 @@
       }
     }
     if (pool.empty()) {
-      mServicesWithoutRoom.insert(service);
+      mServicesWithoutFreeCapacity.insert(service);
       continue;
     }
     std::stable_sort(candidates.begin(),
@@ -224,16 +225,17 @@
     PlaceSuspects(candidates, service, pool, aNow, aOrders);
     pool_free_capacity freeCapacity(pool, aNow);
     for (const candidate& each : candidates) {
-      if (!freeCapacity.MayFit(each.Spec())) {
-        mServicesWithoutRoom.insert(service);
-        continue;
-      }
+      const bool mayFit = freeCapacity.MayFit(each.Spec());
       if (each.Spec().mGang) {
-        // One that waits says nothing of the room for single tasks.
-        PlaceGang(each, pool, aNow, aOrders);
+        // One that waits says nothing of the capacity for single tasks.
+        if (mayFit) {
+          PlaceGang(each, pool, aNow, aOrders);
+        }
+      } else if (!mayFit) {
+        mServicesWithoutFreeCapacity.insert(service);
       } else if (!PlaceStep(each, pool, aNow, aOrders)) {
         freeCapacity.OnPlacementFailed(each.Spec());
-        mServicesWithoutRoom.insert(service);
+        mServicesWithoutFreeCapacity.insert(service);
       }
     }
   }
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -100,7 +100,7 @@
   ReleaseRun(targetRunner, key, aNow);
   targetRunner.mRefusesUntil =
     std::max(targetRunner.mRefusesUntil, aNow + kRunnerRetryDelay);
-  ++mQuarantineCounts.mRefused;
+  ++mPauseCounts.mRefused;
 }
 
 // Notes that the runner has answered a start order of the run as done.
--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -19,8 +19,8 @@
 // An order without an answer may still be executed within this time.
 constexpr milliseconds kLateOrderTime{ 2'000 };
 constexpr milliseconds kReadTimeout{ 1'000 };
-// Without a newer listing for this long no order is made, and hosts are not
-// kept for one.
+// If the latest listing is older than this, no orders are sent, and hosts that
+// wait for one are uncordoned.
 constexpr milliseconds kMaxListingAge{ 3'000 };
 constexpr milliseconds kAnnounceTimeout{ 500 };
 
@@ -399,7 +399,7 @@
   }
   const time_point now = mDeps.mClock.Now();
   if (now - mListedAt > kMaxListingAge) {
-    GiveHostsBack();
+    UncordonWaitingHosts();
     return;
   }
   NoteListingIsCurrent();
@@ -423,11 +423,11 @@
   AnnounceOrders(maintenance.mOrders, ReadyMoves(views));
 }
 
-// Lets the hosts have runs that wait for an order which has not been announced:
-// whoever lists no hosts takes no orders either. The others stay cordoned,
-// since their orders may be executed late.
+// Uncordons the hosts whose order is not announced yet: a host service that
+// does not answer listings is taken not to execute orders either. Hosts with an
+// announced order stay cordoned, since it may be executed late.
 void
-fleet_controller::GiveHostsBack()
+fleet_controller::UncordonWaitingHosts()
 {
   if (!mAreHostsGivenBack) {
     mAreHostsGivenBack = true;
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -103,7 +103,7 @@
   void AddPendingMoves(const std::vector<jobs::move_order>& aMoves);
   std::vector<jobs::move_order> ReadyMoves(
     const std::vector<jobs::host_view>& aHosts);
-  void GiveHostsBack();
+  void UncordonWaitingHosts();
   void NoteListingIsCurrent();
   void SetCordoned(const std::set<host_name>& aMaintenance);
   const host_entry* FindHost(const host_name& aHost) const;
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -233,9 +233,9 @@
 }
 
 void
-owner::SetQuarantineMetrics()
+owner::SetPauseMetrics()
 {
-  const jobs::quarantine_counts& counts = mScheduler.QuarantineCounts();
+  const jobs::pause_counts& counts = mScheduler.PauseCounts();
   const auto set = [this](const char* aReason, std::uint64_t aCount) {
     mDeps.mMetrics.Set("mangospan_node_quarantines",
                        { { "service", mService.Str() }, { "reason", aReason } },
@@ -256,7 +256,7 @@
   mNextWaitReportAt = now + kWaitReportInterval;
   const jobs::waiting_tasks waiting = mScheduler.WaitingTasks(now, WallNow());
   SetWaitMetrics(waiting);
-  SetQuarantineMetrics();
+  SetPauseMetrics();
   if (waiting.mOldestAge >= kLongWait) {
     LogEvent(log_level::kInfo,
              "task.waits",
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -205,7 +205,7 @@
   void Wake(); // schedules a plan
   void Plan();
   void ReportWaits();
-  void SetQuarantineMetrics();
+  void SetPauseMetrics();
   void ReportOverload();
   void SetOverloadMetric(std::chrono::nanoseconds aLongestWait);
   void SetWaitMetrics(const jobs::waiting_tasks& aWaiting);
