--- a/mangospan/node/owner_lost_answers_test.cc
+++ b/mangospan/node/owner_lost_answers_test.cc
@@ -64,6 +64,11 @@
     milliseconds mTook{ 0 };
   };
 
+  owner_lost_answers_test()
+  {
+    EXPECT_LE(Now() - mLone.StartedAt(), milliseconds(200)); // has loaded
+  }
+
   time_point Now() const { return mLone.Now(); }
   owner& Owner() { return mLone.Owner(); }
   void RunFor(milliseconds aTime) { mLone.RunFor(aTime); }
--- a/mangospan/node/testing/lone_owner.h
+++ b/mangospan/node/testing/lone_owner.h
@@ -51,6 +51,8 @@
   lone_owner& operator=(const lone_owner&) = delete;
 
   time_point Now() const { return mClock.Now(); }
+  // When the owner began to load.
+  time_point StartedAt() const { return mStartedAt; }
   owner& Owner() { return *mOwner; }
   virtual_store& Store() { return mStore; }
   virtual_store_client& Client() { return mClient; }
@@ -63,6 +65,7 @@
 
 private:
   manual_clock mClock;
+  const time_point mStartedAt = mClock.Now();
   const virtual_time_scope mScope{ mClock };
   boost::asio::io_context mStoreIo;
   boost::asio::io_context mIo;
