--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -261,7 +261,6 @@
            { "suspicion", aCrashes.mSuspicion },
            { "suspect", aCrashes.mIsSuspect },
            { "chance", aCrashes.mChance },
-           { "telling", aCrashes.mTellingCount },
            { "address", aCrashes.mLatestAddress },
            { "several_addresses", aCrashes.mAtSeveralAddresses } };
 }
@@ -277,8 +276,6 @@
   out.mSuspicion = aValue.at("suspicion").get<std::uint32_t>();
   out.mIsSuspect = aValue.at("suspect").get<bool>();
   out.mChance = aValue.value("chance", 1.0);
-  // A record of an earlier version does not say how many of them count.
-  out.mTellingCount = aValue.value("telling", out.mCount);
   out.mLatestAddress = aValue.value("address", std::string());
   out.mAtSeveralAddresses = aValue.value("several_addresses", false);
   return out;
--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -81,7 +81,6 @@
   // The probability of crashes at these times after the starts if the task is
   // not the cause.
   double mChance = 1.0;
-  std::uint32_t mTellingCount = 0; // crashes that count in `mChance`
   // The address of the runner of the latest crash, and whether an earlier one
   // was elsewhere.
   std::string mLatestAddress;
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -325,13 +325,11 @@
                             time_point aNow)
 {
   double hazard = 0;
-  time_point first = aNow;
   for (const recent_crash& each : mRecentCrashes) {
     if (each.mIsCauseKnown || each.mService != aService ||
         aNow - each.mAt > kCrashRateWindow) {
       continue;
     }
-    first = std::min(first, each.mAt);
     double weight = 1;
     for (const task_id& other : each.mTasks) {
       weight =
@@ -339,10 +337,12 @@
     }
     hazard += weight / static_cast<double>(each.mRunnersAtRisk);
   }
+  const auto sinceFirst =
+    mRecentCrashes.empty()
+      ? kCrashRateWindow
+      : duration_cast<milliseconds>(aNow - mRecentCrashes.front().mAt);
   const std::chrono::duration<double> window =
-    std::clamp(duration_cast<milliseconds>(aNow - first),
-               kMinCrashRateWindow,
-               kCrashRateWindow);
+    std::clamp(sinceFirst, kMinCrashRateWindow, kCrashRateWindow);
   return std::max(kMinCrashesPerSecond, hazard / window.count());
 }
 
@@ -372,10 +372,9 @@
   if (telling.count() > 0) {
     const double seconds = std::chrono::duration<double>(telling).count();
     const double chance = -std::expm1(-aCrashRate * seconds);
-    ++crashes.mTellingCount;
     // Crashes that have become frequent may have been so at the earlier ones.
-    crashes.mChance = std::max(crashes.mChance * chance,
-                               std::pow(chance, crashes.mTellingCount));
+    crashes.mChance =
+      std::max(crashes.mChance * chance, std::pow(chance, crashes.mCount + 1));
   }
   crashes.mLongestFuse = std::max(crashes.mLongestFuse, fuse);
   crashes.mLatestFuse = fuse;
