Review: a takeover holds back lost work beside one silent runner (case 9)

Cause: a new owner starts no task of inherited jobs until each runner that an earlier owner may have used has answered or its longest lease is over.

--- a/review/standins-2/deployment.cc
+++ b/review/standins-2/deployment.cc
@@ -41,6 +41,7 @@
 constexpr double kHostOrdersPerSecond = 64;
 constexpr std::int64_t kMemoryMb = 64'000;
 constexpr std::size_t kRunnersPerRack = 4;
+constexpr milliseconds kEntryLapse{ 4'500 };
 constexpr milliseconds kExitCheckInterval{ 20 };
 constexpr milliseconds kMaintenanceTime{ 2'000 };
 constexpr int kCompleteBySeconds = 60;
@@ -295,6 +296,16 @@
   });
 }
 
+void
+deployment::Lose(runner& aRunner)
+{
+  aRunner.GoDark();
+  After(kEntryLapse, [this, name = aRunner.Name()] {
+    mStore.Store().Delete("servers/" + name);
+    Note("store: the entry of " + name + " has lapsed");
+  });
+}
+
 status
 deployment::AddMachine(const runner_spec& aSpec)
 {
@@ -488,6 +499,15 @@
   mUpkeepDelay = std::move(aDelay);
 }
 
+void
+deployment::KillFor(std::size_t aNode, milliseconds aDown)
+{
+  node_process_handle& node = mNodes[aNode];
+  kill(node.mProcess, SIGKILL);
+  Note(node.mName + " is killed");
+  StartAfterEnd(aNode, aDown);
+}
+
 void
 deployment::Restart(const std::string& aNode, milliseconds aDown)
 {
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -127,10 +127,15 @@
   // The most machines that were down for their upkeep at the same time.
   std::size_t MostInUpkeep() const { return mMostInUpkeep; }
   std::size_t UpkeepCount() const { return mUpkeeps; }
+  // A node's process is killed, and started again after `aDown`.
+  void KillFor(std::size_t aNode, std::chrono::milliseconds aDown);
   // A node's process gets SIGTERM, and is started again `aDown` after its end.
   void Restart(const std::string& aNode, std::chrono::milliseconds aDown);
   // Called for each begin of a run.
   void OnRunBegins(std::function<void(const run_event&)> aHandler);
+  // A runner is lost for good. Its entry lapses after three status report
+  // intervals.
+  void Lose(runner& aRunner);
   // A runner crashes and is back, under its id, after `aDown`.
   void CrashFor(runner& aRunner, std::chrono::milliseconds aDown);
 
--- a/review/standins-2/late_upkeep.cc
+++ b/review/standins-2/late_upkeep.cc
@@ -30,9 +30,11 @@
 LateUpkeep(const std::string& aRecordFile, bool aIsTroubled)
 {
   deployment all(aRecordFile);
-  const std::vector<runner_spec> runners(kMachines,
-                                         { kService, "standard", 16'000 });
-  if (!all.Start({ { "drafts", kService } }, { kService }, runners, 3)) {
+  const runner_spec each{ kService, "standard", 16'000 };
+  const std::vector<runner_spec> runners(kMachines, each);
+  const bool isStarted =
+    all.Start({ { "drafts", kService } }, { kService }, runners, 3);
+  if (!isStarted) {
     all.Note("the case could not run");
     return kCouldNotRun;
   }
--- a/review/standins-2/main.cc
+++ b/review/standins-2/main.cc
@@ -14,7 +14,7 @@
   const std::map<std::string, int (*)(const std::string&, bool)> cases{
     { "cancelled-after-move", &CancelledAfterMove },
     { "cancelled-at-stale-owner", &CancelledAtStaleOwner },
-    { "crash-series", &CrashSeries },
+    { "lost-runner", &LostRunner },
     { "foreign-entry", &ForeignEntry },
     { "late-upkeep", &LateUpkeep },
   };
--- a/review/standins-2/runner.cc
+++ b/review/standins-2/runner.cc
@@ -117,18 +117,31 @@
 }
 
 void
-runner::Crash()
+runner::EndRuns(const std::string& aWhat)
 {
   std::string lost;
   for (const auto& [task, each] : mRuns->Runs()) {
     lost += " " + task + "/" + std::to_string(each.mNumber);
   }
-  mEvents.mNote("runner " + Name() + " crashes" +
+  mEvents.mNote("runner " + Name() + " " + aWhat +
                 (lost.empty() ? "" : ", with it" + lost));
-  mServer.reset();
   mRuns.reset();
 }
 
+void
+runner::Crash()
+{
+  EndRuns("crashes");
+  mServer.reset();
+}
+
+void
+runner::GoDark()
+{
+  EndRuns("is lost without a word");
+  mIsDark = true;
+}
+
 void
 runner::Advance()
 {
--- a/review/standins-2/runner.h
+++ b/review/standins-2/runner.h
@@ -46,7 +46,9 @@
   status Boot();
   // Ends everything that runs there and stops answering.
   void Crash();
-  bool IsUp() const { return mServer != nullptr; }
+  // Ends everything that runs there. From now on, calls get no answer.
+  void GoDark();
+  bool IsUp() const { return mServer && !mIsDark; }
   void Advance();
   std::string Name() const { return mInfo.mName.Str(); }
   const jobs::runner_info& Info() const { return mInfo; }
@@ -54,6 +56,7 @@
   std::string DiscoveryRecord() const;
 
 private:
+  void EndRuns(const std::string& aWhat);
   void Answer(const http::request& aRequest, const http::responder& aRespond);
   void Poll(const jobs::poll_order& aOrder,
             std::uint64_t aTerm,
@@ -69,6 +72,7 @@
   time_point mBootedAt{};
   std::unique_ptr<jobs::testing::fake_runner> mRuns;
   std::unique_ptr<http::server> mServer;
+  bool mIsDark = false;
   std::map<std::string, std::chrono::milliseconds> mWork; // by work unit
 };
 
--- a/review/standins-2/scenarios.h
+++ b/review/standins-2/scenarios.h
@@ -17,7 +17,7 @@
 int
 CancelledAtStaleOwner(const std::string& aRecordFile, bool aIsTroubled);
 int
-CrashSeries(const std::string& aRecordFile, bool aIsTroubled);
+LostRunner(const std::string& aRecordFile, bool aIsTroubled);
 int
 ForeignEntry(const std::string& aRecordFile, bool aIsTroubled);
 int
