A cancel that meets a late copy of a submission reaches the job

It takes an outage of the store, or a slow answer, in which a late copy of the submission arrives before the cancel.

Cause: the owner of the present service holds the copy as a new job. All who waited for a job at its owner were alike, so when its write was in conflict with the home of the job, AnswerAll() gave the cancel the reply that is right for the submission. Nobody passed the cancel on to the service that has the job. The same function answered a cancel 429 beside a submission whose record the store takes not.

The two events now tell whether what was cancelled is stored, and how many cancels go on.

Why this works: a wait has a kind, and a cancel is acknowledged by nothing but the stored end of the job in the record of its home. Where a job that is not stored leaves an owner, cancels are told that it is not here, and the search of the caller's node goes on to the other services, as for each moved job.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -289,7 +289,8 @@
     LogEvent(log_level::kInfo,
              "job.cancelled",
              { { "job", aJob.Str() },
-               { "age_ms", CountMilliseconds(aNow - foundJob->mAcceptedAt) } });
+               { "age_ms", CountMilliseconds(aNow - foundJob->mAcceptedAt) },
+               { "stored", foundJob->mStoredVersion > 0 } });
     FinishJob(*foundJob, job_state::kCancelled, aNow, aWall);
   }
   return true;
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -448,7 +448,9 @@
       mNotWritten.emplace_back(now, aJob);
       mOverload.OnAccepted(now);
     }
-    mWaiters.emplace(aJob, waiter{ now + aTimeout, std::move(aHandler) });
+    mWaiters.emplace(
+      aJob,
+      waiter{ request_kind::kSubmit, now + aTimeout, std::move(aHandler) });
     ScheduleWrite();
     return;
   }
@@ -531,7 +533,9 @@
     aHandler(Reply(reply_kind::kNoSuchJob));
     return;
   }
-  const waiter one{ now + aTimeout, std::move(aHandler) };
+  const waiter one{ request_kind::kCancel,
+                    now + aTimeout,
+                    std::move(aHandler) };
   if (!AnswerIfStored(aJob, one)) {
     mWaiters.emplace(aJob, one);
   }
@@ -640,13 +644,14 @@
     aWaiter.mHandler(Reply(reply_kind::kUnknown));
     return true;
   }
-  const bool isStored = jobs::IsFinal(found->mState)
-                          ? found->IsStored()
-                          : found->mStoredVersion > 0;
-  if (isStored) {
+  const bool isFinalStored = jobs::IsFinal(found->mState) && found->IsStored();
+  const bool isDone = aWaiter.mKind == request_kind::kCancel
+                        ? isFinalStored
+                        : found->mStoredVersion > 0;
+  if (isDone) {
     aWaiter.mHandler(Reply(reply_kind::kOk));
   }
-  return isStored;
+  return isDone;
 }
 
 void
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -143,9 +143,16 @@
   const jobs::scheduler& Scheduler() const { return mScheduler; }
 
 private:
-  // A caller that waits until the state of its job is stored.
+  // What a caller has asked for.
+  enum class request_kind
+  {
+    kSubmit,
+    kCancel,
+  };
+  // A caller that waits until the record of its job says what it has asked for.
   struct waiter
   {
+    request_kind mKind;
     time_point mDeadline;
     reply_handler mHandler;
   };
@@ -245,7 +252,8 @@
   void OnOwnedByOtherService(const jobs::job_name& aJob,
                              const service_name& aService);
   void DeleteExpiredJobs();
-  void AnswerAll(const jobs::job_name& aJob, const job_reply& aReply);
+  void RemoveUnstoredJob(const jobs::job_name& aJob,
+                         const job_reply& aReplyToSubmissions);
   void AnswerWaiters();
   void AnswerWaitersOf(const jobs::job_name& aJob);
   bool AnswerIfStored(const jobs::job_name& aJob, const waiter& aWaiter);
--- a/mangospan/node/owner_test.cc
+++ b/mangospan/node/owner_test.cc
@@ -203,6 +203,26 @@
   EXPECT_TRUE(mOwner->CanWrite());
 }
 
+// Guards against a cancel that is answered like the submission beside it, whose
+// record the store does not take.
+TEST_F(owner_test, CancelOfAJobThatTheStoreRefusesFindsNone)
+{
+  Start();
+  mStore.mMaxValueBytes = 10;
+  std::optional<reply_kind> submission;
+  mOwner->Submit(job_name{ "a1" },
+                 OneTask(kQueue),
+                 kTimeout,
+                 [&](const job_reply& aReply) { submission = aReply.mKind; });
+  std::optional<reply_kind> cancel;
+  mOwner->Cancel(job_name{ "a1" }, kTimeout, [&](const job_reply& aReply) {
+    cancel = aReply.mKind;
+  });
+  RunUntil([&] { return submission.has_value() && cancel.has_value(); });
+  EXPECT_EQ(*submission, reply_kind::kRefused);
+  EXPECT_EQ(*cancel, reply_kind::kNoSuchJob);
+}
+
 TEST_F(owner_test, JobsThatExceedOneWriteAreWrittenConcurrently)
 {
   Start();
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -633,13 +633,11 @@
       name, aWritten.mStored.mVersion, mDeps.mClock.Now());
     return;
   }
-  mScheduler.RemoveUnstored(name);
-  mRefusedRecords.Remove(name);
   job_reply refused;
   refused.mKind = reply_kind::kRefused;
   refused.mReason = refusal_reason::kRecordRefused;
   refused.mRetryAfter = kRefusedRecordRetryAfter;
-  AnswerAll(name, refused);
+  RemoveUnstoredJob(name, refused);
 }
 
 // Handles a write that the store rejected. Either a newer owner has claimed the
@@ -699,35 +697,48 @@
 }
 
 // Removes a job that the owner of another service accepted before its queue
-// moved to this service. The job stays with that owner, so callers get kOk.
+// moved to this service. The job stays with that owner, so submissions get kOk.
 void
 owner::OnOwnedByOtherService(const jobs::job_name& aJob,
                              const service_name& aService)
 {
+  const auto waiters = mWaiters.equal_range(aJob);
+  const auto cancels =
+    std::count_if(waiters.first, waiters.second, [](const auto& aEntry) {
+      return aEntry.second.mKind == request_kind::kCancel;
+    });
   LogEvent(log_level::kInfo,
            "job.elsewhere",
            { { "job", aJob.Str() },
              { "service", mService.Str() },
-             { "home", aService.Str() } });
-  mScheduler.RemoveUnstored(aJob);
-  mRefusedRecords.Remove(aJob);
-  mUnsettled.Remove(aJob);
+             { "home", aService.Str() },
+             { "cancels", static_cast<std::uint64_t>(cancels) } });
   job_reply accepted;
   accepted.mKind = reply_kind::kOk;
-  AnswerAll(aJob, accepted);
+  RemoveUnstoredJob(aJob, accepted);
 }
 
+// Removes a job that no record of this owner holds, and answers all that wait
+// for it. A cancel has cancelled nothing here: another service may have a job
+// of that name, which the caller's node asks next.
 void
-owner::AnswerAll(const jobs::job_name& aJob, const job_reply& aReply)
+owner::RemoveUnstoredJob(const jobs::job_name& aJob,
+                         const job_reply& aReplyToSubmissions)
 {
-  const auto waiters = mWaiters.equal_range(aJob);
-  std::vector<reply_handler> handlers;
-  for (auto it = waiters.first; it != waiters.second; ++it) {
-    handlers.push_back(it->second.mHandler);
-  }
-  mWaiters.erase(waiters.first, waiters.second);
-  for (const reply_handler& each : handlers) {
-    each(aReply);
+  mScheduler.RemoveUnstored(aJob);
+  mRefusedRecords.Remove(aJob);
+  mUnsettled.Remove(aJob);
+  job_reply notHere;
+  notHere.mKind = reply_kind::kNoSuchJob;
+  const auto range = mWaiters.equal_range(aJob);
+  std::vector<waiter> waiters;
+  for (auto it = range.first; it != range.second; ++it) {
+    waiters.push_back(std::move(it->second));
+  }
+  mWaiters.erase(range.first, range.second);
+  for (const waiter& each : waiters) {
+    const bool isSubmission = each.mKind == request_kind::kSubmit;
+    each.mHandler(isSubmission ? aReplyToSubmissions : notHere);
   }
 }
 
