A read tells nothing of a job that waits for its first write

What callers saw: beside a late copy of a submission, at the service that the queue has moved to, a read was answered "queued" though the job was cancelled (or had ended, or ran) at the service that has it; a job whose first write had no answer yet was shown as queued and counted as waiting, though it may never be accepted.

The owner's jobs include those that are not stored, which are neither accepted nor certain to be this service's, and Read() and CountWaitingJobs() spoke of them like of the others.

Why this works: a read of such a job goes on to the other services, like the cancel does; if none has the job, the answer is 503, since its write may have been done.

--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -323,7 +323,8 @@
   return static_cast<std::size_t>(std::count_if(
     mActiveJobs.begin(), mActiveJobs.end(), [&](const job_name& aJob) {
       const job& each = mJobs.at(aJob);
-      return each.mSpec.mQueue == aQueue && each.mState == job_state::kQueued;
+      return each.mSpec.mQueue == aQueue && each.mStoredVersion > 0 &&
+             each.mState == job_state::kQueued;
     }));
 }
 
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -185,7 +185,8 @@
   bool Cancel(const job_name& aJob, time_point aNow, wall_time aWall);
   // Returns the job, or null if there is no such job.
   const job* Find(const job_name& aJob) const;
-  // Returns the number of jobs in the queue of which no task has started.
+  // Returns the number of accepted jobs in the queue of which no task has
+  // started.
   std::size_t CountWaitingJobs(const queue_name& aQueue) const;
 
   // Returns every order that is due now. The caller must report the outcome of
--- a/mangospan/node/job_search.cc
+++ b/mangospan/node/job_search.cc
@@ -30,11 +30,7 @@
   void AskNext()
   {
     if (mNextService >= mServices.size()) {
-      job_reply reply;
-      reply.mKind = mHasUnavailable || mServices.empty()
-                      ? reply_kind::kUnavailable
-                      : reply_kind::kNoSuchJob;
-      mHandler(reply);
+      mHandler(NotFoundReply());
       return;
     }
     const service_name& service = mServices[mNextService++];
@@ -47,6 +43,18 @@
   }
 
 private:
+  job_reply NotFoundReply() const
+  {
+    job_reply out;
+    const bool mayExist = mHasUnavailable || mHasNotStored || mServices.empty();
+    out.mKind = mayExist ? reply_kind::kUnavailable : reply_kind::kNoSuchJob;
+    if (mHasNotStored) {
+      out.mReason = refusal_reason::kNotStored;
+      out.mRetryAfter = kHandoverRetryAfter;
+    }
+    return out;
+  }
+
   void OnReply(const job_reply& aReply)
   {
     const bool isFirst = mNextService == 1;
@@ -59,6 +67,8 @@
     }
     mHasUnavailable =
       mHasUnavailable || aReply.mKind == reply_kind::kUnavailable;
+    mHasNotStored =
+      mHasNotStored || aReply.mReason == refusal_reason::kNotStored;
     AskNext();
   }
 
@@ -70,6 +80,7 @@
   const reply_handler mHandler;
   std::size_t mNextService = 0;
   bool mHasUnavailable = false; // whether some service was unavailable
+  bool mHasNotStored = false;   // whether the job waits for a write somewhere
 };
 
 // Adds up the replies of several services.
--- a/mangospan/node/job_search.h
+++ b/mangospan/node/job_search.h
@@ -26,7 +26,7 @@
 // one replies anything but kNoSuchJob or kUnavailable, and passes that reply to
 // `aHandler`. Replies kNoSuchJob only if every owner replied so. Replies
 // kUnavailable at once if the first owner is unavailable, at the end if another
-// one was, and if `aServices` is empty.
+// one was or has the job as kNotStored, and if `aServices` is empty.
 void
 SearchJob(const clock_source& aClock,
           job_service_finder aFinder,
--- a/mangospan/node/job_service.h
+++ b/mangospan/node/job_service.h
@@ -39,6 +39,7 @@
   kStopping,         // the node that the caller has asked is about to exit
   kOverloaded,       // the owner's work waits too long
   kTimeIsUp,         // the caller does not wait any more
+  kNotStored,        // the job waits for its first write and may live elsewhere
 };
 
 // The reason in one word, as logs, metrics and other nodes spell it.
@@ -67,7 +68,8 @@
   // Delay before the next attempt; 0 if none is advised. May be set if `mKind`
   // is kRefused or kUnavailable.
   std::chrono::milliseconds mRetryAfter{ 0 };
-  // Set if `mKind` is kRefused or kUnavailable.
+  // Set if `mKind` is kRefused or kUnavailable. kNotStored also with
+  // kNoSuchJob, which is then true of this owner so far.
   refusal_reason mReason = refusal_reason::kNone;
 };
 
@@ -93,7 +95,7 @@
   virtual void Cancel(const jobs::job_name& aJob,
                       std::chrono::milliseconds aTimeout,
                       reply_handler aHandler) = 0;
-  // Replies kOk with `mJobState`; kNoSuchJob if there is no job of that name.
+  // Replies kOk with `mJobState`; kNoSuchJob if no job of that name is stored.
   virtual void Read(const jobs::job_name& aJob,
                     std::chrono::milliseconds aTimeout,
                     reply_handler aHandler) = 0;
--- a/mangospan/node/job_service_test.cc
+++ b/mangospan/node/job_service_test.cc
@@ -19,7 +19,8 @@
                            refusal_reason::kRecordRefused,
                            refusal_reason::kStopping,
                            refusal_reason::kOverloaded,
-                           refusal_reason::kTimeIsUp }) {
+                           refusal_reason::kTimeIsUp,
+                           refusal_reason::kNotStored }) {
     EXPECT_EQ(ParseRefusalReason(Name(each)), each);
   }
   EXPECT_EQ(ParseRefusalReason("of a newer version"), refusal_reason::kNone);
--- a/mangospan/node/moved_queue_test.cc
+++ b/mangospan/node/moved_queue_test.cc
@@ -138,8 +138,11 @@
       job_name{ aJob }, testing::OneTask(), kCallerTimeout, Note(out));
     return out;
   }
+  using job_call = void (job_service::*)(const job_name&,
+                                         milliseconds,
+                                         reply_handler);
   // Asks like a node does: first the service that has the queue now.
-  call_ptr Cancel(const std::string& aJob)
+  call_ptr Ask(job_call aCall, const std::string& aJob)
   {
     auto out = std::make_shared<call>();
     std::vector<service_name> order{ mQueueAt };
@@ -154,14 +157,22 @@
         return *mOwners.at(aService);
       },
       order,
-      [job = job_name{ aJob }](
+      [aCall, job = job_name{ aJob }](
         job_service& aService, milliseconds aRemaining, reply_handler aReply) {
-        aService.Cancel(job, aRemaining, std::move(aReply));
+        (aService.*aCall)(job, aRemaining, std::move(aReply));
       },
       kCallerTimeout,
       Note(out));
     return out;
   }
+  call_ptr Cancel(const std::string& aJob)
+  {
+    return Ask(&job_service::Cancel, aJob);
+  }
+  call_ptr Read(const std::string& aJob)
+  {
+    return Ask(&job_service::Read, aJob);
+  }
   // Returns the state of the job in the record of its home; nothing if no
   // service has accepted it.
   std::optional<jobs::job_state> StoredState(const std::string& aJob) const
@@ -208,6 +219,41 @@
   EXPECT_EQ(StoredState("a1"), jobs::job_state::kCancelled);
 }
 
+// Guards against a state that is told of a copy in place of the job.
+TEST_F(moved_queue_test, ReadBesideALateCopyTellsTheStateOfTheJob)
+{
+  Submit("a1");
+  RunFor(kAnsweredWithin);
+  Cancel("a1");
+  RunFor(kAnsweredWithin);
+  ASSERT_EQ(StoredState("a1"), jobs::job_state::kCancelled);
+  MoveQueueTo(kSecond);
+  mStore.SetSilent(true);
+  Submit("a1");
+  RunFor(milliseconds(100));
+  const auto read = Read("a1");
+  ASSERT_TRUE(read->IsOk());
+  EXPECT_EQ(read->mReply->mJobState, jobs::job_state::kCancelled);
+}
+
+// Guards against a state that is told of a job that is not accepted yet, and
+// against "no such job" of one whose first write may have been done.
+TEST_F(moved_queue_test, NothingIsSaidOfAJobThatWaitsForItsFirstWrite)
+{
+  mStore.SetSilent(true);
+  Submit("a1");
+  RunFor(milliseconds(100));
+  const auto read = Read("a1");
+  ASSERT_TRUE(read->mReply);
+  EXPECT_EQ(read->mReply->mKind, reply_kind::kUnavailable);
+  EXPECT_EQ(read->mReply->mReason, refusal_reason::kNotStored);
+  const auto count = std::make_shared<call>();
+  mOwners.at(kFirst)->CountWaiting(
+    testing::lone_owner::kQueue, kCallerTimeout, Note(count));
+  ASSERT_TRUE(count->IsOk());
+  EXPECT_EQ(count->mReply->mWaitingCount, 0U);
+}
+
 // Guards against the same where two services hold a copy.
 TEST_F(moved_queue_test, CancelPassesTheCopiesOfTwoServices)
 {
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -557,6 +557,13 @@
     aHandler(Reply(reply_kind::kNoSuchJob));
     return;
   }
+  if (found->mStoredVersion == 0) {
+    // The job is not accepted yet, and may be a copy of one that is elsewhere.
+    job_reply notStored = Reply(reply_kind::kNoSuchJob);
+    notStored.mReason = refusal_reason::kNotStored;
+    aHandler(notStored);
+    return;
+  }
   job_reply reply = Reply(reply_kind::kOk);
   // A final state that is not stored yet would be lost if this owner failed
   // now.
