A successor does not wait for an owner that has certainly ended

Cause: the successor allowed for whatever an owner before it may do while it can't confirm its ownership (4.1 s), and for the lease that this could give to the runner that does not answer (6.4 s), also where that owner was an earlier process of its own node. That one is gone: its successor listens at its address.

Ruled out: room, shunned runners (the reasons and obstacles in the log).

Why this works: a claim of the node that was the last owner itself, in this process or an earlier one, tells by when that owner had ended. A roster that was written in its term (by the revision of its claim, which fences those before it) names without an end only runners that had answered it, which refuse earlier owners since; what runs there is over one lease after its end. Else the old bound holds. Each owner stores its roster once for this. A runner that a roster names with an end now gets no runs until a later one is stored, also if it answers while that roster is under way: the next owner relies on it.

waiting_tasks_test.LostTasksAreBackWithinALeaseOfTheirOwnersRestart failed with the shorter bound left out. The random schedules of scheduler_test and waiting_tasks_test restart owners now: no task twice.

--- a/mangospan/jobs/orders.h
+++ b/mangospan/jobs/orders.h
@@ -53,6 +53,15 @@
   std::optional<std::chrono::milliseconds> mRunsEndWithin;
 };
 
+// The roster that an owner finds when it has been elected.
+struct inherited_roster
+{
+  std::vector<roster_entry> mRunners;
+  // By when the owner that wrote the roster had certainly ended, if it is the
+  // one before this owner; unset if that is not known.
+  std::optional<time_point> mWriterEndedBy;
+};
+
 // A run that a runner reports as live.
 struct live_run
 {
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -59,11 +59,12 @@
 
 void
 scheduler::Load(std::vector<job> aJobs,
-                const std::vector<roster_entry>& aRoster,
+                const inherited_roster& aRoster,
                 time_point aNow,
                 wall_time aWall)
 {
-  for (const roster_entry& each : aRoster) {
+  mIsRosterInherited = !aRoster.mRunners.empty();
+  for (const roster_entry& each : aRoster.mRunners) {
     const auto added = mRunners.emplace(each.mInfo.mName, runner(each.mInfo));
     runner& known = added.first->second;
     // The stored roster may say within what time every run on the runner ends.
@@ -73,13 +74,7 @@
     known.mMayBeLiveInRoster = MayBeLive(each);
     known.mMayHoldInheritedRuns = true;
     known.mListed = !added.second;
-    time_point deadAt = InheritedLeasesEnd();
-    if (each.mRunsEndWithin) {
-      // The roster was written before this owner was elected, since the
-      // election fences the writes of earlier owners.
-      deadAt = std::min(deadAt, mOwnership.mSince + *each.mRunsEndWithin);
-    }
-    known.SetDeadAt(deadAt);
+    known.SetDeadAt(InheritedLeaseEnd(each, aRoster));
     if (known.mInfo.mBoot != each.mInfo.mBoot) {
       // The earlier owner may not have known of the new boot.
       known.ExtendLeaseByOtherClock(mSettings.mMaxLease, InheritedOrdersEnd());
@@ -408,10 +403,10 @@
 }
 
 std::vector<roster_entry>
-scheduler::Roster(time_point aNow) const
+scheduler::Roster(time_point aNow)
 {
   std::vector<roster_entry> roster;
-  for (const auto& [runnerName, each] : mRunners) {
+  for (auto& [runnerName, each] : mRunners) {
     if (!each.mContacted && !each.mMayHoldInheritedRuns &&
         each.LeaseLeft(aNow).count() == 0) {
       continue;
@@ -422,6 +417,7 @@
     const bool isExtended =
       mMayStart && each.mContacted && !each.mIsUnresponsive;
     if (!isExtended) {
+      each.mIsInRoster = false;
       entry.mRunsEndWithin =
         std::chrono::ceil<milliseconds>(std::max(each.DeadAt(), aNow) - aNow);
     }
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -140,7 +140,7 @@
   // Restores the jobs and the roster that earlier owners have stored. Call it
   // once, before the first job is submitted or the first plan is made.
   void Load(std::vector<job> aJobs,
-            const std::vector<roster_entry>& aRoster,
+            const inherited_roster& aRoster,
             time_point aNow,
             wall_time aWall);
 
@@ -228,10 +228,12 @@
   // Notes the records that a write has stored. The next polls acknowledge to
   // the runners the ends of runs that these records hold.
   void OnStored(const std::vector<stored_job>& aStored);
-  // Returns the runners in use, for the successor. A runner gets its first run
-  // only once a roster that names it is stored, so that a successor knows of
-  // the runner even if service discovery no longer lists it.
-  std::vector<roster_entry> Roster(time_point aNow) const;
+  // Returns the runners in use, to be stored for the successor. A runner gets
+  // its first run only once a roster that names it is stored, so that a
+  // successor knows of the runner even if service discovery no longer lists it.
+  // One that the roster names with the end of its runs gets no more of them
+  // until a later roster without that end is stored.
+  std::vector<roster_entry> Roster(time_point aNow);
   // Changes whenever the roster has to be stored anew.
   std::uint64_t RosterVersion() const { return mRosterVersion; }
   // The newest version of the roster that is known to be stored.
@@ -298,6 +300,9 @@
   const queue_policy& PolicyOf(const job& aJob) const;
   void ForgetTurnedAwayJobs(time_point aNow);
   time_point InheritedOrdersEnd() const;
+  time_point InheritedLeaseEnd(const roster_entry& aEntry,
+                               const inherited_roster& aRoster) const;
+  void StoreRosterOfThisTerm(time_point aNow);
   bool MayStartInheritedJobs(const service_name& aService,
                              time_point aNow) const;
   void ReleaseRunsOfDeadRunners(time_point aNow);
@@ -497,6 +502,8 @@
   std::set<runner_name> mCordonedRunners;
   std::uint64_t mRosterVersion = 0;
   std::uint64_t mStoredRosterVersion = 0;
+  // The stored roster is that of an earlier owner.
+  bool mIsRosterInherited = false;
   bool mFenced = false;
   bool mMayStart = true;
   time_point mOwnershipConfirmedAt{};
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -59,6 +59,7 @@
 {
   std::vector<order> orders;
   ReleaseRunsOfDeadRunners(aNow);
+  StoreRosterOfThisTerm(aNow);
   FailJobsOfCrashingTasks(aNow, aWall);
   PlanStops(aNow, orders);
   PlanResends(aNow, orders);
@@ -83,6 +84,47 @@
   return InheritedOrdersEnd() + LongestLease(mSettings.mLease);
 }
 
+// Returns by when every run on the runner has ended that an earlier owner may
+// have started on its present boot.
+time_point
+scheduler::InheritedLeaseEnd(const roster_entry& aEntry,
+                             const inherited_roster& aRoster) const
+{
+  if (aEntry.mRunsEndWithin) {
+    // The roster was written before this owner was elected, since the election
+    // fences the writes of earlier owners.
+    return std::min(InheritedLeasesEnd(),
+                    mOwnership.mSince + *aEntry.mRunsEndWithin);
+  }
+  if (aRoster.mWriterEndedBy) {
+    // The runner has answered the writer, so it refuses the orders of those
+    // before it, which may still act.
+    return std::min(InheritedLeasesEnd(),
+                    *aRoster.mWriterEndedBy + LongestLease(mSettings.mLease));
+  }
+  return InheritedLeasesEnd();
+}
+
+// Has the roster stored once in this term, as soon as that keeps no runner from
+// getting runs: the next owner can rely on what it says of this one.
+void
+scheduler::StoreRosterOfThisTerm(time_point aNow)
+{
+  if (!mIsRosterInherited) {
+    return;
+  }
+  const bool isWaiting =
+    std::any_of(mRunners.begin(), mRunners.end(), [&](const auto& aEntry) {
+      const runner& each = aEntry.second;
+      return each.mMayHoldInheritedRuns && !each.mContacted &&
+             aNow < each.DeadAt();
+    });
+  if (!isWaiting) {
+    mIsRosterInherited = false;
+    ++mRosterVersion;
+  }
+}
+
 // Returns whether tasks of jobs that an earlier owner accepted may start. Such
 // a task may still run on a runner of its service that this owner has not
 // reached, so it may start only once each of these runners is fenced or its
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -502,6 +502,9 @@
     case 7:
       aWorld.StepTimeOfDay(milliseconds(randomInt(-5'000, 5'000)));
       break;
+    case 8:
+      aWorld.RestartOwner(milliseconds(randomInt(100, 1'000)));
+      break;
     default:
       break;
   }
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -152,10 +152,15 @@
     stored.push_back(DecodeRecord(job_name{ name }, text).value());
     stored.back().mRevision = 1;
   }
-  std::vector<roster_entry> roster;
+  inherited_roster roster;
   if (!mStoredRoster.empty()) {
-    roster = DecodeRoster(mStoredRoster).value();
+    roster.mRunners = DecodeRoster(mStoredRoster).value();
   }
+  if (mRosterTerm == mLastOwnerTerm) {
+    roster.mWriterEndedBy = mLastOwnerEndedBy;
+  }
+  mLastOwnerTerm = mTerm;
+  mLastOwnerEndedBy.reset();
   mOwner->Load(std::move(stored), roster, mNow, Wall());
   mIsWriting = false;
 }
@@ -421,6 +426,7 @@
       }
       if (hasRoster) {
         mStoredRoster = EncodeRoster(roster);
+        mRosterTerm = term;
       }
       for (const auto& [name, text] : texts) {
         mStoredJobs[name] = text.second;
@@ -480,6 +486,15 @@
   }
 }
 
+void
+fake_world::RestartOwner(milliseconds aElectionDelay)
+{
+  if (mOwner) {
+    mLastOwnerEndedBy = mNow;
+    KillOwner(aElectionDelay);
+  }
+}
+
 void
 fake_world::SucceedCutOffOwner(milliseconds aAfter)
 {
@@ -496,6 +511,7 @@
   if (mOwner) {
     mOwner->SetMayStart(false);
     mStoredRoster = EncodeRoster(mOwner->Roster(mNow));
+    mRosterTerm = mTerm;
     KillOwner(aElectionDelay);
   }
 }
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -58,6 +58,8 @@
   void Cancel(const std::string& aName);
   // Terminates the owner. The next one is elected after `aElectionDelay`.
   void KillOwner(std::chrono::milliseconds aElectionDelay);
+  // Does the same, and the next owner knows that this one has ended.
+  void RestartOwner(std::chrono::milliseconds aElectionDelay);
   // Ends the owner, which is cut off from the store, in favour of a successor
   // that was elected `aAfter` the owner was last confirmed and loads now.
   void SucceedCutOffOwner(std::chrono::milliseconds aAfter);
@@ -229,6 +231,9 @@
   std::map<std::string, std::string> mStoredJobs;
   std::map<std::string, job_state> mStoredStates; // in these records
   std::string mStoredRoster;
+  std::uint64_t mRosterTerm = 0; // of the owner that has written it
+  std::uint64_t mLastOwnerTerm = 0;
+  std::optional<time_point> mLastOwnerEndedBy; // if the next one knows it
   std::map<std::string, job_spec> mSpecs;
   std::set<std::string> mAccepted;
   std::map<std::string, time_point> mCancelledAt; // time of the write
--- a/mangospan/jobs/waiting_tasks_test.cc
+++ b/mangospan/jobs/waiting_tasks_test.cc
@@ -83,6 +83,30 @@
   EXPECT_LE(waiting.mOldestAge, seconds(3));
 }
 
+// Guards against lasting tasks that wait for 10.5 s after a restart of their
+// owner (rule LOST): one of their runners was lost without a word before it.
+TEST(waiting_tasks_test, LostTasksAreBackWithinALeaseOfTheirOwnersRestart)
+{
+  const milliseconds longestWait =
+    LongestLease(scheduler_settings{}.mLease) + milliseconds(200);
+  fake_world world(1, fault_rates{});
+  AddRunners(world);
+  world.Submit("a1", LongRunningJob(kRunners));
+  world.RunFor(seconds(2));
+  for (int i = 0; i < 3; ++i) { // each restart finds the roster of the last one
+    const std::string lost = "r" + std::to_string(i);
+    const auto& known = world.Owner()->Runners().at(runner_name{ lost });
+    ASSERT_FALSE(known.Runs().empty());
+    world.SetReachable(lost, false);
+    world.RunFor(milliseconds(600));
+    world.RestartOwner(milliseconds(500));
+    world.RunFor(longestWait);
+    EXPECT_TRUE(
+      world.Owner()->WaitingTasks(world.Now(), world.Wall()).mCounts.empty());
+  }
+  EXPECT_EQ(world.Violations(), std::vector<std::string>());
+}
+
 // Runners that crash one after the other make all tasks suspects.
 TEST(waiting_tasks_test, LastingTasksThatCrashedTwiceAreBackWithinSeconds)
 {
@@ -435,10 +459,13 @@
   {
     const std::string name =
       "r" + std::to_string(RandomInt(0, kRacks * kRunnersPerRack - 1));
-    switch (RandomInt(0, 11)) {
+    switch (RandomInt(0, 12)) {
       case 0:
         mWorld.KillOwner(RandomTime(100, 3'000));
         break;
+      case 12:
+        mWorld.RestartOwner(RandomTime(100, 1'000));
+        break;
       case 1:
         mWorld.HandOver(RandomTime(100, 1'000));
         break;
--- a/mangospan/node/election.cc
+++ b/mangospan/node/election.cc
@@ -208,20 +208,33 @@
 {
   if (mLeaseHolder.empty()) {
     ScheduleClaim();
-  } else if (IsLeaseOfEarlierProcess()) {
+  } else if (IsLatestOwnerEarlierProcess()) {
     EndLeaseAfter(milliseconds(0));
   }
 }
 
-// The earlier process has ended, since this one listens at its address.
+// The earlier process has ended, since this one listens at its address: a
+// process that stops closes its listener only once it owns nothing any more.
 bool
-election::IsLeaseOfEarlierProcess() const
+election::IsLatestOwnerEarlierProcess() const
 {
   return !mIsOwner && mLatestOwner.mNode == mNode &&
          mLatestOwner.mAddress == mAddress && mLatestOwner.mBoot.mValue != 0 &&
          mLatestOwner.mBoot != mBoot;
 }
 
+std::optional<ended_owner>
+election::EndedPredecessor() const
+{
+  if (IsLatestOwnerEarlierProcess()) {
+    return ended_owner{ mLatestOwner.mRevision, mStartedAt };
+  }
+  if (mLatestOwner.mBoot == mBoot) {
+    return ended_owner{ mLatestOwner.mRevision, mLostAt };
+  }
+  return std::nullopt;
+}
+
 void
 election::ReplaceOwner()
 {
@@ -290,7 +303,7 @@
                        aResult.assume_error().mCode == error_code::kNotFound;
   if (!isEnded) {
     LogError("election.lease_not_ended", aResult.assume_error());
-    if (IsLeaseOfEarlierProcess()) {
+    if (IsLatestOwnerEarlierProcess()) {
       EndLeaseAfter(mSettings.mClaimDelay);
     }
     return;
@@ -396,7 +409,8 @@
                             CapacityShortfall(mSettings),
                             0,
                             mBoot,
-                            aLease };
+                            aLease,
+                            EndedPredecessor() };
   platform::transaction change;
   change.mExpectations = { { mLeaseKey, 0 },
                            { mTermKey, mLatestOwner.mRevision } };
@@ -567,6 +581,7 @@
     return;
   }
   mIsOwner = false;
+  mLostAt = mClock.Now();
   LogEvent(log_level::kInfo,
            "owner.lost",
            { { "subject", mSubject },
--- a/mangospan/node/election.h
+++ b/mangospan/node/election.h
@@ -68,6 +68,13 @@
   std::chrono::milliseconds mExpiryMargin{ 200 };
 };
 
+// An owner that certainly acts no more.
+struct ended_owner
+{
+  platform::revision mElectedAt = 0; // the revision of its claim
+  time_point mEndedBy{};
+};
+
 // The owner of a subject, as recorded in the store.
 struct owner_record
 {
@@ -78,6 +85,9 @@
   platform::revision mRevision = 0;
   boot_id mBoot{};             // of the process
   platform::lease_id mLease{}; // that the owner renews
+  // The owner before, if it was on the same node, in this process or an earlier
+  // one. Known to the owner itself only; the store does not hold it.
+  std::optional<ended_owner> mPredecessor{};
 };
 
 // Guards writes of an owner: they fail once another node owns the subject.
@@ -193,8 +203,10 @@
   void ScheduleClaim();
   std::chrono::milliseconds ClaimDelay();
   std::chrono::milliseconds PreferenceDelay(double aShortfall) const;
-  // Returns whether the lease is that of an earlier process of this node.
-  bool IsLeaseOfEarlierProcess() const;
+  // Returns whether the latest owner was an earlier process of this node.
+  bool IsLatestOwnerEarlierProcess() const;
+  // Returns the latest owner if it was on this node.
+  std::optional<ended_owner> EndedPredecessor() const;
   void EndLeaseAfter(std::chrono::milliseconds aDelay);
   void EndLease(platform::revision aReplaced);
   void OnLeaseEnded(const owner_record& aReplaced,
@@ -233,6 +245,7 @@
   boot_id mBoot = DrawBootId();
   std::optional<platform::lease_id> mLease;
   time_point mRenewedAt{};
+  time_point mLostAt{}; // when this process ceased to be the owner
   const time_point mStartedAt;
   time_point mTermObservedAt{};
   time_point mNoClaimBefore{}; // set by `Yield()`
--- a/mangospan/node/election_test.cc
+++ b/mangospan/node/election_test.cc
@@ -69,6 +69,44 @@
   EXPECT_EQ(SubjectOf("elsewhere/a/term"), "");
 }
 
+// Guards against a successor that waits for what its own node might still do as
+// the owner, and against one that does not wait for another node.
+TEST_F(election_test, OnlyTheNextOwnerOnTheSameNodeKnowsThatTheLastHasEnded)
+{
+  const auto earlier = Join("a", 1.0);
+  earlier->OnSynced();
+  RunUntilElected("a");
+  EXPECT_FALSE(mTerm.mPredecessor);
+  const platform::revision claimedAt = mTerm.mRevision;
+  const auto succeed = [this](const std::string& aNode) {
+    mElected.clear();
+    auto next = Join(aNode, 1.0);
+    for (const char* each : { "term", "lease" }) {
+      const std::string key = "mangospan/own/jobs/survey/" + std::string(each);
+      next->OnRecord({ key, mStore.Value(key), mTerm.mRevision });
+    }
+    next->OnSynced();
+    next->ReplaceOwner();
+    RunUntilElected(aNode);
+    return next;
+  };
+  const time_point restartedAt = mClock.Now();
+  const auto later = succeed("a");
+  ASSERT_TRUE(mTerm.mPredecessor);
+  EXPECT_EQ(mTerm.mPredecessor->mElectedAt, claimedAt);
+  EXPECT_GE(mTerm.mPredecessor->mEndedBy, restartedAt);
+  EXPECT_LE(mTerm.mPredecessor->mEndedBy, mClock.Now());
+  mElected.clear();
+  const time_point steppedDownAt = mClock.Now();
+  later->StepDown();
+  later->OnDeleted("mangospan/own/jobs/survey/lease", mTerm.mRevision);
+  RunUntilElected("a");
+  ASSERT_TRUE(mTerm.mPredecessor);
+  EXPECT_GE(mTerm.mPredecessor->mEndedBy, steppedDownAt);
+  const auto other = succeed("b");
+  EXPECT_FALSE(mTerm.mPredecessor);
+}
+
 TEST_F(election_test, RecordContainsCapacityShortfall)
 {
   const auto weak = Join("weak", 0.12);
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -204,6 +205,7 @@
   void RetryLoad(const error& aError);
   void LoadHostOrders(std::vector<platform::record> aRecords);
   void OnLoaded(const std::vector<platform::record>& aRecords);
+  std::optional<time_point> WriterEndedBy(platform::revision aRoster) const;
   void AddRosterWrite(platform::transaction& aChange,
                       written_records& aWritten);
   void StartRunnerMirror();
--- a/mangospan/node/owner_test.cc
+++ b/mangospan/node/owner_test.cc
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include "mangospan/daemon/metrics.h"
+#include "mangospan/jobs/codec.h"
 #include "mangospan/node/host_orders.h"
 #include "mangospan/node/testing/memory_store.h"
 #include "mangospan/node/testing/runner_records.h"
@@ -96,7 +97,7 @@
     mStore.Put("runners/r1", "{}");
   }
 
-  owner& Start()
+  owner& Start(const std::optional<ended_owner>& aPredecessor = std::nullopt)
   {
     const std::string key = election::TermKey(JobsSubject(kOurs));
     mOwner = std::make_shared<owner>(
@@ -104,7 +105,7 @@
       owner_settings{},
       jobs::scheduler_settings{},
       kOurs,
-      owner_record{ 1, "n", "", 0, mStore.Put(key, "1") },
+      owner_record{ 1, "n", "", 0, mStore.Put(key, "1"), {}, {}, aPredecessor },
       [this] {
         return ownership_status{ true, mClock.Now() };
       },
@@ -120,6 +121,22 @@
     }
   }
 
+  // Stores a roster with a runner that this owner can not reach.
+  platform::revision PutRoster()
+  {
+    jobs::roster_entry entry;
+    entry.mInfo.mName = runner_name{ "lost" };
+    entry.mInfo.mService = kOurs;
+    return mStore.Put("mangospan/owned/ours/runners",
+                      jobs::EncodeRoster({ entry }));
+  }
+  // Returns for how long runs of an earlier owner may live on that runner.
+  time_point::duration InheritedLease() const
+  {
+    const auto& runners = mOwner->Scheduler().Runners();
+    return runners.at(runner_name{ "lost" }).LeaseLeft(mClock.Now());
+  }
+
   template<typename Condition>
   void RunUntil(const Condition& aCondition)
   {
@@ -256,6 +273,28 @@
   EXPECT_TRUE(runners.at(runner_name{ "r1" }).mCordoned);
 }
 
+// Guards against work that was lost with its runner and waits for what an owner
+// that has ended might still do (rule LOST).
+TEST_F(owner_test, RunsOfAnOwnerThatHasEndedEndWithItsLastLease)
+{
+  const platform::revision claimedAt = mStore.Put("claim", "");
+  PutRoster();
+  Start(ended_owner{ claimedAt, mClock.Now() });
+  EXPECT_LE(InheritedLease(),
+            jobs::LongestLease(jobs::scheduler_settings{}.mLease));
+}
+
+// Guards against two runs of a task: the last owner has ended, but the one
+// before it, which had written the roster, may still act.
+TEST_F(owner_test, RosterOfAnEarlierOwnerSaysNothingOfTheLastOne)
+{
+  const platform::revision writtenAt = PutRoster();
+  Start(ended_owner{ writtenAt + 1, mClock.Now() });
+  EXPECT_GT(InheritedLease(),
+            jobs::LongestLease(jobs::scheduler_settings{}.mLease) +
+              milliseconds(3'000));
+}
+
 TEST_F(owner_test, FleetInstructionsCordonRunnersAndStateReportsThem)
 {
   Start();
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -160,7 +160,7 @@
 owner::OnLoaded(const std::vector<platform::record>& aRecords)
 {
   std::vector<jobs::job> loaded;
-  std::vector<jobs::roster_entry> roster;
+  jobs::inherited_roster roster;
   const std::string jobPrefix = OwnedPrefix(mService) + kJobsSegment;
   for (const platform::record& each : aRecords) {
     if (each.mKey == RosterKey()) {
@@ -169,7 +169,8 @@
       if (known.has_error()) {
         LogError("owner.malformed_roster", known.assume_error());
       } else {
-        roster = std::move(known).assume_value();
+        roster.mRunners = std::move(known).assume_value();
+        roster.mWriterEndedBy = WriterEndedBy(each.mRevision);
       }
       continue;
     }
@@ -192,13 +193,26 @@
              { "jobs", static_cast<std::uint64_t>(loaded.size()) },
              { "inherited_leases_ms",
                CountMilliseconds(mScheduler.InheritedLeasesEnd() -
-                                 mDeps.mClock.Now()) } });
+                                 mDeps.mClock.Now()) },
+             { "writer_ended", roster.mWriterEndedBy.has_value() } });
   mScheduler.Load(std::move(loaded), roster, mDeps.mClock.Now(), WallNow());
   mIsLoaded = true;
   mTickDueAt = mDeps.mClock.Now();
   Tick();
 }
 
+// Returns by when the owner that has written the roster of this revision had
+// certainly ended, if it was the one before this owner.
+std::optional<time_point>
+owner::WriterEndedBy(platform::revision aRoster) const
+{
+  const auto& predecessor = mOwnerRecord.mPredecessor;
+  // Its election fences the writes of those before it.
+  return predecessor && aRoster > predecessor->mElectedAt
+           ? std::optional(predecessor->mEndedBy)
+           : std::nullopt;
+}
+
 // Returns the jobs that a write in flight carries, those whose present record
 // the store has refused, and those whose next attempt is not due.
 std::set<jobs::job_name>
