An owner denies a job only by a lease that is certainly valid

Cause: a node hands requests to its own owner for as long as it has one, and that owner answered "no such job" from memory, whether or not another node could be the owner by then.

Why this works: "no such job" is true only while no other node can have accepted one. Ended states are told from stored records only, as before, and the store acknowledges cancels.

Failed before: owner_test.OwnerWithoutACertainLeaseDeniesNoJob.

--- a/bench/owner/main.cc
+++ b/bench/owner/main.cc
@@ -174,7 +174,7 @@
     service,
     node::owner_record{ 1, "bench", "", 0, store.Put(termKey, "1") },
     [&clock] {
-      return node::ownership_status{ true, clock.Now() };
+      return node::ownership_status{ true, true, clock.Now() };
     },
     [] {});
   one->Start(OneQueue());
--- a/mangospan/node/job_service.cc
+++ b/mangospan/node/job_service.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<refusal_reason, const char*>, 13> kReasonNames{ {
+constexpr std::array<std::pair<refusal_reason, const char*>, 14> kReasonNames{ {
   { refusal_reason::kNone, "" },
   { refusal_reason::kNoOwner, "no_owner" },
   { refusal_reason::kOwnerUnreachable, "owner_unreachable" },
@@ -21,6 +21,7 @@
   { refusal_reason::kStopping, "stopping" },
   { refusal_reason::kOverloaded, "overloaded" },
   { refusal_reason::kTimeIsUp, "time_is_up" },
+  { refusal_reason::kLeaseUncertain, "lease_uncertain" },
   { refusal_reason::kNotStored, "not_stored" },
 } };
 
--- a/mangospan/node/job_service.h
+++ b/mangospan/node/job_service.h
@@ -39,6 +39,7 @@
   kStopping,         // the node that the caller has asked is about to exit
   kOverloaded,       // the owner's work waits too long
   kTimeIsUp,         // the caller does not wait any more
+  kLeaseUncertain,   // another node may be the owner by now
   kNotStored,        // the job waits for its first write and may live elsewhere
 };
 
--- a/mangospan/node/job_service_test.cc
+++ b/mangospan/node/job_service_test.cc
@@ -20,6 +20,7 @@
                            refusal_reason::kStopping,
                            refusal_reason::kOverloaded,
                            refusal_reason::kTimeIsUp,
+                           refusal_reason::kLeaseUncertain,
                            refusal_reason::kNotStored }) {
     EXPECT_EQ(ParseRefusalReason(Name(each)), each);
   }
--- a/mangospan/node/moved_queue_test.cc
+++ b/mangospan/node/moved_queue_test.cc
@@ -98,7 +98,7 @@
       aService,
       owner_record{ 1, "n", "", 0, mStore.Find(term).front().mRevision },
       [this] {
-        return ownership_status{ true, mClock.Now() };
+        return ownership_status{ true, true, mClock.Now() };
       },
       [] {});
     one->Start(QueueAt(kFirst, 1));
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -519,6 +519,20 @@
   return queue != nullptr && queue->mService == mService;
 }
 
+// The reply where this owner has no job of that name. Once its lease may be
+// over the next owner may have accepted one.
+job_reply
+owner::NoSuchJobReply() const
+{
+  if (mOwnershipStatus().mIsLeaseValid) {
+    return Reply(reply_kind::kNoSuchJob);
+  }
+  job_reply uncertain = Reply(reply_kind::kUnavailable);
+  uncertain.mReason = refusal_reason::kLeaseUncertain;
+  uncertain.mRetryAfter = kUnavailableRetryAfter;
+  return uncertain;
+}
+
 void
 owner::Cancel(const jobs::job_name& aJob,
               milliseconds aTimeout,
@@ -530,7 +544,7 @@
   }
   const time_point now = mDeps.mClock.Now();
   if (!mScheduler.Cancel(aJob, now, WallNow())) {
-    aHandler(Reply(reply_kind::kNoSuchJob));
+    aHandler(NoSuchJobReply());
     return;
   }
   const waiter one{ request_kind::kCancel,
@@ -554,13 +568,15 @@
   }
   const jobs::job* const found = mScheduler.Find(aJob);
   if (found == nullptr) {
-    aHandler(Reply(reply_kind::kNoSuchJob));
+    aHandler(NoSuchJobReply());
     return;
   }
   if (found->mStoredVersion == 0) {
     // The job is not accepted yet, and may be a copy of one that is elsewhere.
-    job_reply notStored = Reply(reply_kind::kNoSuchJob);
-    notStored.mReason = refusal_reason::kNotStored;
+    job_reply notStored = NoSuchJobReply();
+    if (notStored.mKind == reply_kind::kNoSuchJob) {
+      notStored.mReason = refusal_reason::kNotStored;
+    }
     aHandler(notStored);
     return;
   }
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -79,6 +79,7 @@
 struct ownership_status
 {
   bool mMayStartRuns = false;
+  bool mIsLeaseValid = false; // certainly, so no other node is the owner
   time_point mConfirmedAt{}; // when it certainly was still the owner
 };
 
@@ -256,6 +257,7 @@
   void DeleteExpiredJobs();
   void RemoveUnstoredJob(const jobs::job_name& aJob,
                          const job_reply& aReplyToSubmissions);
+  job_reply NoSuchJobReply() const;
   void AnswerWaiters();
   void AnswerWaitersOf(const jobs::job_name& aJob);
   bool AnswerIfStored(const jobs::job_name& aJob, const waiter& aWaiter);
--- a/mangospan/node/owner_test.cc
+++ b/mangospan/node/owner_test.cc
@@ -107,7 +107,7 @@
       kOurs,
       owner_record{ 1, "n", "", 0, mStore.Put(key, "1"), {}, {}, aPredecessor },
       [this] {
-        return ownership_status{ true, mClock.Now() };
+        return ownership_status{ true, mIsLeaseValid, mClock.Now() };
       },
       [] {});
     mOwner->Start(TwoServices());
@@ -162,6 +162,7 @@
   testing::memory_store mStore{ mIo };
   testing::runner_records mFormat;
   unresponsive_runners mRunners;
+  bool mIsLeaseValid = true;
   std::shared_ptr<owner> mOwner;
 };
 
@@ -186,6 +187,34 @@
   EXPECT_EQ(Submit("a2", kQueue), reply_kind::kOk);
 }
 
+// Guards against "no such job" of a job that the next owner has accepted: this
+// one is cut off from the store and does not know that its lease is over.
+TEST_F(owner_test, OwnerWithoutACertainLeaseDeniesNoJob)
+{
+  Start();
+  EXPECT_EQ(Submit("a1", kQueue), reply_kind::kOk);
+  std::map<std::string, job_reply> replies;
+  const auto ask = [&](const std::string& aJob) {
+    const auto note = [&replies, aJob](const char* aCall) {
+      return [&reply = replies[aCall + aJob]](const job_reply& aReply) {
+        reply = aReply;
+      };
+    };
+    mOwner->Read(job_name{ aJob }, kTimeout, note("read "));
+    mOwner->Cancel(job_name{ aJob }, kTimeout, note("cancel "));
+  };
+  ask("a2");
+  EXPECT_EQ(replies["read a2"].mKind, reply_kind::kNoSuchJob);
+  EXPECT_EQ(replies["cancel a2"].mKind, reply_kind::kNoSuchJob);
+  mIsLeaseValid = false;
+  ask("a2");
+  EXPECT_EQ(replies["read a2"].mKind, reply_kind::kUnavailable);
+  EXPECT_EQ(replies["cancel a2"].mKind, reply_kind::kUnavailable);
+  EXPECT_EQ(replies["cancel a2"].mReason, refusal_reason::kLeaseUncertain);
+  ask("a1");
+  EXPECT_EQ(replies["read a1"].mKind, reply_kind::kOk);
+}
+
 TEST_F(owner_test, RefusesJobsOfQueueOfAnotherService)
 {
   Start();
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -742,8 +742,7 @@
   mScheduler.RemoveUnstored(aJob);
   mRefusedRecords.Remove(aJob);
   mUnsettled.Remove(aJob);
-  job_reply notHere;
-  notHere.mKind = reply_kind::kNoSuchJob;
+  const job_reply notHere = NoSuchJobReply();
   const auto range = mWaiters.equal_range(aJob);
   std::vector<waiter> waiters;
   for (auto it = range.first; it != range.second; ++it) {
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -78,6 +78,7 @@
     aOwnerRecord,
     [this] {
       return ownership_status{ mElection->WasLeaseValid(kStartGracePeriod),
+                               mElection->IsLeaseValid(),
                                mElection->ConfirmedAt() };
     },
     [this] { mElection->StepDown(); });
--- a/mangospan/node/testing/lone_owner.cc
+++ b/mangospan/node/testing/lone_owner.cc
@@ -83,7 +83,7 @@
     kService,
     owner_record{ 1, "n", "", 0, mStore.Find(term).front().mRevision },
     [this] {
-      return ownership_status{ true, mClock.Now() };
+      return ownership_status{ true, true, mClock.Now() };
     },
     [] {});
   mOwner->Start(OneQueue());
