--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -111,6 +111,8 @@
       self->mDeps.mFormat.DecodeRunner(aRecord.mKey, aRecord.mValue);
     if (info.has_error()) {
       LogError("runner.malformed_record", info.assume_error());
+      self->mDeps.mMetrics.Add("mangospan_node_malformed_entries_total",
+                               { { "service", self->mService.Str() } });
       self->OnRunnerRecordGone(aRecord.mKey);
       return;
     }
