A host with an unsettled order of an earlier owner counts as down in its wave

The next owner took down other hosts of the wave, and then the late order was carried out: two hosts were down at once where one was allowed.

Cause: an order of the predecessor that was announced and not settled counted as not given. It only kept the new owner's orders to the same host back for a while.

Why this works: the announcement tells the wave, and the host counts as down until an order of this owner has been executed or refused, or the host is listed in maintenance or as maintained, or is missing for as long as a lost one. The wave drains and orders this host first, beyond the limit, since it is counted already; that order carries the newer term, so the late one is refused. The entry stays in the record until then, for the owner after this one, too.

Failed before: maintenance_planner_test.AnEarlierOwnersOrderCountsUntilItIsSettled, fleet_controller_test.HostWithAnEarlierOwnersOrderGoesDownFirst.

--- a/mangospan/jobs/maintenance_planner.cc
+++ b/mangospan/jobs/maintenance_planner.cc
@@ -40,6 +40,7 @@
     return;
   }
   for (const host_name& each : aHosts) {
+    mUnsettledOrders.erase({ aWave, each });
     const auto entry = found->second.mMembers.find(each);
     if (entry != found->second.mMembers.end() &&
         entry->second.mPhase < phase::kDown) {
@@ -50,6 +51,21 @@
   }
 }
 
+void
+maintenance_planner::AddUnsettledOrder(const maintenance_order& aOrder)
+{
+  mUnsettledOrders.emplace(aOrder.mWave, aOrder.mHost);
+}
+
+bool
+maintenance_planner::IsUnsettled(const host_name& aHost) const
+{
+  return std::any_of(
+    mUnsettledOrders.begin(), mUnsettledOrders.end(), [&](const auto& aEntry) {
+      return aEntry.second == aHost;
+    });
+}
+
 maintenance_planner::member*
 maintenance_planner::Find(const maintenance_order& aOrder)
 {
@@ -74,9 +90,10 @@
 
 void
 maintenance_planner::UpdateReturnedHosts(
+  std::uint64_t aNumber,
   wave& aWave,
   const std::map<host_name, host_view>& aHosts,
-  time_point aListedAt) const
+  time_point aListedAt)
 {
   for (auto& [host, each] : aWave.mMembers) {
     const auto view = aHosts.find(host);
@@ -86,6 +103,9 @@
     if (isUp || isInMaintenance || each.mPresentAt == time_point{}) {
       each.mPresentAt = aListedAt;
     }
+    if (isInMaintenance || IsLost(each, aListedAt)) {
+      mUnsettledOrders.erase({ aNumber, host });
+    }
     if (each.mPhase == phase::kDown &&
         ((isUp && aListedAt > each.mPhaseSince) || IsLost(each, aListedAt))) {
       each.mPhase = phase::kFinished;
@@ -107,10 +127,10 @@
   }
   maintenance_decision decision;
   for (auto& [number, each] : mWaves) {
-    UpdateReturnedHosts(each, byName, aListedAt);
+    UpdateReturnedHosts(number, each, byName, aListedAt);
     wave_counts counts = CountHosts(number, each, byName, aNow, decision);
     OrderMaintenance(number, each, aNow, counts, decision);
-    BeginDraining(each, aNow, counts, decision);
+    BeginDraining(number, each, aNow, counts, decision);
   }
   return decision;
 }
@@ -130,6 +150,8 @@
     if (isDownOrOrdered) {
       ++counts.mDown;
       aDecision.mCordoned.insert(host);
+    } else if (IsUnsettled(aNumber, host)) {
+      ++counts.mDown; // it may go down at any time
     }
     if (view == aHosts.end()) {
       continue;
@@ -208,28 +230,31 @@
 {
   std::sort(aCounts.mReady.begin(), aCounts.mReady.end());
   for (const auto& [runs, host] : aCounts.mReady) {
-    if (aCounts.mDown >= aWave.mMaxDown) {
-      return;
+    const bool isCountedAsDown = IsUnsettled(aNumber, host);
+    if (aCounts.mDown >= aWave.mMaxDown && !isCountedAsDown) {
+      continue;
     }
     aWave.mMembers.at(
       host) = { phase::kOrdered, aNow, aNow + mSettings.mRetryDelay };
     aDecision.mOrders.push_back({ host, aNumber });
-    ++aCounts.mDown;
+    aCounts.mDown += isCountedAsDown ? 0 : 1;
     --aCounts.mDraining;
   }
 }
 
 void
-maintenance_planner::BeginDraining(wave& aWave,
+maintenance_planner::BeginDraining(std::uint64_t aNumber,
+                                   wave& aWave,
                                    time_point aNow,
                                    wave_counts& aCounts,
                                    maintenance_decision& aDecision) const
 {
   std::sort(aCounts.mPending.begin(), aCounts.mPending.end());
   for (const auto& [cost, host] : aCounts.mPending) {
-    if (aCounts.mDown + aCounts.mDraining >=
-        aWave.mMaxDown + mSettings.mDrainAhead) {
-      return;
+    const bool isAtLimit = aCounts.mDown + aCounts.mDraining >=
+                           aWave.mMaxDown + mSettings.mDrainAhead;
+    if (isAtLimit && !IsUnsettled(aNumber, host)) {
+      continue;
     }
     aWave.mMembers.at(host) = { phase::kDraining, aNow, time_point{} };
     aDecision.mCordoned.insert(host);
@@ -271,6 +296,7 @@
   if (member* const found = Find(aOrder)) {
     found->mPhase = phase::kDown;
     found->mPhaseSince = aNow;
+    mUnsettledOrders.erase({ aOrder.mWave, aOrder.mHost });
   }
 }
 
@@ -298,6 +324,7 @@
 {
   if (member* const found = Find(aOrder)) {
     found->mPhase = phase::kFinished;
+    mUnsettledOrders.erase({ aOrder.mWave, aOrder.mHost });
   }
 }
 
--- a/mangospan/jobs/maintenance_planner.h
+++ b/mangospan/jobs/maintenance_planner.h
@@ -109,6 +109,14 @@
   void AddMaintainedHosts(std::uint64_t aWave,
                           const std::vector<host_name>& aHosts);
 
+  // Records that an earlier owner has ordered the host down and that the order
+  // may still be executed, in a wave that may be added later. Until an order of
+  // this owner has settled it, the host counts as down, and is ordered although
+  // the limit is reached.
+  void AddUnsettledOrder(const maintenance_order& aOrder);
+  // Returns whether such an order to the host is not settled, in any wave.
+  bool IsUnsettled(const host_name& aHost) const;
+
   // Advances all waves and returns what to do now. `aListedAt` is the time at
   // which the fleet's host listing, from which `aHosts` was made, was
   // requested.
@@ -171,9 +179,10 @@
   };
 
   member* Find(const maintenance_order& aOrder);
-  void UpdateReturnedHosts(wave& aWave,
+  void UpdateReturnedHosts(std::uint64_t aNumber,
+                           wave& aWave,
                            const std::map<host_name, host_view>& aHosts,
-                           time_point aListedAt) const;
+                           time_point aListedAt);
   bool IsLost(const member& aMember, time_point aListedAt) const;
   // The state of one wave's members in the current planning round. The pairs
   // are sorted by the first value: the cheapest host to drain goes first. The
@@ -207,13 +216,21 @@
                         time_point aNow,
                         wave_counts& aCounts,
                         maintenance_decision& aDecision) const;
-  void BeginDraining(wave& aWave,
+  void BeginDraining(std::uint64_t aNumber,
+                     wave& aWave,
                      time_point aNow,
                      wave_counts& aCounts,
                      maintenance_decision& aDecision) const;
 
+  bool IsUnsettled(std::uint64_t aWave, const host_name& aHost) const
+  {
+    return mUnsettledOrders.count({ aWave, aHost }) > 0;
+  }
+
   const maintenance_settings mSettings;
   std::map<std::uint64_t, wave> mWaves;
+  // Orders of an earlier owner that may still be executed.
+  std::set<std::pair<std::uint64_t, host_name>> mUnsettledOrders;
 };
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/maintenance_planner_test.cc
+++ b/mangospan/jobs/maintenance_planner_test.cc
@@ -144,6 +144,40 @@
   EXPECT_EQ(repeated[0].mHost, first[0].mHost);
 }
 
+// Guards against a host that goes down by a late order of an earlier owner
+// beside one that this owner has taken down (rule LIMIT).
+TEST(maintenance_planner_test, AnEarlierOwnersOrderCountsUntilItIsSettled)
+{
+  maintenance_planner planner{ maintenance_settings{} };
+  const auto hosts = Hosts(3);
+  planner.AddUnsettledOrder({ hosts[2], 1 });
+  planner.AddWave(1, hosts, kStart + seconds(20), 1);
+  const auto decide = [&](milliseconds aAt,
+                          const std::vector<host_view>& aHosts) {
+    std::vector<host_name> out;
+    const time_point now = kStart + aAt;
+    for (const auto& each : planner.Decide(aHosts, now, now).mOrders) {
+      out.push_back(each.mHost);
+    }
+    return out;
+  };
+  auto views = Views(hosts);
+  decide(milliseconds(0), views);
+  const std::vector<host_name> inDoubt{ hosts[2] };
+  EXPECT_EQ(decide(milliseconds(50), views), inDoubt);
+  planner.OnNotExecuted({ hosts[2], 1 }, kStart + milliseconds(60));
+  EXPECT_TRUE(decide(milliseconds(100), views).empty());
+  EXPECT_EQ(decide(milliseconds(400), views), inDoubt);
+  planner.OnExecuted({ hosts[2], 1 }, kStart + milliseconds(410));
+  EXPECT_FALSE(planner.IsUnsettled(hosts[2]));
+  views[2].mIsUp = false;
+  views[2].mIsInMaintenance = true;
+  EXPECT_TRUE(decide(milliseconds(500), views).empty());
+  views[2].mIsUp = true;
+  views[2].mIsInMaintenance = false;
+  EXPECT_EQ(decide(seconds(3), views).size(), 1U);
+}
+
 TEST(maintenance_planner_test, TheWaveIsCompletedOnceEveryHostIsUpAgain)
 {
   maintenance_planner planner{ maintenance_settings{} };
--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -44,6 +44,18 @@
   return "";
 }
 
+std::optional<std::uint64_t>
+WaveOf(const jobs::maintenance_order& aOrder)
+{
+  return aOrder.mWave;
+}
+
+std::optional<std::uint64_t>
+WaveOf(const jobs::move_order& /*aOrder*/)
+{
+  return std::nullopt;
+}
+
 } // namespace
 
 fleet_controller::fleet_controller(fleet_controller_dependencies aDependencies,
@@ -112,7 +124,12 @@
   for (const auto& [host, each] : aOrders) {
     const time_point sentBy =
       mStartedAt + kAnnounceTimeout + kOrderPropagationTime;
-    mOrders[host] = { sentBy + each.mReservedFor, each.mRunner, true };
+    mOrders[host] = {
+      sentBy + each.mReservedFor, each.mRunner, each.mWave, true
+    };
+    if (each.mWave) {
+      mMaintenancePlanner.AddUnsettledOrder({ host, *each.mWave });
+    }
   }
 }
 
@@ -130,7 +147,9 @@
   for (auto it = mOrders.begin(); it != mOrders.end();) {
     const time_point forgetAt =
       it->second.mReservedUntil + mSettings.mMinOrderGapBetweenOwners;
-    it = aNow < forgetAt ? std::next(it) : mOrders.erase(it);
+    const bool isNeeded =
+      aNow < forgetAt || mMaintenancePlanner.IsUnsettled(it->first);
+    it = isNeeded ? std::next(it) : mOrders.erase(it);
   }
 }
 
@@ -140,7 +159,9 @@
   host_orders out;
   for (const auto& [host, each] : mOrders) {
     const auto reserved = std::max(each.mReservedUntil, aNow) - aNow;
-    out[host] = { std::chrono::ceil<milliseconds>(reserved), each.mRunner };
+    out[host] = { std::chrono::ceil<milliseconds>(reserved),
+                  each.mRunner,
+                  each.mWave };
   }
   return out;
 }
@@ -177,6 +198,7 @@
     mRecentOrders.push_back(now);
     mOrders[aOrder.mHost] = { now + mSettings.mMinOrderGapBetweenOwners,
                               host->mRunner,
+                              WaveOf(aOrder),
                               false };
     return true;
   };
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -91,6 +92,7 @@
   {
     time_point mReservedUntil; // no other fleet owner may order the host before
     jobs::runner_name mRunner; // as in `host_order`
+    std::optional<std::uint64_t> mWave; // as in `host_order`
     bool mIsOfPredecessor = false;
   };
 
--- a/mangospan/node/fleet_controller_test.cc
+++ b/mangospan/node/fleet_controller_test.cc
@@ -349,6 +349,32 @@
   EXPECT_GE(mHosts.mMovedHosts.size(), 2U);
 }
 
+// Guards against two hosts of a wave that are down at once, though the limit is
+// one: a late order of the last owner of the fleet takes the other one down.
+TEST_F(fleet_controller_test, HostWithAnEarlierOwnersOrderGoesDownFirst)
+{
+  mPools.mStates[kHot].mLoad.mRequested = { 0, 0, 0 };
+  const host_name inDoubt{ "h4" };
+  host_orders orders;
+  orders[inDoubt] = { milliseconds(3'000), runner_name{ "r4" }, 7 };
+  mStore.Put(kHostOrdersKey, Encode(orders));
+  std::vector<host_name> down;
+  mHosts.mOnMaintain = [&](const host_name& aHost) {
+    down.push_back(aHost);
+    mHosts.Entry(aHost).mState = host_state::kMaintenance;
+    return host_order_outcome::kDone;
+  };
+  mTerm = 2;
+  Start();
+  mController->OnWave({ 7,
+                        { host_name{ "h2" }, host_name{ "h3" }, inDoubt },
+                        std::chrono::seconds(60),
+                        1 });
+  RunUntil([&] { return !down.empty(); });
+  RunFor(milliseconds(1'000));
+  EXPECT_EQ(down, std::vector<host_name>{ inDoubt });
+}
+
 // A maintenance order whose answer was lost is ordered again once its host is
 // back up. The runner that is there by then must not be reported dead: it would
 // get no work as long as its record does not change.
--- a/mangospan/node/host_orders.cc
+++ b/mangospan/node/host_orders.cc
@@ -1,5 +1,7 @@
 #include "mangospan/node/host_orders.h"
 
+#include <utility>
+
 #include <nlohmann/json.hpp>
 
 namespace mangospan::node {
@@ -10,6 +12,7 @@
 namespace {
 
 constexpr const char* kReservedForKey = "reserved_ms";
+constexpr const char* kWaveKey = "wave";
 // Records of earlier versions hold a time of day, which is not used.
 constexpr const char* kOrderedAtKey = "at_ms";
 // Longer than a host is reserved by any usual setting.
@@ -22,8 +25,12 @@
 {
   json out = json::object();
   for (const auto& [host, each] : aOrders) {
-    out[host.Str()] = { { kReservedForKey, each.mReservedFor.count() },
-                        { "runner", each.mRunner.Str() } };
+    json order{ { kReservedForKey, each.mReservedFor.count() },
+                { "runner", each.mRunner.Str() } };
+    if (each.mWave) {
+      order[kWaveKey] = *each.mWave;
+    }
+    out[host.Str()] = std::move(order);
   }
   return out.dump();
 }
@@ -39,7 +46,10 @@
         each.contains(kOrderedAtKey)
           ? kUnknownReservation
           : milliseconds(each.at(kReservedForKey).get<std::int64_t>()),
-        jobs::runner_name{ each.at("runner").get<std::string>() }
+        jobs::runner_name{ each.at("runner").get<std::string>() },
+        each.contains(kWaveKey)
+          ? std::optional(each.at(kWaveKey).get<std::uint64_t>())
+          : std::nullopt
       };
     }
     return out;
--- a/mangospan/node/host_orders.h
+++ b/mangospan/node/host_orders.h
@@ -6,7 +6,9 @@
 #define MANGOSPAN_NODE_HOST_ORDERS_H
 
 #include <chrono>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +29,8 @@
   // ahead by any amount, or jump.
   std::chrono::milliseconds mReservedFor{ 0 };
   jobs::runner_name mRunner; // on the host at that time; empty if none
+  // The wave of an order to go down for maintenance; unset for a move.
+  std::optional<std::uint64_t> mWave{};
 };
 
 using host_orders = std::map<host_name, host_order>;
