--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -80,7 +80,7 @@
 {
   bool mMayStartRuns = false;
   bool mIsLeaseValid = false; // certainly, so no other node is the owner
-  time_point mConfirmedAt{}; // when it certainly was still the owner
+  time_point mConfirmedAt{};  // when it certainly was still the owner
 };
 
 // Owns the jobs of one service for the duration of one term: loads them from
