A host that has been maintained has no unsettled order

Cause: if the new owner read the announced orders after the list of maintained hosts, these hosts counted as if they might still go down, for good; and hosts whose orders had been answered were announced like those in doubt.

Why this works: an order to a host that is known to be maintained is settled, whichever is learnt first, and an answered order is announced without its wave next time.

Failed before: maintenance_planner_test.AMaintainedHostHasNoUnsettledOrder, fleet_controller_test.AnsweredOrderIsNotAnnouncedAsUnsettled.

--- a/mangospan/jobs/maintenance_planner.cc
+++ b/mangospan/jobs/maintenance_planner.cc
@@ -54,7 +54,10 @@
 void
 maintenance_planner::AddUnsettledOrder(const maintenance_order& aOrder)
 {
-  mUnsettledOrders.emplace(aOrder.mWave, aOrder.mHost);
+  const member* const found = Find(aOrder);
+  if (found == nullptr || found->mPhase < phase::kDown) {
+    mUnsettledOrders.emplace(aOrder.mWave, aOrder.mHost);
+  }
 }
 
 bool
--- a/mangospan/jobs/maintenance_planner.h
+++ b/mangospan/jobs/maintenance_planner.h
@@ -112,7 +112,7 @@
   // Records that an earlier owner has ordered the host down and that the order
   // may still be executed, in a wave that may be added later. Until an order of
   // this owner has settled it, the host counts as down, and is ordered although
-  // the limit is reached.
+  // the limit is reached. Does nothing if the host has been maintained already.
   void AddUnsettledOrder(const maintenance_order& aOrder);
   // Returns whether such an order to the host is not settled, in any wave.
   bool IsUnsettled(const host_name& aHost) const;
--- a/mangospan/jobs/maintenance_planner_test.cc
+++ b/mangospan/jobs/maintenance_planner_test.cc
@@ -178,6 +178,30 @@
   EXPECT_EQ(decide(seconds(3), views).size(), 1U);
 }
 
+// Guards against a wave that stands still after a takeover, since hosts that
+// have been down for their maintenance count as if they might still go down.
+TEST(maintenance_planner_test, AMaintainedHostHasNoUnsettledOrder)
+{
+  for (const bool isOrderKnownFirst : { false, true }) {
+    maintenance_planner planner{ maintenance_settings{} };
+    const auto hosts = Hosts(2);
+    planner.AddWave(1, hosts, kStart + seconds(20), 1);
+    if (isOrderKnownFirst) {
+      planner.AddUnsettledOrder({ hosts[0], 1 });
+    }
+    planner.AddMaintainedHosts(1, { hosts[0] });
+    if (!isOrderKnownFirst) {
+      planner.AddUnsettledOrder({ hosts[0], 1 });
+    }
+    EXPECT_FALSE(planner.IsUnsettled(hosts[0]));
+    planner.Decide(Views(hosts), kStart, kStart);
+    const time_point later = kStart + milliseconds(50);
+    const auto orders = planner.Decide(Views(hosts), later, later).mOrders;
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].mHost, hosts[1]);
+  }
+}
+
 TEST(maintenance_planner_test, TheWaveIsCompletedOnceEveryHostIsUpAgain)
 {
   maintenance_planner planner{ maintenance_settings{} };
--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -141,6 +141,17 @@
          mDeps.mClock.Now() >= ordered->second.mReservedUntil;
 }
 
+// The next announcement tells a successor that no order to the host is in
+// doubt.
+void
+fleet_controller::OnOrderSettled(const host_name& aHost)
+{
+  const auto ordered = mOrders.find(aHost);
+  if (ordered != mOrders.end()) {
+    ordered->second.mWave.reset();
+  }
+}
+
 void
 fleet_controller::ForgetOldOrders(time_point aNow)
 {
@@ -638,6 +649,7 @@
       switch (aOutcome) {
         case host_order_outcome::kDone:
           self->mMaintenancePlanner.OnExecuted(aOrder, now);
+          self->OnOrderSettled(aOrder.mHost);
           self->mEndedRunners.OnOrderDone(host, now);
           self->mWaveRecords->StoreMaintainedHosts(
             aOrder.mWave,
@@ -645,6 +657,7 @@
           break;
         case host_order_outcome::kRefused:
           self->mMaintenancePlanner.OnRefused(aOrder);
+          self->OnOrderSettled(aOrder.mHost);
           break;
         case host_order_outcome::kUnknown:
           self->mMaintenancePlanner.OnResultUnknown(aOrder, now);
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -92,7 +92,8 @@
   {
     time_point mReservedUntil; // no other fleet owner may order the host before
     jobs::runner_name mRunner; // as in `host_order`
-    std::optional<std::uint64_t> mWave; // as in `host_order`
+    // As in `host_order`; unset once the order is settled.
+    std::optional<std::uint64_t> mWave;
     bool mIsOfPredecessor = false;
   };
 
@@ -118,6 +119,7 @@
                    bool aIsAnnounced);
   void LoadOrders();
   void OnOrdersLoaded(const host_orders& aOrders);
+  void OnOrderSettled(const host_name& aHost);
   void ForgetOldOrders(time_point aNow);
   host_orders EncodableOrders(time_point aNow) const;
   // Returns whether the host service accepts an order for the host, as far as
--- a/mangospan/node/fleet_controller_test.cc
+++ b/mangospan/node/fleet_controller_test.cc
@@ -375,6 +375,28 @@
   EXPECT_EQ(down, std::vector<host_name>{ inDoubt });
 }
 
+// Guards against a successor that counts hosts as possibly down although their
+// orders were answered.
+TEST_F(fleet_controller_test, AnsweredOrderIsNotAnnouncedAsUnsettled)
+{
+  mPools.mStates[kHot].mLoad.mRequested = { 0, 0, 0 };
+  std::vector<host_name> ordered;
+  mHosts.mOnMaintain = [&](const host_name& aHost) {
+    ordered.push_back(aHost);
+    return host_order_outcome::kDone;
+  };
+  Start();
+  mController->OnWave({ 7,
+                        { host_name{ "h2" }, host_name{ "h3" } },
+                        std::chrono::seconds(60),
+                        1 });
+  RunUntil([&] { return ordered.size() == 2; });
+  const auto orders = DecodeHostOrders(mStore.Value(kHostOrdersKey));
+  ASSERT_TRUE(orders.has_value());
+  EXPECT_EQ(orders.assume_value().at(ordered[0]).mWave, std::nullopt);
+  EXPECT_EQ(orders.assume_value().at(ordered[1]).mWave, std::optional(7U));
+}
+
 // A maintenance order whose answer was lost is ordered again once its host is
 // back up. The runner that is there by then must not be reported dead: it would
 // get no work as long as its record does not change.
--- a/mangospan/node/host_orders.h
+++ b/mangospan/node/host_orders.h
@@ -29,7 +29,8 @@
   // ahead by any amount, or jump.
   std::chrono::milliseconds mReservedFor{ 0 };
   jobs::runner_name mRunner; // on the host at that time; empty if none
-  // The wave of an order to go down for maintenance; unset for a move.
+  // The wave of an order to go down for maintenance that may still be executed;
+  // unset for a move, and for an order that was answered.
   std::optional<std::uint64_t> mWave{};
 };
 
