Customers of the operators' configuration, and the customer of a job

The configuration may list customers with keys, a weight and a cap, and queues that are not public. Nothing uses them yet. A configuration without customers has only public queues. The amounts of resources move to base, since customers have them too. Jobs and adapter tests pass.

--- a/mangospan/base/identity.h
+++ b/mangospan/base/identity.h
@@ -51,6 +51,7 @@
 using class_name = name<struct class_tag>;
 using team_name = name<struct team_tag>;
 using caller_name = name<struct caller_tag>;
+using customer_name = name<struct customer_tag>;
 
 // Drawn at random when a process starts; tells two runs at one address apart.
 struct boot_id
--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -116,6 +116,9 @@
             { "payload", aSpec.mPayload },
             { "elapsed_ms", aSpec.mElapsed.count() },
             { "steps", std::move(steps) } };
+  if (!aSpec.mCustomer.Empty()) {
+    out["customer"] = aSpec.mCustomer.Str();
+  }
   if (aSpec.mRepetitions > 0) {
     out["repetitions"] = aSpec.mRepetitions;
     out["first_due_ms"] = ToMilliseconds(aSpec.mFirstDue);
@@ -129,6 +132,7 @@
 {
   job_spec out;
   out.mQueue = queue_name{ aValue.at("queue").get<std::string>() };
+  out.mCustomer = customer_name{ aValue.value("customer", std::string()) };
   out.mPayload = aValue.value("payload", std::string());
   out.mElapsed =
     std::chrono::milliseconds(aValue.value("elapsed_ms", std::int64_t{ 0 }));
--- a/mangospan/jobs/spec.cc
+++ b/mangospan/jobs/spec.cc
@@ -66,31 +66,6 @@
 
 } // namespace
 
-bool
-resources::FitsIn(const resources& aFree) const
-{
-  return mCpu <= aFree.mCpu && mMemoryMb <= aFree.mMemoryMb &&
-         mGpus <= aFree.mGpus;
-}
-
-resources&
-resources::operator+=(const resources& aOther)
-{
-  mCpu += aOther.mCpu;
-  mMemoryMb += aOther.mMemoryMb;
-  mGpus += aOther.mGpus;
-  return *this;
-}
-
-resources&
-resources::operator-=(const resources& aOther)
-{
-  mCpu -= aOther.mCpu;
-  mMemoryMb -= aOther.mMemoryMb;
-  mGpus -= aOther.mGpus;
-  return *this;
-}
-
 resources
 step_spec::Reservation() const
 {
--- a/mangospan/jobs/spec.h
+++ b/mangospan/jobs/spec.h
@@ -14,31 +14,20 @@
 #include <vector>
 
 #include "mangospan/base/identity.h"
+#include "mangospan/base/resources.h"
+#include "mangospan/customers/customer.h"
 
 namespace mangospan::jobs {
 
 using job_name = name<struct job_tag>;
 using queue_name = name<struct queue_tag>;
 using runner_name = name<struct runner_tag>;
+using mangospan::resources;
 
 // A time of day. Those of two hosts may differ by any amount, and each may
 // jump.
 using wall_time = std::chrono::system_clock::time_point;
 
-// An amount of a runner's capacity: of the whole runner, of what is free, or of
-// what a task takes.
-struct resources
-{
-  std::int64_t mCpu = 0;      // Thousandths of a core.
-  std::int64_t mMemoryMb = 0; // MiB.
-  std::int64_t mGpus = 0;
-
-  // Returns whether no amount is above the same amount of `aFree`.
-  bool FitsIn(const resources& aFree) const;
-  resources& operator+=(const resources& aOther);
-  resources& operator-=(const resources& aOther);
-};
-
 // A step as the caller specifies it: the number of its tasks, what each of them
 // takes, and where and how they may run.
 struct step_spec
@@ -79,7 +68,8 @@
 struct job_spec
 {
   queue_name mQueue;
-  std::string mPayload; // Passed to every task unchanged.
+  customer_name mCustomer; // who has submitted it; empty for a public queue
+  std::string mPayload;    // Passed to every task unchanged.
   std::vector<step_spec> mSteps;
   // For how long the caller had been trying to submit the job when it was
   // submitted; 0 for the first try. The objective counts from the first try.
@@ -135,6 +125,7 @@
   // The fixed part of the objective, added to the scaled critical path.
   std::chrono::milliseconds mTargetLatency{ 0 };
   std::chrono::milliseconds mTimeout{ 0 }; // Limit for one caller request.
+  bool mIsPublic = true;                   // The calls need no API key.
 
   // Returns the objective of a job: the time from its submission within which
   // it is worth its full value.
@@ -150,12 +141,13 @@
   bool mSpare = false;
 };
 
-// The queues and services of the operators' configuration.
+// The queues, services and customers of the operators' configuration.
 struct catalog
 {
   std::uint64_t mVersion = 0;
   std::map<queue_name, queue_policy> mQueues;
   std::map<service_name, service_policy> mServices;
+  std::map<customer_name, customers::customer_policy> mCustomers;
 
   // Returns the queue of a request: among the queues for this host, the one
   // with the longest prefix that the path begins with. Returns null if there is
