Calls are checked for the API key of a customer

Calls to a queue that is not public now carry a key of a customer, else 401. A key is accepted only by a configuration that was confirmed within 0.6 of the revocation bound, on a clock that counts suspensions, and denied only by a current one; in between the answer is 503. A configuration that can not be read makes the present one count as outdated.

--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -1,6 +1,7 @@
 #include "mangospan/node/node_process.h"
 
 #include <functional>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -48,6 +49,17 @@
   return std::hash<std::string>()(aNode + "/" + aSubject) % kRanks;
 }
 
+customers::key_gate_settings
+KeyGateSettings(const node_settings& aSettings)
+{
+  customers::key_gate_settings out;
+  if (aSettings.mKeyRevocationBound.count() > 0) {
+    out.mRevocationBound = aSettings.mKeyRevocationBound;
+  }
+  out.mMaxAgeToDeny = kMaxCatalogAge;
+  return out;
+}
+
 mirror_settings
 OperatorMirrorSettings()
 {
@@ -71,6 +83,7 @@
   , mPorts(aPorts)
   , mMetrics(aMetrics)
   , mStore(aIo, aPorts.mStore, [this] { OnStoreAnswersAgain(); })
+  , mKeyGate(KeyGateSettings(mSettings), std::random_device()())
   , mCheckTimer(aIo)
 {
 }
@@ -300,14 +313,17 @@
   auto decoded = mPorts.mFormat.DecodeCatalog(aRecord.mValue);
   if (decoded.has_error()) {
     LogError("config.malformed", decoded.assume_error());
+    mIsCatalogOutdated = true;
     return;
   }
+  mIsCatalogOutdated = false;
   const time_point decodedAt = mClock.Now();
   jobs::catalog next = std::move(decoded).assume_value();
   if (mCatalog && next.mVersion <= mCatalog->mVersion) {
     return;
   }
   mCatalog = std::make_unique<jobs::catalog>(std::move(next));
+  mKeyGate.SetCustomers(mCatalog->mCustomers);
   for (const auto& [queueName, each] : mCatalog->mQueues) {
     FindOrAddPartition(each.mService);
   }
@@ -322,15 +338,17 @@
   mMetrics.Set("mangospan_node_config_version",
                {},
                static_cast<double>(mCatalog->mVersion));
-  LogEvent(log_level::kInfo,
-           "config.adopted",
-           { { "version", mCatalog->mVersion },
-             { "revision", aRecord.mRevision },
-             { "queues", static_cast<std::uint64_t>(mCatalog->mQueues.size()) },
-             { "bytes", static_cast<std::uint64_t>(aRecord.mValue.size()) },
-             { "decode_ms", CountMilliseconds(decodedAt - startedAt) },
-             { "apply_ms", CountMilliseconds(mClock.Now() - decodedAt) },
-             { "confirmed_age_ms", CountMilliseconds(CatalogAge()) } });
+  LogEvent(
+    log_level::kInfo,
+    "config.adopted",
+    { { "version", mCatalog->mVersion },
+      { "revision", aRecord.mRevision },
+      { "queues", static_cast<std::uint64_t>(mCatalog->mQueues.size()) },
+      { "customers", static_cast<std::uint64_t>(mCatalog->mCustomers.size()) },
+      { "bytes", static_cast<std::uint64_t>(aRecord.mValue.size()) },
+      { "decode_ms", CountMilliseconds(decodedAt - startedAt) },
+      { "apply_ms", CountMilliseconds(mClock.Now() - decodedAt) },
+      { "confirmed_age_ms", CountMilliseconds(CatalogAge()) } });
 }
 
 std::vector<service_name>
@@ -370,6 +388,49 @@
   return mCatalog && CatalogAge() < kMaxCatalogAge;
 }
 
+std::optional<time_point>
+node_process::CatalogConfirmedAt() const
+{
+  const bool isKnown =
+    mCatalog && mOperatorMirror->IsSynced() && !mIsCatalogOutdated;
+  return isKnown ? std::make_optional(mOperatorMirror->ConfirmedAt())
+                 : std::nullopt;
+}
+
+customers::key_check
+node_process::CheckKey(const jobs::queue_policy& aQueue,
+                       std::string_view aKey) const
+{
+  if (aQueue.mIsPublic) {
+    return { customers::key_verdict::kAccepted, {} };
+  }
+  const customers::key_check out =
+    mKeyGate.Check(aKey, CatalogConfirmedAt(), mClock.Now());
+  if (out.mVerdict != customers::key_verdict::kAccepted) {
+    mMetrics.Add("mangospan_node_key_refusals_total",
+                 { { "reason", customers::Name(out.mVerdict) } });
+  }
+  return out;
+}
+
+// Logs when this node can no longer check API keys, and when it can again.
+void
+node_process::ReportKeyChecks()
+{
+  if (!mCatalog || mCatalog->mCustomers.empty()) {
+    return;
+  }
+  const bool canAccept =
+    mKeyGate.CanAcceptKeys(CatalogConfirmedAt(), mClock.Now());
+  if (canAccept != mCouldAcceptKeys) {
+    mCouldAcceptKeys = canAccept;
+    LogEvent(canAccept ? log_level::kInfo : log_level::kWarning,
+             canAccept ? "keys.checked" : "keys.not_checked",
+             { { "config_age_ms", CountMilliseconds(CatalogAge()) },
+               { "unreadable", mIsCatalogOutdated } });
+  }
+}
+
 std::string
 node_process::DumpState() const
 {
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -19,6 +19,7 @@
 
 #include "mangospan/base/time.h"
 #include "mangospan/base/timer.h"
+#include "mangospan/customers/key_gate.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/http/server.h"
 #include "mangospan/node/caller_patience.h"
@@ -116,6 +117,10 @@
   // Returns whether the catalog was confirmed recently, so that a queue that it
   // does not list can be reported as missing.
   bool IsCatalogCurrent() const;
+  // Returns whether a call to the queue may be served with the API key that it
+  // carries, and whose key it is. A public queue needs none.
+  customers::key_check CheckKey(const jobs::queue_policy& aQueue,
+                                std::string_view aKey) const;
   bool IsStopping() const { return mStopSchedule.has_value(); }
   // Returns whether the load balancer should send callers to this node: it is
   // not stopping, its catalog is current, at least one owner of jobs has served
@@ -159,6 +164,9 @@
   void OnElectionsSynced();
   void OnOperatorRecord(const platform::record& aRecord);
   void OnCatalog(const platform::record& aRecord);
+  // Returns a time at which the catalog was certainly the newest.
+  std::optional<time_point> CatalogConfirmedAt() const;
+  void ReportKeyChecks();
   void CheckOwners();
   void RequestYieldOfSmallerHost();
   void CheckOwnersAt(const std::string& aAddress);
@@ -185,6 +193,11 @@
   std::unique_ptr<http::server> mReadinessServer;
   std::unique_ptr<http::server> mNodeServer;
   std::unique_ptr<jobs::catalog> mCatalog;
+  customers::key_gate mKeyGate;
+  // Whether the operators' newest catalog could not be read, so that the
+  // present one is an older one.
+  bool mIsCatalogOutdated = false;
+  bool mCouldAcceptKeys = false; // at the last report
   std::map<std::string, wave_request> mWaves;
   timer mCheckTimer;
   unavailable_job_service mUnavailableJobs{ UnavailableReply() };
--- a/mangospan/node/node_process_owners.cc
+++ b/mangospan/node/node_process_owners.cc
@@ -53,6 +53,7 @@
   }
   ReplaceCutOffOwners();
   RequestYieldOfSmallerHost();
+  ReportKeyChecks();
   mMetrics.Set("mangospan_node_config_age_seconds",
                {},
                std::chrono::duration<double>(CatalogAge()).count());
--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -81,6 +81,8 @@
     Optional("max_body_bytes", &s::mMaxBodyBytes),
     Optional("max_connections", &s::mMaxConnections),
     With("stop_timeout_ms", &s::mStopTimeout, ReadPositiveMilliseconds),
+    With(
+      "key_revocation_ms", &s::mKeyRevocationBound, ReadPositiveMilliseconds),
     With("host_lease_ms", &s::mMinOrderGapBetweenOwners, ReadMilliseconds),
   };
   return kFields;
--- a/mangospan/node/settings.h
+++ b/mangospan/node/settings.h
@@ -33,6 +33,9 @@
   // orders of one fleet controller and those of the next.
   std::chrono::milliseconds mMinOrderGapBetweenOwners{ 3'000 };
   double mLinkMbps = 1'000; // bandwidth of this host's network link, in Mbit/s
+  // A revoked API key is refused everywhere once its revocation is this old; 0
+  // if the deployment states no bound.
+  std::chrono::milliseconds mKeyRevocationBound{ 0 };
   // Orders per second that the host service accepts from all nodes together.
   double mHostOrdersPerSecond = 60;
   log_level mLogLevel = log_level::kInfo;
