Customers' caps are divided among the pools

The fleet controller gives each pool a share of each cap in the exchange that it has with the owners anyway. Shares shrink before others grow; a pool that has not answered may hold all; a new owner counts runners that it has not reached as used by every customer.

--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -47,7 +47,10 @@
   task_id mTask;
   std::uint32_t mNumber = 0;
   run_phase mPhase = run_phase::kOrdered;
-  resources mReservation;    // The capacity that the run takes.
+  customer_name mCustomer; // Of the run's job; empty if it has none.
+  resources mReservation;  // The capacity that the run takes.
+  // Nothing is known of the run's job, so it may be any customer's.
+  bool mIsOfUnknownJob = false;
   bool mLongRunning = false; // The run lasts until the job is cancelled.
   // The run is long-running and has a target latency.
   bool mLatencySensitive = false;
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -109,6 +109,7 @@
 scheduler::SetCatalog(catalog aCatalog)
 {
   mCatalog = std::move(aCatalog);
+  mQuota.SetCustomers(mCatalog.mCustomers, mCatalog.CountPools());
 }
 
 void
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "mangospan/base/time.h"
+#include "mangospan/customers/pool_quota.h"
 #include "mangospan/jobs/answer_times.h"
 #include "mangospan/jobs/arrival_forecast.h"
 #include "mangospan/jobs/faulty_runner_detector.h"
@@ -273,6 +274,11 @@
   std::map<service_name, pool_load> ComputeLoads(time_point aNow,
                                                  wall_time aWall);
 
+  // Follows the division of the customers' caps among the pools.
+  void ApplyQuota(const customers::quota_instructions& aInstructions);
+  // Reports what the customers with caps hold, use and want in this pool.
+  customers::quota_report ReportQuota(time_point aNow, wall_time aWall) const;
+
   // Returns which ready tasks wait for what. Takes time for every task.
   waiting_tasks WaitingTasks(time_point aNow, wall_time aWall) const;
 
@@ -313,6 +319,10 @@
   task* ReleaseRun(runner& aRunner, const run_key& aKey, time_point aNow);
   void ReleaseAllRuns(runner& aRunner, loss_reason aReason, time_point aNow);
   bool MayStartTask(const task& aTask) const;
+  bool MayHoldUnknownRuns(const runner& aRunner, time_point aNow) const;
+  customers::customer_resources CustomerUse(time_point aNow) const;
+  void AddToCustomerUse(const run& aRun);
+  bool IsWithinQuota(const job& aJob, const resources& aNeed) const;
   placement_request RequestFor(const job& aJob,
                                const task_id& aTask,
                                time_point aNow) const;
@@ -484,6 +494,8 @@
   const scheduler_settings mSettings;
   const ownership mOwnership;
   const std::uint32_t mRunNumberBase; // run numbers of this term are above it
+  customers::pool_quota mQuota;
+  customers::customer_resources mCustomerUse; // as of the last plan
   catalog mCatalog;
   std::map<job_name, job> mJobs;
   std::set<job_name> mActiveJobs; // jobs that have not ended
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -582,7 +582,8 @@
       const crash_history& crashes = tasks[i].mCrashes;
       if (!crashes.mIsSuspect || aNow < crashes.mNotBefore ||
           !MayStartTask(tasks[i]) ||
-          !MustRunAlone(*each.mJob, each.Step(), tasks[i], aNow)) {
+          !MustRunAlone(*each.mJob, each.Step(), tasks[i], aNow) ||
+          !IsWithinQuota(*each.mJob, each.Spec().Reservation())) {
         continue;
       }
       const placement_request request{ each.Spec(), each.Id(i), {}, {} };
--- a/mangospan/jobs/scheduler_gangs.cc
+++ b/mangospan/jobs/scheduler_gangs.cc
@@ -99,6 +99,14 @@
   if (!MayStartGang(tasks)) {
     return;
   }
+  resources needed;
+  for (std::size_t i = 0; i < tasks.size(); ++i) {
+    needed += aCandidate.Spec().Reservation();
+  }
+  if (!IsWithinQuota(*aCandidate.mJob, needed)) {
+    LogWaitingGang(aCandidate, "quota", 0, aNow);
+    return;
+  }
   std::vector<runner*> accepting;
   std::copy_if(
     aPool.begin(),
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -137,11 +137,19 @@
 {
   return std::all_of(mRunners.begin(), mRunners.end(), [&](const auto& aEntry) {
     const runner& each = aEntry.second;
-    return each.mInfo.mService != aService || !each.mMayHoldInheritedRuns ||
-           each.mContacted || aNow >= each.DeadAt();
+    return each.mInfo.mService != aService || !MayHoldUnknownRuns(each, aNow);
   });
 }
 
+// Returns whether runs of an earlier owner may be live on the runner, which
+// this owner has not reached.
+bool
+scheduler::MayHoldUnknownRuns(const runner& aRunner, time_point aNow) const
+{
+  return aRunner.mMayHoldInheritedRuns && !aRunner.mContacted &&
+         aNow < aRunner.DeadAt();
+}
+
 // Returns since when the task has not run although its step was ready.
 time_point
 scheduler::WaitingSince(const job& aJob,
@@ -246,6 +254,7 @@
                       std::vector<order>& aOrders)
 {
   start_candidates startable;
+  mCustomerUse = CustomerUse(aNow);
   for (const job_name& each : mActiveJobs) {
     CollectCandidates(mJobs.at(each), aNow, aWall, startable);
   }
@@ -371,6 +380,7 @@
   rack_name nearRack;
   std::uint64_t placed = 0;
   std::uint64_t waiting = 0;
+  std::uint64_t overQuota = 0;
   std::uint64_t avoiding = 0; // tasks that wait for another runner than before
   for (std::size_t i = 0; i < tasks.size(); ++i) {
     const bool mustRunAlone =
@@ -379,6 +389,10 @@
     if (!MayStartTask(tasks[i]) || mustRunAlone) {
       continue;
     }
+    if (!IsWithinQuota(*aCandidate.mJob, aCandidate.Spec().Reservation())) {
+      ++overQuota;
+      continue;
+    }
     placement_request request =
       RequestFor(*aCandidate.mJob, aCandidate.Id(i), aNow);
     request.mPreferredRack = nearRack;
@@ -403,7 +417,7 @@
         { "occurrence", static_cast<std::uint64_t>(aCandidate.mOccurrence) },
         { "step", static_cast<std::uint64_t>(aCandidate.mStep) },
         { "tasks", placed },
-        { "waiting", waiting + avoiding },
+        { "waiting", waiting + avoiding + overQuota },
         { "age_ms", CountMilliseconds(aNow - aCandidate.mJob->mAcceptedAt) } });
   }
   return waiting == 0;
@@ -430,6 +444,8 @@
   run newRun = MakeRun(spec);
   newRun.mTask = aCandidate.Id(aIndex);
   newRun.mNumber = aRun;
+  newRun.mCustomer = aCandidate.mJob->mSpec.mCustomer;
+  AddToCustomerUse(newRun);
   newRun.mOrderedAt = aNow;
   newRun.mPhaseSince = aNow;
   newRun.mProgressAt = aNow;
--- /dev/null
+++ b/mangospan/jobs/scheduler_quota.cc
@@ -0,0 +1,111 @@
+// Keeps what customers with a cap have running within their shares of it.
+#include <algorithm>
+
+#include "mangospan/jobs/scheduler.h"
+
+namespace mangospan::jobs {
+
+namespace {
+
+using customers::customer_resources;
+
+// Adds what the unfinished tasks take whose steps are ready.
+void
+AddReadyTasks(const job& aJob, wall_time aWall, resources& aSum)
+{
+  const std::size_t due = aJob.DueOccurrences(aWall);
+  for (const auto& [k, occurrence] : aJob.mOccurrences) {
+    for (std::size_t s = 0; s < occurrence.mSteps.size(); ++s) {
+      const step& each = occurrence.mSteps[s];
+      if (!aJob.IsDueOrBegun(k, due) || !aJob.IsStepReady(k, s)) {
+        continue;
+      }
+      const auto unfinished =
+        static_cast<std::int64_t>(each.mTasks.size() - each.mDoneCount);
+      const resources one = aJob.mSpec.mSteps[s].Reservation();
+      aSum += { one.mCpu * unfinished,
+                one.mMemoryMb * unfinished,
+                one.mGpus * unfinished };
+    }
+  }
+}
+
+} // namespace
+
+void
+scheduler::ApplyQuota(const customers::quota_instructions& aInstructions)
+{
+  mQuota.Apply(aInstructions);
+}
+
+// Returns what the customers with caps use. An earlier owner may have filled a
+// runner that this one has not reached, for any customer.
+customer_resources
+scheduler::CustomerUse(time_point aNow) const
+{
+  customer_resources out;
+  if (!mQuota.HasCaps()) {
+    return out;
+  }
+  resources unknown;
+  for (const auto& [runnerName, each] : mRunners) {
+    if (MayHoldUnknownRuns(each, aNow)) {
+      unknown += each.mInfo.mCapacity;
+      continue;
+    }
+    for (const auto& [key, live] : each.Runs()) {
+      if (live.mIsOfUnknownJob) {
+        unknown += live.mReservation;
+      } else if (!live.mCustomer.Empty()) {
+        out[live.mCustomer] += live.mReservation;
+      }
+    }
+  }
+  const bool isAllKnown =
+    unknown.mCpu == 0 && unknown.mMemoryMb == 0 && unknown.mGpus == 0;
+  for (const auto& [customerName, policy] : mCatalog.mCustomers) {
+    if (!isAllKnown) {
+      out[customerName] += unknown;
+    }
+  }
+  return out;
+}
+
+void
+scheduler::AddToCustomerUse(const run& aRun)
+{
+  if (!aRun.mCustomer.Empty()) {
+    mCustomerUse[aRun.mCustomer] += aRun.mReservation;
+  }
+}
+
+// Returns whether tasks that take `aNeed` together may start beside what the
+// job's customer had running at the last plan.
+bool
+scheduler::IsWithinQuota(const job& aJob, const resources& aNeed) const
+{
+  const customer_name& customer = aJob.mSpec.mCustomer;
+  if (customer.Empty() || !mQuota.IsCapped(customer)) {
+    return true;
+  }
+  const auto used = mCustomerUse.find(customer);
+  return mQuota.MayStart(
+    customer, aNeed, used == mCustomerUse.end() ? resources{} : used->second);
+}
+
+customers::quota_report
+scheduler::ReportQuota(time_point aNow, wall_time aWall) const
+{
+  customer_resources wanted;
+  if (mQuota.HasCaps()) {
+    for (const job_name& name : mActiveJobs) {
+      const job& each = mJobs.at(name);
+      if (!each.mSpec.mCustomer.Empty()) {
+        AddReadyTasks(each, aWall, wanted[each.mSpec.mCustomer]);
+      }
+    }
+  }
+  return mQuota.Report(CustomerUse(aNow), wanted);
+}
+
+} // namespace mangospan::jobs
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -445,8 +445,10 @@
     // The size of the run is unknown, so the runner counts as full until the
     // run ends.
     adopted.mReservation = aRunner.mInfo.mCapacity;
+    adopted.mIsOfUnknownJob = true;
   } else {
     adopted = MakeRun(foundJob->mSpec.mSteps[aTask.mStep]);
+    adopted.mCustomer = foundJob->mSpec.mCustomer;
     adopted.mStopWanted = !foundTask->IsIdle();
     if (!adopted.mStopWanted) {
       foundTask->SetLiveRun(aLive.mRun, aRunner.mInfo.mName);
--- a/mangospan/jobs/scheduler_waits.cc
+++ b/mangospan/jobs/scheduler_waits.cc
@@ -41,6 +41,8 @@
       return "runner";
     case wait_reason::kPlacement:
       return "placement";
+    case wait_reason::kQuota:
+      return "quota";
     case wait_reason::kCapacity:
       return "capacity";
   }
@@ -83,6 +85,9 @@
   if (aJob.mSpec.mSteps[aTask.mStep].mGang && !MayStartGang(ofTask.mTasks)) {
     return wait_reason::kGang;
   }
+  if (!IsWithinQuota(aJob, aJob.mSpec.mSteps[aTask.mStep].Reservation())) {
+    return wait_reason::kQuota;
+  }
   return std::nullopt;
 }
 
--- a/mangospan/jobs/spec.cc
+++ b/mangospan/jobs/spec.cc
@@ -182,4 +182,13 @@
   return found == mQueues.end() ? nullptr : &found->second;
 }
 
+std::size_t
+catalog::CountPools() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mServices.begin(), mServices.end(), [](const auto& aEntry) {
+      return !aEntry.second.mSpare;
+    }));
+}
+
 } // namespace mangospan::jobs
--- a/mangospan/jobs/spec.h
+++ b/mangospan/jobs/spec.h
@@ -156,6 +156,9 @@
                                 std::string_view aPath) const;
   // Returns the queue of that name, or null if there is none.
   const queue_policy* FindQueue(const queue_name& aName) const;
+  // Returns how many services are not spare. The pools of these share the
+  // customers' caps.
+  std::size_t CountPools() const;
 };
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/waiting_tasks.h
+++ b/mangospan/jobs/waiting_tasks.h
@@ -20,6 +20,7 @@
   kOwnership, // this owner has to confirm that it still is the owner
   kCrashes,   // the delay after crashes under it, or a runner for itself
   kGang,      // members of an earlier run of its gang
+  kQuota,     // its customer has as much running as its share of the cap
   kCapacity,  // no runner has room
   kRunner,    // only runners that get no new runs have room
   kPlacement, // a runner has room, but others go first or it lacks a condition
@@ -27,9 +28,10 @@
 
 // The reasons by which tasks are counted. kRunner and kPlacement count as
 // kCapacity: they are told apart for the oldest task only.
-constexpr std::array<wait_reason, 6> kCountedWaitReasons{
-  wait_reason::kRecord,  wait_reason::kTakeover, wait_reason::kOwnership,
-  wait_reason::kCrashes, wait_reason::kGang,     wait_reason::kCapacity,
+constexpr std::array<wait_reason, 7> kCountedWaitReasons{
+  wait_reason::kRecord,   wait_reason::kTakeover, wait_reason::kOwnership,
+  wait_reason::kCrashes,  wait_reason::kGang,     wait_reason::kQuota,
+  wait_reason::kCapacity,
 };
 
 // Returns the name of the reason in logs and metrics, such as "takeover".
--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -552,6 +552,7 @@
 fleet_controller::SetCatalog(const jobs::catalog& aCatalog)
 {
   mCatalog = aCatalog;
+  mPoolWatch->SetSharingPools(mCatalog.CountPools());
 }
 
 const host_entry*
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -625,6 +625,9 @@
     mScheduler.OnRunnerDead(each, now);
   }
   mScheduler.SetCordoned(aInstructions.mCordoned);
+  if (aInstructions.mQuota) {
+    mScheduler.ApplyQuota(*aInstructions.mQuota);
+  }
   for (const jobs::runner_name& each : aInstructions.mEvictFrom) {
     mScheduler.Evict(each, now);
   }
@@ -642,6 +645,7 @@
   if (load != loads.end()) {
     out.mLoad = load->second;
   }
+  out.mQuota = mScheduler.ReportQuota(aNow, WallNow());
   out.mAreUnlistedRunnersIdle =
     mScheduler.KnowsRunsOf(jobs::runner_name(), aNow);
   for (const auto& [runnerName, each] : mScheduler.Runners()) {
--- a/mangospan/node/pool_link.cc
+++ b/mangospan/node/pool_link.cc
@@ -43,6 +43,64 @@
   return out;
 }
 
+// The keys of the messages on customers' caps.
+constexpr const char* kQuotaKey = "quota";
+constexpr const char* kTermKey = "term";
+constexpr const char* kSequenceKey = "sequence";
+constexpr const char* kSharesKey = "shares";
+constexpr const char* kUsageKey = "usage";
+
+json
+QuotaToJson(const customers::quota_instructions& aQuota)
+{
+  json shares = json::object();
+  for (const auto& [customer, share] : aQuota.mShares) {
+    shares[customer.Str()] = share;
+  }
+  return { { kSequenceKey, aQuota.mVersion.mSequence },
+           { kSharesKey, std::move(shares) } };
+}
+
+customers::quota_instructions
+QuotaFromJson(const json& aValue, std::uint64_t aFleetTerm)
+{
+  customers::quota_instructions out;
+  out.mVersion = { aFleetTerm, aValue.at(kSequenceKey).get<std::uint64_t>() };
+  for (const auto& [customer, share] : aValue.at(kSharesKey).items()) {
+    out.mShares.emplace(customer_name{ customer },
+                        share.get<customers::cap_part>());
+  }
+  return out;
+}
+
+json
+ReportToJson(const customers::quota_report& aReport)
+{
+  json usage = json::object();
+  for (const auto& [customer, each] : aReport.mUsage) {
+    usage[customer.Str()] = { each.mShare, each.mUsed, each.mWanted };
+  }
+  return { { kTermKey, aReport.mApplied.mFleetTerm },
+           { kSequenceKey, aReport.mApplied.mSequence },
+           { kUsageKey, std::move(usage) } };
+}
+
+customers::quota_report
+ReportFromJson(const json& aValue)
+{
+  customers::quota_report out;
+  out.mApplied = { aValue.at(kTermKey).get<std::uint64_t>(),
+                   aValue.at(kSequenceKey).get<std::uint64_t>() };
+  for (const auto& [customer, each] : aValue.at(kUsageKey).items()) {
+    out.mUsage.emplace(
+      customer_name{ customer },
+      customers::quota_usage{ each.at(0).get<customers::cap_part>(),
+                              each.at(1).get<customers::cap_part>(),
+                              each.at(2).get<customers::cap_part>() });
+  }
+  return out;
+}
+
 error
 DecodeError(const char* aStep, const std::exception& aFailure)
 {
@@ -54,12 +112,14 @@
 std::string
 Encode(const pool_instructions& aInstructions)
 {
-  return json{
-    { "fleet_term", aInstructions.mFleetTerm },
-    { "closed", NamesOf(aInstructions.mCordoned) },
-    { "evict", NamesOf(aInstructions.mEvictFrom) },
-    { "dead", NamesOf(aInstructions.mDeadRunners) }
-  }.dump();
+  json out{ { "fleet_term", aInstructions.mFleetTerm },
+            { "closed", NamesOf(aInstructions.mCordoned) },
+            { "evict", NamesOf(aInstructions.mEvictFrom) },
+            { "dead", NamesOf(aInstructions.mDeadRunners) } };
+  if (aInstructions.mQuota) {
+    out[kQuotaKey] = QuotaToJson(*aInstructions.mQuota);
+  }
+  return out.dump();
 }
 
 result<pool_instructions>
@@ -74,6 +134,9 @@
     }
     out.mEvictFrom = NamesFrom(body.at("evict"));
     out.mDeadRunners = NamesFrom(body.at("dead"));
+    if (body.contains(kQuotaKey)) {
+      out.mQuota = QuotaFromJson(body.at(kQuotaKey), out.mFleetTerm);
+    }
     return out;
   } catch (const std::exception& failure) {
     return DecodeError("pool.decode_instructions", failure);
@@ -91,15 +154,18 @@
   }
   const jobs::resources& requested = aState.mLoad.mRequested;
   const jobs::resources& forecast = aState.mLoad.mForecast;
-  return json{
-    { "term_revision", aState.mTermRevision },
-    { "wanted", { requested.mCpu, requested.mMemoryMb, requested.mGpus } },
-    { "arriving", { forecast.mCpu, forecast.mMemoryMb } },
-    { "min_hosts", aState.mLoad.mMinHosts },
-    { "accepting", aState.mLoad.mIsAcceptingJobs },
-    { "knows_others", aState.mAreUnlistedRunnersIdle },
-    { "runners", std::move(runners) }
-  }.dump();
+  json out{ { "term_revision", aState.mTermRevision },
+            { "wanted",
+              { requested.mCpu, requested.mMemoryMb, requested.mGpus } },
+            { "arriving", { forecast.mCpu, forecast.mMemoryMb } },
+            { "min_hosts", aState.mLoad.mMinHosts },
+            { "accepting", aState.mLoad.mIsAcceptingJobs },
+            { "knows_others", aState.mAreUnlistedRunnersIdle },
+            { "runners", std::move(runners) } };
+  if (!aState.mQuota.mUsage.empty() || aState.mQuota.mApplied.mSequence > 0) {
+    out[kQuotaKey] = ReportToJson(aState.mQuota);
+  }
+  return out.dump();
 }
 
 result<pool_state>
@@ -119,6 +185,9 @@
     out.mLoad.mMinHosts = body.at("min_hosts").get<std::size_t>();
     out.mLoad.mIsAcceptingJobs = body.value("accepting", true);
     out.mAreUnlistedRunnersIdle = body.at("knows_others").get<bool>();
+    if (body.contains(kQuotaKey)) {
+      out.mQuota = ReportFromJson(body.at(kQuotaKey));
+    }
     for (const auto& [runnerName, each] : body.at("runners").items()) {
       const auto flags = each.at(0).get<unsigned>();
       out.mRunners.emplace(jobs::runner_name{ runnerName },
--- a/mangospan/node/pool_link.h
+++ b/mangospan/node/pool_link.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,6 +19,7 @@
 
 #include "mangospan/base/error.h"
 #include "mangospan/base/identity.h"
+#include "mangospan/customers/quota.h"
 #include "mangospan/jobs/orders.h"
 #include "mangospan/jobs/pool_autoscaler.h"
 
@@ -34,6 +36,8 @@
   std::vector<jobs::runner_name> mEvictFrom;
   // Runners on which nothing runs any more.
   std::vector<jobs::runner_name> mDeadRunners;
+  // The pool's shares of the customers' caps, if they change.
+  std::optional<customers::quota_instructions> mQuota;
 };
 
 // The state of one runner, as its owner reports it.
@@ -58,6 +62,7 @@
   std::map<jobs::runner_name, runner_state> mRunners;
   // Whether the owner knows that nothing runs on runners that `mRunners` lacks.
   bool mAreUnlistedRunnersIdle = false;
+  customers::quota_report mQuota;
 };
 
 using pool_state_handler = std::function<void(result<pool_state>)>;
--- a/mangospan/node/pool_watch.cc
+++ b/mangospan/node/pool_watch.cc
@@ -26,6 +26,7 @@
   , mLink(aLink)
   , mFleetTerm(aFleetTerm)
   , mOnStateChanged(std::move(aOnStateChanged))
+  , mQuota(aFleetTerm)
 {
 }
 
@@ -37,7 +38,9 @@
     return;
   }
   mNextExchange = now + kExchangeInterval;
-  for (const service_name& each : mLink.Pools()) {
+  const std::vector<service_name> pools = mLink.Pools();
+  mQuota.SetPools(pools, mSharingPools);
+  for (const service_name& each : pools) {
     StartExchange(each);
   }
 }
@@ -135,6 +138,7 @@
   instructions.mEvictFrom = std::move(target.mEvictFrom);
   target.mEvictFrom.clear();
   instructions.mDeadRunners = target.mDeadRunners;
+  instructions.mQuota = mQuota.Instruct(aPool);
   mLink.Exchange(aPool,
                  std::move(instructions),
                  [self = shared_from_this(),
@@ -173,6 +177,7 @@
                { "silent_ms", CountMilliseconds(silence) } });
   }
   target.mState = aResult.assume_value();
+  mQuota.OnReport(aPool, target.mState->mQuota);
   target.mRequestedAt = aSentAt;
   for (const jobs::runner_name& each : aDeadRunners) {
     target.mDeadRunners.erase(
--- a/mangospan/node/pool_watch.h
+++ b/mangospan/node/pool_watch.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "mangospan/base/time.h"
+#include "mangospan/customers/quota_allocator.h"
 #include "mangospan/node/pool_link.h"
 
 namespace mangospan::node {
@@ -32,6 +33,8 @@
              std::uint64_t aFleetTerm,
              std::function<void()> aOnStateChanged);
 
+  // Sets how many pools share the customers' caps.
+  void SetSharingPools(std::size_t aCount) { mSharingPools = aCount; }
   // Starts an exchange with every owner if the interval has passed.
   void Tick();
   // After this call, no handler is called.
@@ -84,6 +87,8 @@
   const std::function<void()> mOnStateChanged;
   std::map<service_name, pool> mPools;
   runners_by_pool mCordoned;
+  customers::quota_allocator mQuota;
+  std::size_t mSharingPools = 0;
   time_point mNextExchange{};
   bool mIsStopped = false;
 };
