Admission by rate while a pool is full, and a fair order of customers

Customers competed for a full pool without any rule: whoever sent most got most. Jobs beyond a customer's weight (a rate over a sliding window with a slack, both settings) are now taken only while the pool has room, else refused at once with 429 and a Retry-After spread over the time that the waiting work takes. Work within the rate goes first, and waiting jobs go by start-time fair queueing over the dominant resource.

--- a/mangospan/jobs/job.h
+++ b/mangospan/jobs/job.h
@@ -200,6 +200,9 @@
   // Every occurrence below this number has been opened, or is done.
   std::size_t mOpenedBelow = 0;
   bool mInherited = false; // An earlier owner accepted the job.
+  bool mIsExcess = false;  // It is beyond its customer's rate.
+  // Its place in the fair order of the customers; 0 if it has no customer.
+  double mFairStart = 0;
 
   std::uint64_t mVersion = 1; // Rises with every change that has to be stored.
   std::uint64_t mStoredVersion = 0; // The newest version known to be stored.
--- a/mangospan/jobs/ranking.cc
+++ b/mangospan/jobs/ranking.cc
@@ -58,9 +58,11 @@
     spec.mLongRunning ? lateness::kOnTime : LatenessOf(aJob, aNow);
   const bool isWaiting = aJob.mState == job_state::kQueued;
   return { !(spec.mLongRunning && !spec.mBestEffort),
+           aJob.mIsExcess,
            expected,
            aPriority,
            expected == lateness::kTooLate && isWaiting,
+           aJob.mFairStart,
            aJob.mObjectiveDeadline };
 }
 
--- a/mangospan/jobs/ranking.h
+++ b/mangospan/jobs/ranking.h
@@ -31,11 +31,14 @@
 // are compared in order; the lowest rank goes first, and false is lower than
 // true. The elements are:
 // 1. false for a long-running step that is not best-effort, else true;
-// 2. the lateness of the job; `kOnTime` for a long-running step;
-// 3. the priority of the queue, of which 0 is the highest;
-// 4. true if the job is too late and no task of it has started yet;
-// 5. the deadline of the job's objective.
-using rank = std::tuple<bool, lateness, int, bool, time_point>;
+// 2. true if the job is beyond its customer's rate, so that it delays none that
+//    is within;
+// 3. the lateness of the job; `kOnTime` for a long-running step;
+// 4. the priority of the queue, of which 0 is the highest;
+// 5. true if the job is too late and no task of it has started yet;
+// 6. the job's place in the fair order of the customers;
+// 7. the deadline of the job's objective.
+using rank = std::tuple<bool, bool, lateness, int, bool, double, time_point>;
 
 // Returns the rank of one step of the job. Long-running steps count as on time;
 // those that are not best-effort go before all other steps.
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -54,6 +54,7 @@
   , mOwnership(std::move(aOwnership))
   , mRunNumberBase(static_cast<std::uint32_t>(
       (std::max<std::uint64_t>(mOwnership.mTerm, 1) - 1) * kRunNumbersPerTerm))
+  , mAdmission(mSettings.mCustomerRate)
 {
 }
 
@@ -110,6 +111,8 @@
 {
   mCatalog = std::move(aCatalog);
   mQuota.SetCustomers(mCatalog.mCustomers, mCatalog.CountPools());
+  mAdmission.SetCustomers(mCatalog.mCustomers);
+  mFairOrder.SetCustomers(mCatalog.mCustomers);
 }
 
 void
@@ -199,7 +202,17 @@
   if (queue == nullptr) {
     return { submit_outcome::kRefused, kUnknownQueueRetryAfter };
   }
+  const customers::admission_verdict verdict =
+    mAdmission.Decide(aSpec.mCustomer, Backlog(ServiceOf(*queue)), aNow);
+  if (verdict.mIsRefused) {
+    return { submit_outcome::kRefused, verdict.mRetryAfter, true };
+  }
   job newJob = MakeJob(aJob, aSpec);
+  newJob.mIsExcess = verdict.mIsExcess;
+  if (!aSpec.mCustomer.Empty()) {
+    newJob.mFairStart = mFairOrder.Enqueue(
+      aSpec.mCustomer, DominantWork(aSpec, ServiceOf(*queue)));
+  }
   newJob.mPolicy = *queue;
   newJob.mAcceptedAt = aNow;
   newJob.mAcceptedWallTime = aWall;
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -28,6 +28,8 @@
 #include <vector>
 
 #include "mangospan/base/time.h"
+#include "mangospan/customers/admission.h"
+#include "mangospan/customers/fair_order.h"
 #include "mangospan/customers/pool_quota.h"
 #include "mangospan/jobs/answer_times.h"
 #include "mangospan/jobs/arrival_forecast.h"
@@ -81,6 +83,8 @@
   std::chrono::milliseconds mQuarantineTime{ 4'000 };
   // The time for which the record of a job is kept after the job has ended.
   std::chrono::milliseconds mEndedJobRetention{ 150'000 };
+  // How many jobs customers are owed.
+  customers::rate_settings mCustomerRate;
 };
 
 // The term of office of one owner.
@@ -108,9 +112,13 @@
 struct submit_answer
 {
   submit_outcome mOutcome = submit_outcome::kRefused;
-  // The time after which a refused caller may submit the job again, since the
-  // catalog may have the queue by then. Zero unless the job is refused.
+  // The time after which a refused caller may submit the job again: the catalog
+  // may have the queue by then, or the pool may have room. Zero unless the job
+  // is refused.
   std::chrono::milliseconds mRetryAfter{ 0 };
+  // The job is refused because it is beyond its customer's rate while the pool
+  // is full.
+  bool mIsOverRate = false;
 };
 
 // How often runners got no new runs for a while, by the reason.
@@ -167,7 +175,8 @@
   void OnRunnerDead(const runner_name& aRunner, time_point aNow);
 
   // Adds a job, unless a job of this name exists, and reports whether it is
-  // stored. Refuses the job if the catalog has no such queue.
+  // stored. Refuses the job if the catalog has no such queue, or if it is
+  // beyond its customer's rate while the pool is full.
   submit_answer Submit(const job_name& aJob,
                        const job_spec& aSpec,
                        time_point aNow,
@@ -320,6 +329,9 @@
   void ReleaseAllRuns(runner& aRunner, loss_reason aReason, time_point aNow);
   bool MayStartTask(const task& aTask) const;
   bool MayHoldUnknownRuns(const runner& aRunner, time_point aNow) const;
+  customers::pool_backlog Backlog(const service_name& aService) const;
+  double DominantWork(const job_spec& aSpec,
+                      const service_name& aService) const;
   customers::customer_resources CustomerUse(time_point aNow) const;
   void AddToCustomerUse(const run& aRun);
   bool IsWithinQuota(const job& aJob, const resources& aNeed) const;
@@ -494,6 +506,8 @@
   const scheduler_settings mSettings;
   const ownership mOwnership;
   const std::uint32_t mRunNumberBase; // run numbers of this term are above it
+  customers::admission mAdmission;
+  customers::fair_order mFairOrder;
   customers::pool_quota mQuota;
   customers::customer_resources mCustomerUse; // as of the last plan
   catalog mCatalog;
--- a/mangospan/jobs/scheduler_quota.cc
+++ b/mangospan/jobs/scheduler_customers.cc
@@ -1,4 +1,5 @@
-// Keeps what customers with a cap have running within their shares of it.
+// What customers may have running, and which of their jobs are taken and go
+// first.
 #include <algorithm>
 
 #include "mangospan/jobs/scheduler.h"
@@ -9,6 +10,8 @@
 
 using customers::customer_resources;
 
+constexpr double kCpuUnitsPerCore = 1'000; // of `resources::mCpu`
+
 // Adds what the unfinished tasks take whose steps are ready.
 void
 AddReadyTasks(const job& aJob, wall_time aWall, resources& aSum)
@@ -30,8 +33,78 @@
   }
 }
 
+// Returns the work of the tasks of the step that wait, in core-seconds.
+double
+WaitingWork(const step_spec& aSpec, const step& aStep)
+{
+  const auto waiting =
+    std::count_if(aStep.mTasks.begin(),
+                  aStep.mTasks.end(),
+                  [](const task& aOne) { return aOne.IsIdle(); });
+  return static_cast<double>(waiting) *
+         static_cast<double>(aSpec.mTaskResources.mCpu) / kCpuUnitsPerCore *
+         std::chrono::duration<double>(aSpec.mEstimate).count();
+}
+
 } // namespace
 
+// Returns what a new job finds before it.
+customers::pool_backlog
+scheduler::Backlog(const service_name& aService) const
+{
+  customers::pool_backlog out;
+  out.mIsFull = mServicesWithoutFreeCapacity.count(aService) > 0;
+  if (!out.mIsFull) {
+    return out;
+  }
+  for (const auto& [runnerName, each] : mRunners) {
+    if (each.mInfo.mService == aService && each.mListed && each.IsAnswering()) {
+      out.mCapacity +=
+        static_cast<double>(each.mInfo.mCapacity.mCpu) / kCpuUnitsPerCore;
+    }
+  }
+  for (const job_name& name : mActiveJobs) {
+    const job& each = mJobs.at(name);
+    for (const auto& [k, occurrence] : each.mOccurrences) {
+      for (std::size_t s = 0; s < occurrence.mSteps.size(); ++s) {
+        out.mWaiting +=
+          each.mIsExcess || each.mSpec.mSteps[s].mLongRunning
+            ? 0
+            : WaitingWork(each.mSpec.mSteps[s], occurrence.mSteps[s]);
+      }
+    }
+  }
+  return out;
+}
+
+// Returns the work of the job in host-seconds, by the resource of which each
+// task takes the largest part of a host.
+double
+scheduler::DominantWork(const job_spec& aSpec,
+                        const service_name& aService) const
+{
+  resources host;
+  for (const auto& [runnerName, each] : mRunners) {
+    if (each.mInfo.mService == aService) {
+      host = each.mInfo.mCapacity;
+      break;
+    }
+  }
+  const auto part = [](std::int64_t aAmount, std::int64_t aOfHost) {
+    return static_cast<double>(aAmount) /
+           static_cast<double>(std::max<std::int64_t>(aOfHost, 1));
+  };
+  double work = 0;
+  for (const step_spec& each : aSpec.mSteps) {
+    const double dominant =
+      std::max(part(each.mTaskResources.mCpu, host.mCpu),
+               part(each.mTaskResources.mMemoryMb, host.mMemoryMb));
+    work += dominant * static_cast<double>(each.mTaskCount) *
+            std::chrono::duration<double>(each.mEstimate).count();
+  }
+  return work;
+}
+
 void
 scheduler::ApplyQuota(const customers::quota_instructions& aInstructions)
 {
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -446,6 +446,7 @@
   newRun.mNumber = aRun;
   newRun.mCustomer = aCandidate.mJob->mSpec.mCustomer;
   AddToCustomerUse(newRun);
+  mFairOrder.OnServed(aCandidate.mJob->mFairStart);
   newRun.mOrderedAt = aNow;
   newRun.mPhaseSince = aNow;
   newRun.mProgressAt = aNow;
--- a/mangospan/node/job_service.cc
+++ b/mangospan/node/job_service.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<refusal_reason, const char*>, 14> kReasonNames{ {
+constexpr std::array<std::pair<refusal_reason, const char*>, 15> kReasonNames{ {
   { refusal_reason::kNone, "" },
   { refusal_reason::kNoOwner, "no_owner" },
   { refusal_reason::kOwnerUnreachable, "owner_unreachable" },
@@ -16,6 +16,7 @@
   { refusal_reason::kHandover, "handover" },
   { refusal_reason::kStoreUnavailable, "store_unavailable" },
   { refusal_reason::kOtherService, "other_service" },
+  { refusal_reason::kOverRate, "over_rate" },
   { refusal_reason::kNoSuchQueue, "no_such_queue" },
   { refusal_reason::kRecordRefused, "record_refused" },
   { refusal_reason::kStopping, "stopping" },
--- a/mangospan/node/job_service.h
+++ b/mangospan/node/job_service.h
@@ -34,6 +34,7 @@
   kHandover,         // the owner hands its jobs over
   kStoreUnavailable, // the owner's last write to the store failed
   kOtherService,     // the queue belongs to the jobs of another service
+  kOverRate,         // it is beyond its customer's rate, and the pool is full
   kNoSuchQueue,      // the catalog of the owner has no such queue
   kRecordRefused,    // the store does not take the job's record
   kStopping,         // the node that the caller has asked is about to exit
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -49,6 +49,15 @@
   return std::hash<std::string>()(aNode + "/" + aSubject) % kRanks;
 }
 
+jobs::scheduler_settings
+SchedulingSettings(const node_settings& aSettings)
+{
+  jobs::scheduler_settings out;
+  out.mCustomerRate = { aSettings.mCustomerRateWindow,
+                        aSettings.mCustomerRateSlack };
+  return out;
+}
+
 customers::key_gate_settings
 KeyGateSettings(const node_settings& aSettings)
 {
@@ -236,7 +245,8 @@
     mPeers,
     [this](const std::string& aAddress) {
       return mPeerReachability.IsUnreachable(aAddress, mClock.Now());
-    }
+    },
+    SchedulingSettings(mSettings)
   };
   partition& added = mPartitions
                        .try_emplace(aService,
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -461,7 +461,8 @@
                             : reply_kind::kRefused);
   reply.mRetryAfter = answer.mRetryAfter;
   if (reply.mKind == reply_kind::kRefused) {
-    reply.mReason = refusal_reason::kNoSuchQueue;
+    reply.mReason = answer.mIsOverRate ? refusal_reason::kOverRate
+                                       : refusal_reason::kNoSuchQueue;
   }
   aHandler(reply);
 }
--- a/mangospan/node/partition.cc
+++ b/mangospan/node/partition.cc
@@ -73,7 +73,7 @@
   mOwner = std::make_shared<owner>(
     mDeps.mOwner,
     owner_settings{},
-    jobs::scheduler_settings{},
+    mDeps.mScheduling,
     mService,
     aOwnerRecord,
     [this] {
--- a/mangospan/node/partition.h
+++ b/mangospan/node/partition.h
@@ -30,6 +30,7 @@
   peer_link& mPeers;
   // Returns whether the node at the address is known not to answer.
   std::function<bool(const std::string& aAddress)> mIsUnreachable;
+  jobs::scheduler_settings mScheduling;
 };
 
 // This node as a candidate in an election.
--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -83,6 +83,10 @@
     With("stop_timeout_ms", &s::mStopTimeout, ReadPositiveMilliseconds),
     With(
       "key_revocation_ms", &s::mKeyRevocationBound, ReadPositiveMilliseconds),
+    With("customer_rate_window_ms",
+         &s::mCustomerRateWindow,
+         ReadPositiveMilliseconds),
+    Optional("customer_rate_slack", &s::mCustomerRateSlack),
     With("host_lease_ms", &s::mMinOrderGapBetweenOwners, ReadMilliseconds),
   };
   return kFields;
--- a/mangospan/node/settings.h
+++ b/mangospan/node/settings.h
@@ -36,6 +36,10 @@
   // A revoked API key is refused everywhere once its revocation is this old; 0
   // if the deployment states no bound.
   std::chrono::milliseconds mKeyRevocationBound{ 0 };
+  // In any span of this length a customer is owed as many jobs as its weight
+  // gives for the span, and the slack more.
+  std::chrono::milliseconds mCustomerRateWindow{ 5'000 };
+  std::size_t mCustomerRateSlack = 20;
   // Orders per second that the host service accepts from all nodes together.
   double mHostOrdersPerSecond = 60;
   log_level mLogLevel = log_level::kInfo;
