--- a/mangospan/jobs/ranking.cc
+++ b/mangospan/jobs/ranking.cc
@@ -62,7 +62,7 @@
            expected,
            aPriority,
            expected == lateness::kTooLate && isWaiting,
-           aJob.mFairStart,
+           isWaiting ? aJob.mFairStart : 0,
            aJob.mObjectiveDeadline };
 }
 
