Maintenance waves wait while pools lack hosts, as far as their time allows

While a pool has fewer hosts than its load requires, a wave drains no further ones if the remaining rounds still end in time. Switched on by hold_waves_under_load.

--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -56,6 +56,14 @@
   return std::nullopt;
 }
 
+jobs::maintenance_settings
+MaintenanceSettings(const fleet_controller_settings& aSettings)
+{
+  jobs::maintenance_settings out;
+  out.mHoldUnderLoad = aSettings.mHoldWavesUnderLoad;
+  return out;
+}
+
 } // namespace
 
 fleet_controller::fleet_controller(fleet_controller_dependencies aDependencies,
@@ -75,7 +83,7 @@
                                             [this] { OnPoolStateChanged(); }))
   , mWaveRecords(
       std::make_shared<wave_records>(mDeps.mStore, mDeps.mFormat, mTermFence))
-  , mMaintenancePlanner(jobs::maintenance_settings{})
+  , mMaintenancePlanner(MaintenanceSettings(aSettings))
   , mAutoscaler(jobs::autoscaler_settings{})
 {
 }
@@ -443,6 +451,7 @@
     }
   }
   const std::vector<jobs::host_view> views = HostViews();
+  mMaintenancePlanner.SetShortOfHosts(mAutoscaler.IsShortOfHosts());
   const jobs::maintenance_decision maintenance =
     mMaintenancePlanner.Decide(views, mListedAt, now);
   AddPendingMoves(mAutoscaler.Decide(PoolLoads(),
