--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -335,6 +335,7 @@
   customers::customer_resources CustomerUse(time_point aNow) const;
   void AddToCustomerUse(const run& aRun);
   bool IsWithinQuota(const job& aJob, const resources& aNeed) const;
+  bool MayStartMore(const job& aJob) const;
   placement_request RequestFor(const job& aJob,
                                const task_id& aTask,
                                time_point aNow) const;
--- a/mangospan/jobs/scheduler_customers.cc
+++ b/mangospan/jobs/scheduler_customers.cc
@@ -166,6 +166,16 @@
     customer, aNeed, used == mCustomerUse.end() ? resources{} : used->second);
 }
 
+// Returns whether a further task of the job is within its customer's quota.
+bool
+scheduler::MayStartMore(const job& aJob) const
+{
+  const auto& steps = aJob.mSpec.mSteps;
+  return std::any_of(steps.begin(), steps.end(), [&](const step_spec& aStep) {
+    return IsWithinQuota(aJob, aStep.Reservation());
+  });
+}
+
 customers::quota_report
 scheduler::ReportQuota(time_point aNow, wall_time aWall) const
 {
--- a/mangospan/jobs/scheduler_demand.cc
+++ b/mangospan/jobs/scheduler_demand.cc
@@ -65,12 +65,27 @@
   bool mHasUnplacedJob = false;
 };
 
+std::size_t
+CountLive(const step& aStep)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aStep.mTasks.begin(), aStep.mTasks.end(), [](const task& aEach) {
+      return aEach.mLive;
+    }));
+}
+
+// `aMayStart` says whether further tasks of the job's customer may start. If
+// not, more hosts would not help the tasks that wait.
 void
-AddStep(const step_spec& aSpec, const step& aStep, demand& aDemand)
+AddStep(const step_spec& aSpec,
+        const step& aStep,
+        bool aMayStart,
+        demand& aDemand)
 {
   const std::size_t unfinished = aStep.mTasks.size() - aStep.mDoneCount;
   const resources reservation = aSpec.Reservation();
-  for (std::size_t i = 0; i < unfinished; ++i) {
+  const std::size_t requesting = aMayStart ? unfinished : CountLive(aStep);
+  for (std::size_t i = 0; i < requesting; ++i) {
     aDemand.mLoad.mRequested += reservation;
   }
   if (!aSpec.mLongRunning) {
@@ -90,7 +105,11 @@
 }
 
 void
-AddDemand(const job& aJob, time_point aNow, wall_time aWall, demand& aDemand)
+AddDemand(const job& aJob,
+          bool aMayStart,
+          time_point aNow,
+          wall_time aWall,
+          demand& aDemand)
 {
   bool isDue = false;
   const std::size_t due = aJob.DueOccurrences(aWall);
@@ -102,8 +121,8 @@
       const step& stepState = each.mSteps[s];
       if (stepState.mTasks.size() > stepState.mDoneCount &&
           aJob.IsStepReady(k, s)) {
-        AddStep(aJob.mSpec.mSteps[s], stepState, aDemand);
-        isDue = true;
+        AddStep(aJob.mSpec.mSteps[s], stepState, aMayStart, aDemand);
+        isDue = isDue || aMayStart;
       }
     }
   }
@@ -136,7 +155,7 @@
     const job& activeJob = mJobs.at(each);
     const auto found = demands.find(ServiceOf(PolicyOf(activeJob)));
     if (found != demands.end()) {
-      AddDemand(activeJob, aNow, aWall, found->second);
+      AddDemand(activeJob, MayStartMore(activeJob), aNow, aWall, found->second);
     }
   }
   std::map<service_name, pool_load> loads;
