Order, forecast and backlog use learned run times if the settings ask for it

The lateness of waiting jobs, the forecast of arriving work and the work queued before a new job were computed from the callers' estimates. They now ask a run_time_source: the learned model if scheduler_settings::mLearnRunTimes is set, else the estimates as before. The median orders jobs, the mean adds up work. A job's objective still counts from its estimates.

Only ends `done` teach, of runs that this owner has started with one order and no checkpoint, on a runner that is not suspect, in quarantine or on trial and is on the rack of the data. An end that is reported after a failed poll does not teach either: the outage would count as run time. Best-effort runs do not, since others take their CPU time. The roster may hold what was learned; without it, it is encoded as before.

--- a/mangospan/jobs/arrival_forecast.cc
+++ b/mangospan/jobs/arrival_forecast.cc
@@ -19,19 +19,22 @@
 } // namespace
 
 void
-arrival_forecast::Add(const job_spec& aSpec, time_point aNow)
+arrival_forecast::Add(const job_spec& aSpec,
+                      time_point aNow,
+                      const run_time_source& aRunTimes)
 {
   if (aSpec.mRepetitions > 0) {
     return; // Its due times are known in advance.
   }
   arrival added;
   added.mAt = aNow;
-  for (const step_spec& each : aSpec.mSteps) {
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    const step_spec& each = aSpec.mSteps[i];
     if (each.mLongRunning || each.mBestEffort) {
       continue;
     }
     const double taskSeconds =
-      std::chrono::duration<double>(each.mEstimate).count() *
+      std::chrono::duration<double>(aRunTimes.Mean(aSpec, i)).count() *
       static_cast<double>(each.mTaskCount);
     added.mCpu += static_cast<double>(each.mTaskResources.mCpu) * taskSeconds;
     added.mMemory +=
--- a/mangospan/jobs/arrival_forecast.h
+++ b/mangospan/jobs/arrival_forecast.h
@@ -12,6 +12,7 @@
 #include <deque>
 
 #include "mangospan/base/time.h"
+#include "mangospan/jobs/run_times.h"
 #include "mangospan/jobs/spec.h"
 
 namespace mangospan::jobs {
@@ -23,7 +24,9 @@
   // Counts a job that was submitted at `aNow`. Leaves out jobs with set due
   // times, and long-running and best-effort steps: what these occupy does not
   // depend on the rate of arrivals.
-  void Add(const job_spec& aSpec, time_point aNow);
+  void Add(const job_spec& aSpec,
+           time_point aNow,
+           const run_time_source& aRunTimes);
 
   // Returns the capacity that the jobs are expected to occupy at `aNow` plus
   // `aHorizon`, from the arrivals in the last window. Subtracts one standard
--- a/mangospan/jobs/arrival_forecast_test.cc
+++ b/mangospan/jobs/arrival_forecast_test.cc
@@ -12,6 +12,7 @@
 
 const time_point kStart{ std::chrono::hours(1) };
 constexpr milliseconds kHorizon{ 2'000 };
+const estimated_run_times kEstimates;
 
 job_spec
 Job(std::size_t aTasks, std::int64_t aCpu, milliseconds aDuration)
@@ -34,7 +35,7 @@
   arrival_forecast forecaster;
   time_point now = kStart;
   for (int i = 0; i < 90; ++i) {
-    forecaster.Add(Job(13, 1'500, milliseconds(800)), now);
+    forecaster.Add(Job(13, 1'500, milliseconds(800)), now, kEstimates);
     now += std::chrono::microseconds(5'556);
   }
   const auto level = forecaster.ExpectedDemand(now, {});
@@ -65,7 +66,8 @@
     const auto newJobs = static_cast<int>(fractionalJobs);
     fractionalJobs -= newJobs;
     for (int i = 0; i < newJobs; ++i) {
-      forecaster.Add(Job(13, 1'500, milliseconds(800)), kStart + at);
+      forecaster.Add(
+        Job(13, 1'500, milliseconds(800)), kStart + at, kEstimates);
     }
     const auto forecast = static_cast<double>(
       forecaster.ExpectedDemand(kStart + at, kHorizon).mCpu);
@@ -87,7 +89,7 @@
   arrival_forecast forecaster;
   time_point now = kStart;
   for (int i = 0; i < 200; ++i) {
-    forecaster.Add(Job(13, 1'500, milliseconds(800)), now);
+    forecaster.Add(Job(13, 1'500, milliseconds(800)), now, kEstimates);
     now += milliseconds(10);
   }
   EXPECT_EQ(forecaster.ExpectedDemand(now, kHorizon).mCpu,
@@ -99,7 +101,7 @@
 TEST(arrival_forecast_test, OneLargeJobGivesNoForecast)
 {
   arrival_forecast forecaster;
-  forecaster.Add(Job(16, 3'300, milliseconds(1'700)), kStart);
+  forecaster.Add(Job(16, 3'300, milliseconds(1'700)), kStart, kEstimates);
   EXPECT_EQ(forecaster.ExpectedDemand(kStart + milliseconds(10), kHorizon).mCpu,
             0);
 }
@@ -110,7 +112,7 @@
 {
   arrival_forecast forecaster;
   for (int i = 0; i < 90; ++i) {
-    forecaster.Add(Job(13, 1'500, milliseconds(800)), kStart);
+    forecaster.Add(Job(13, 1'500, milliseconds(800)), kStart, kEstimates);
   }
   EXPECT_EQ(
     forecaster.ExpectedDemand(kStart + milliseconds(700), kHorizon).mCpu, 0);
@@ -126,8 +128,8 @@
   job_spec scheduled = Job(24, 2'000, milliseconds(700));
   scheduled.mRepetitions = 5;
   for (int i = 0; i < 50; ++i) {
-    forecaster.Add(longRunning, kStart);
-    forecaster.Add(scheduled, kStart);
+    forecaster.Add(longRunning, kStart, kEstimates);
+    forecaster.Add(scheduled, kStart, kEstimates);
   }
   EXPECT_EQ(forecaster.ExpectedDemand(kStart, kHorizon).mCpu, 0);
 }
--- a/mangospan/jobs/codec.cc
+++ b/mangospan/jobs/codec.cc
@@ -27,6 +27,10 @@
 constexpr const char* kPolicyKey = "policy";
 constexpr const char* kCheckpointsKey = "checkpoints";
 constexpr const char* kRunsEndWithinKey = "dead_in_ms";
+// A roster is an array of runners or, with learned run times, an object with
+// both.
+constexpr const char* kRunnersKey = "runners";
+constexpr const char* kRunTimesKey = "run_times";
 // Rosters of earlier versions hold a time of day, which is not used.
 constexpr const char* kRunsEndByKey = "dead_by_ms";
 // Longer than every lease, so that the longest lease counts.
@@ -50,6 +54,32 @@
   return wall_time(milliseconds(aValue));
 }
 
+json
+RunTimesToJson(const std::vector<run_time_summary>& aRunTimes)
+{
+  json out = json::array();
+  for (const run_time_summary& each : aRunTimes) {
+    out.push_back({ { "queue", each.mQueue.Str() },
+                    { "step", each.mStep },
+                    { "runs", each.mRuns },
+                    { "parts", each.mParts } });
+  }
+  return out;
+}
+
+// Reads a count. One that does not fit becomes the largest one; another type is
+// an error.
+std::uint32_t
+CountFromJson(const json& aValue)
+{
+  if (!aValue.is_number_unsigned()) {
+    throw std::invalid_argument("not a count: " + aValue.dump());
+  }
+  constexpr std::uint64_t kLargest = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(
+    std::min(aValue.get<std::uint64_t>(), kLargest));
+}
+
 json
 StepToJson(const step_spec& aStep)
 {
@@ -440,25 +470,59 @@
 } // namespace
 
 std::string
-EncodeRoster(const std::vector<roster_entry>& aRunners)
+EncodeRoster(const std::vector<roster_entry>& aRunners,
+             const std::vector<run_time_summary>& aRunTimes)
 {
-  json out = json::array();
+  json runners = json::array();
   for (const roster_entry& each : aRunners) {
     json entry = RunnerToJson(each.mInfo);
     if (each.mRunsEndWithin) {
       entry[kRunsEndWithinKey] = each.mRunsEndWithin->count();
     }
-    out.push_back(std::move(entry));
+    runners.push_back(std::move(entry));
+  }
+  json out = std::move(runners);
+  if (!aRunTimes.empty()) {
+    out = json{ { kRunnersKey, std::move(out) },
+                { kRunTimesKey, RunTimesToJson(aRunTimes) } };
   }
   return out.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
+result<std::vector<run_time_summary>>
+DecodeRunTimes(std::string_view aRoster)
+{
+  try {
+    const json roster = json::parse(aRoster);
+    std::vector<run_time_summary> out;
+    if (!roster.is_object() || !roster.contains(kRunTimesKey)) {
+      return out;
+    }
+    for (const json& each : roster.at(kRunTimesKey)) {
+      run_time_summary entry;
+      entry.mQueue = queue_name{ each.at("queue").get<std::string>() };
+      entry.mStep = CountFromJson(each.at("step"));
+      entry.mRuns = CountFromJson(each.at("runs"));
+      for (const json& part : each.at("parts")) {
+        entry.mParts.emplace_back(CountFromJson(part.at(0)),
+                                  CountFromJson(part.at(1)));
+      }
+      out.push_back(std::move(entry));
+    }
+    return out;
+  } catch (const std::exception& failure) {
+    return Malformed("run_time.summary", failure.what());
+  }
+}
+
 result<std::vector<roster_entry>>
 DecodeRoster(std::string_view aText)
 {
   try {
     std::vector<roster_entry> out;
-    for (const json& each : json::parse(aText)) {
+    const json roster = json::parse(aText);
+    for (const json& each :
+         roster.is_object() ? roster.at(kRunnersKey) : roster) {
       roster_entry entry{ RunnerFromJson(each), std::nullopt };
       if (each.contains(kRunsEndWithinKey)) {
         entry.mRunsEndWithin =
--- a/mangospan/jobs/codec.h
+++ b/mangospan/jobs/codec.h
@@ -34,14 +34,21 @@
 DecodeRecord(const job_name& aName, std::string_view aText);
 
 // Returns the JSON text of the roster, from which the next owner learns where
-// runs may still be live.
+// runs may still be live, and how long they take.
 std::string
-EncodeRoster(const std::vector<roster_entry>& aRunners);
+EncodeRoster(const std::vector<roster_entry>& aRunners,
+             const std::vector<run_time_summary>& aRunTimes = {});
 
 // Parses a roster. Errors: kInvalidArgument.
 result<std::vector<roster_entry>>
 DecodeRoster(std::string_view aText);
 
+// Parses the learned run times in a roster; the result is empty if it has none.
+// Errors: kInvalidArgument. An error does not mean that the rest of the roster
+// is malformed.
+result<std::vector<run_time_summary>>
+DecodeRunTimes(std::string_view aRoster);
+
 } // namespace mangospan::jobs
 
 #endif // MANGOSPAN_JOBS_CODEC_H
--- a/mangospan/jobs/orders.h
+++ b/mangospan/jobs/orders.h
@@ -17,6 +17,7 @@
 #include "mangospan/base/identity.h"
 #include "mangospan/base/time.h"
 #include "mangospan/jobs/job.h"
+#include "mangospan/jobs/run_time_model.h"
 #include "mangospan/jobs/spec.h"
 
 namespace mangospan::jobs {
@@ -60,6 +61,7 @@
   // By when the owner that wrote the roster had certainly ended, if it is the
   // one before this owner; unset if that is not known.
   std::optional<time_point> mWriterEndedBy;
+  std::vector<run_time_summary> mRunTimes; // that the writer had learned
 };
 
 // A run that a runner reports as live.
--- a/mangospan/jobs/ranking.h
+++ b/mangospan/jobs/ranking.h
@@ -11,6 +11,7 @@
 
 #include "mangospan/base/time.h"
 #include "mangospan/jobs/job.h"
+#include "mangospan/jobs/run_times.h"
 
 namespace mangospan::jobs {
 
@@ -23,9 +24,9 @@
 };
 
 // Returns the lateness that is expected if all remaining steps of the first
-// occurrence start without waiting and take their estimates.
+// occurrence start without waiting and take their median times.
 lateness
-LatenessOf(const job& aJob, time_point aNow);
+LatenessOf(const job& aJob, time_point aNow, const run_time_source& aRunTimes);
 
 // The priority of a step among all steps that wait for capacity. The elements
 // are compared in order; the lowest rank goes first, and false is lower than
@@ -45,12 +46,18 @@
 // Returns the rank of one step of the job. Long-running steps count as on time;
 // those that are not best-effort go before all other steps.
 rank
-RankOf(const job& aJob, std::size_t aStep, int aPriority, time_point aNow);
+RankOf(const job& aJob,
+       std::size_t aStep,
+       int aPriority,
+       time_point aNow,
+       const run_time_source& aRunTimes);
 
 // Returns the length of the critical path through the occurrence's steps that
-// are not done yet: the largest sum of estimates along their dependencies.
+// are not done yet: the largest sum of median times along their dependencies.
 std::chrono::milliseconds
-RemainingCriticalPath(const job& aJob, std::size_t aOccurrence);
+RemainingCriticalPath(const job& aJob,
+                      std::size_t aOccurrence,
+                      const run_time_source& aRunTimes);
 
 } // namespace mangospan::jobs
 
--- a/mangospan/jobs/runner.h
+++ b/mangospan/jobs/runner.h
@@ -201,6 +201,9 @@
   time_point mNextPollAt{};  // The earliest time of the next poll.
   int mFailedPolls = 0;      // The number of consecutive failed polls.
   time_point mSilentSince{}; // When they began; the epoch if there are none.
+  // When it last answered after a failed poll. What it reported then may have
+  // happened some time before.
+  time_point mAnsweredAgainAt{};
   // Polls have failed so often, or so certainly, that the runner is taken to be
   // unreachable. The stored roster tells a successor by when its runs are over,
   // so none may start and no lease be extended there.
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -65,6 +65,13 @@
                 wall_time aWall)
 {
   mIsRosterInherited = !aRoster.mRunners.empty();
+  if (mSettings.mLearnRunTimes &&
+      !mRunTimeModel.Restore(aRoster.mRunTimes, aNow)) {
+    LogEvent(
+      log_level::kWarning,
+      "run_time.invalid_summary",
+      { { "classes", static_cast<std::uint64_t>(aRoster.mRunTimes.size()) } });
+  }
   for (const roster_entry& each : aRoster.mRunners) {
     const auto added = mRunners.emplace(each.mInfo.mName, runner(each.mInfo));
     runner& known = added.first->second;
@@ -230,7 +237,7 @@
       { "steps", Summary(aSpec) } });
   ForgetTurnedAwayJobs(aNow);
   if (mTurnedAwayJobs.count(aJob) == 0) {
-    mArrivalForecasts[ServiceOf(*queue)].Add(aSpec, aNow);
+    mArrivalForecasts[ServiceOf(*queue)].Add(aSpec, aNow, RunTimes());
   }
   mJobs.emplace(aJob, std::move(newJob));
   mActiveJobs.insert(aJob);
@@ -250,7 +257,7 @@
     return;
   }
   mTurnedAway.emplace_back(aNow, aJob);
-  mArrivalForecasts[ServiceOf(*queue)].Add(aSpec, aNow);
+  mArrivalForecasts[ServiceOf(*queue)].Add(aSpec, aNow, RunTimes());
 }
 
 void
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -39,6 +39,8 @@
 #include "mangospan/jobs/outage_detector.h"
 #include "mangospan/jobs/placement.h"
 #include "mangospan/jobs/pool_autoscaler.h"
+#include "mangospan/jobs/run_time_model.h"
+#include "mangospan/jobs/run_times.h"
 #include "mangospan/jobs/runner.h"
 #include "mangospan/jobs/spec.h"
 #include "mangospan/jobs/unstored_jobs.h"
@@ -85,6 +87,9 @@
   std::chrono::milliseconds mEndedJobRetention{ 150'000 };
   // How many jobs customers are owed.
   customers::rate_settings mCustomerRate;
+  // Run times are learned from finished runs, and used in place of the callers'
+  // estimates.
+  bool mLearnRunTimes = false;
 };
 
 // The term of office of one owner.
@@ -291,6 +296,18 @@
   // Returns which ready tasks wait for what. Takes time for every task.
   waiting_tasks WaitingTasks(time_point aNow, wall_time aWall) const;
 
+  // Returns what was learned of run times, to be stored with the roster.
+  std::vector<run_time_summary> LearnedRunTimes() const
+  {
+    return mRunTimeModel.Summary();
+  }
+  bool LearnsRunTimes() const { return mSettings.mLearnRunTimes; }
+  // Returns the number of queues and step indexes whose run times were learned.
+  std::size_t CountLearnedClasses() const
+  {
+    return mRunTimeModel.CountClasses();
+  }
+
   const pause_counts& PauseCounts() const { return mPauseCounts; }
 
   const std::map<runner_name, runner>& Runners() const { return mRunners; }
@@ -457,7 +474,9 @@
   void OnBootChanged(runner& aRunner, runner_info aInfo, time_point aNow);
   void OnAddressTaken(runner& aRunner, time_point aNow);
   void OnPollFailed(runner& aRunner, order_outcome aOutcome, time_point aNow);
-  void OnPollAnswered(runner& aRunner, const poll_order& aOrder);
+  void OnPollAnswered(runner& aRunner,
+                      const poll_order& aOrder,
+                      time_point aNow);
   void ApplyReport(runner& aRunner,
                    const poll_report& aReport,
                    time_point aSentAt,
@@ -476,6 +495,11 @@
                     const task_id& aTask,
                     time_point aNow,
                     wall_time aWall);
+  const run_time_source& RunTimes() const;
+  void LearnRunTime(const runner& aRunner,
+                    const run& aRun,
+                    const job_spec& aSpec,
+                    time_point aNow);
   bool MayQuarantine(const runner& aRunner, time_point aNow) const;
   void OnRunFailed(runner& aRunner,
                    const job& aJob,
@@ -532,6 +556,8 @@
   std::vector<task_id> mCrashingTasks; // whose jobs the next plan gives up
   time_point mNoEvictionBefore{};
   std::map<service_name, arrival_forecast> mArrivalForecasts;
+  estimated_run_times mEstimatedRunTimes;
+  run_time_model mRunTimeModel;
   // Jobs that were turned away lately, and the same with the times, in order.
   std::set<job_name> mTurnedAwayJobs;
   std::deque<std::pair<time_point, job_name>> mTurnedAway;
--- a/mangospan/jobs/scheduler_customers.cc
+++ b/mangospan/jobs/scheduler_customers.cc
@@ -35,7 +35,9 @@
 
 // Returns the work of the tasks of the step that wait, in core-seconds.
 double
-WaitingWork(const step_spec& aSpec, const step& aStep)
+WaitingWork(const step_spec& aSpec,
+            const step& aStep,
+            std::chrono::milliseconds aRunTime)
 {
   const auto waiting =
     std::count_if(aStep.mTasks.begin(),
@@ -43,7 +45,7 @@
                   [](const task& aOne) { return aOne.IsIdle(); });
   return static_cast<double>(waiting) *
          static_cast<double>(aSpec.mTaskResources.mCpu) / kCpuUnitsPerCore *
-         std::chrono::duration<double>(aSpec.mEstimate).count();
+         std::chrono::duration<double>(aRunTime).count();
 }
 
 } // namespace
@@ -67,10 +69,11 @@
     const job& each = mJobs.at(name);
     for (const auto& [k, occurrence] : each.mOccurrences) {
       for (std::size_t s = 0; s < occurrence.mSteps.size(); ++s) {
-        out.mWaiting +=
-          each.mIsExcess || each.mSpec.mSteps[s].mLongRunning
-            ? 0
-            : WaitingWork(each.mSpec.mSteps[s], occurrence.mSteps[s]);
+        out.mWaiting += each.mIsExcess || each.mSpec.mSteps[s].mLongRunning
+                          ? 0
+                          : WaitingWork(each.mSpec.mSteps[s],
+                                        occurrence.mSteps[s],
+                                        RunTimes().Mean(each.mSpec, s));
       }
     }
   }
--- a/mangospan/jobs/scheduler_ends.cc
+++ b/mangospan/jobs/scheduler_ends.cc
@@ -55,9 +55,10 @@
                       wall_time aWall)
 {
   aRunner.mHighestSeenEnd = aEnd.mNumber;
-  const run* const ended = aRunner.Find({ aEnd.mTask, aEnd.mRun });
-  const time_point orderedAt =
-    ended == nullptr ? time_point{} : ended->mOrderedAt;
+  const run* const found = aRunner.Find({ aEnd.mTask, aEnd.mRun });
+  const std::optional<run> endedRun =
+    found == nullptr ? std::nullopt : std::optional(*found);
+  const time_point orderedAt = endedRun ? endedRun->mOrderedAt : time_point{};
   ReleaseRun(aRunner, { aEnd.mTask, aEnd.mRun }, aNow);
   const auto id = ParseTaskId(aEnd.mTask);
   job* const foundJob = id ? FindMutable(id->mJob) : nullptr;
@@ -67,6 +68,9 @@
       OnRunFailed(aRunner, *foundJob, *id, aNow);
       foundJob->Find(*id)->OnFailedOn(aRunner.mInfo.mName, aNow);
     } else if (aEnd.mEnd == run_end::kDone) {
+      if (endedRun) {
+        LearnRunTime(aRunner, *endedRun, foundJob->mSpec, aNow);
+      }
       OnRunSucceeded(aRunner, id->mJob, orderedAt, aNow);
     }
     if (aEnd.mEnd != run_end::kDone) {
@@ -86,6 +90,57 @@
   AcknowledgeStoredEnds(aRunner);
 }
 
+const run_time_source&
+scheduler::RunTimes() const
+{
+  if (mSettings.mLearnRunTimes) {
+    return mRunTimeModel;
+  }
+  return mEstimatedRunTimes;
+}
+
+// Learns from a run that has done its task, if its time tells that of others:
+// the run began with this owner's only start order, at the beginning of the
+// task, on a sound runner near the data, which has reported its end at once. A
+// best-effort run takes as long as the others leave it CPU time.
+void
+scheduler::LearnRunTime(const runner& aRunner,
+                        const run& aRun,
+                        const job_spec& aSpec,
+                        time_point aNow)
+{
+  const step_spec& spec = aSpec.mSteps[aRun.mTask.mStep];
+  // A run may end before the call that starts it is answered. After a lost
+  // answer the order may have been executed late.
+  const bool isStartTimeKnown =
+    aRun.mUnansweredStarts == 0 || aRun.mPhase == run_phase::kOrdered;
+  const bool isWholeRun = aRun.mStartAttempts == 1 && isStartTimeKnown &&
+                          !aRun.mIsOfEarlierBoot && aRun.mCheckpoint.empty();
+  const bool isSound = aRun.mOrderedAt >= aRunner.mSuspectUntil &&
+                       aRun.mOrderedAt >= aRunner.mQuarantinedUntil &&
+                       aRun.mOrderedAt >= aRunner.mOnTrialUntil;
+  const bool isReportedAtOnce = aRunner.mAnsweredAgainAt != aNow;
+  const bool isNearData =
+    spec.mDataRack.Empty() || spec.mDataRack == aRunner.mInfo.mRack;
+  if (!mSettings.mLearnRunTimes || spec.mLongRunning || spec.mBestEffort ||
+      !isWholeRun || !isSound || !isReportedAtOnce || !isNearData) {
+    return;
+  }
+  const auto change =
+    mRunTimeModel.Learn(aSpec,
+                        aRun.mTask.mStep,
+                        duration_cast<milliseconds>(aNow - aRun.mOrderedAt),
+                        aNow);
+  if (change) {
+    LogEvent(log_level::kInfo,
+             "run_time.changed",
+             { { "queue", aSpec.mQueue.Str() },
+               { "step", static_cast<std::uint64_t>(aRun.mTask.mStep) },
+               { "from_ratio", change->mFrom },
+               { "to_ratio", change->mTo } });
+  }
+}
+
 void
 scheduler::ApplyRunEnd(job& aJob,
                        const task_id& aTask,
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -334,7 +334,7 @@
           steps[s].mReadySince = aNow;
         }
         aCandidates.mByService[service].push_back(
-          { &aJob, k, s, RankOf(aJob, s, policy.mPriority, aNow) });
+          { &aJob, k, s, RankOf(aJob, s, policy.mPriority, aNow, RunTimes()) });
       }
     }
   }
--- a/mangospan/jobs/scheduler_reports.cc
+++ b/mangospan/jobs/scheduler_reports.cc
@@ -211,7 +211,7 @@
   } else if (aReport == nullptr) {
     OnPollFailed(polledRunner, aOutcome, aNow);
   } else {
-    OnPollAnswered(polledRunner, aOrder);
+    OnPollAnswered(polledRunner, aOrder, aNow);
     polledRunner.OnClock(aReport->mClock, aNow);
     ApplyReport(polledRunner, *aReport, aSentAt, aNow, aWall);
   }
@@ -337,9 +337,14 @@
 }
 
 void
-scheduler::OnPollAnswered(runner& aRunner, const poll_order& aOrder)
+scheduler::OnPollAnswered(runner& aRunner,
+                          const poll_order& aOrder,
+                          time_point aNow)
 {
   aRunner.mAnswerRecord.OnAnswered();
+  if (aRunner.mFailedPolls > 0) {
+    aRunner.mAnsweredAgainAt = aNow;
+  }
   if (aRunner.mIsUnresponsive) {
     // The lease may be extended again once a roster that says so is stored.
     ++mRosterVersion;
--- a/mangospan/jobs/scheduler_test.cc
+++ b/mangospan/jobs/scheduler_test.cc
@@ -20,6 +20,7 @@
 // owner that can't confirm its ownership still begins runs, less some plans.
 constexpr milliseconds kLeaseTtl{ 1'800 };
 constexpr milliseconds kLastAct{ 3'700 };
+const estimated_run_times kEstimates;
 
 step_spec
 Tasks(std::size_t aCount, std::int64_t aCpu, milliseconds aEstimate)
@@ -921,10 +922,12 @@
     each->mFirstTryAt = each->mAcceptedAt - each->mSpec.mElapsed;
     each->mObjectiveDeadline = each->mFirstTryAt + milliseconds(2'500);
   }
-  EXPECT_EQ(LatenessOf(returning, returning.mAcceptedAt), lateness::kLate);
-  EXPECT_EQ(LatenessOf(fresh, fresh.mAcceptedAt), lateness::kOnTime);
-  EXPECT_LT(RankOf(fresh, 0, 0, fresh.mAcceptedAt),
-            RankOf(returning, 0, 0, returning.mAcceptedAt));
+  EXPECT_EQ(LatenessOf(returning, returning.mAcceptedAt, kEstimates),
+            lateness::kLate);
+  EXPECT_EQ(LatenessOf(fresh, fresh.mAcceptedAt, kEstimates),
+            lateness::kOnTime);
+  EXPECT_LT(RankOf(fresh, 0, 0, fresh.mAcceptedAt, kEstimates),
+            RankOf(returning, 0, 0, returning.mAcceptedAt, kEstimates));
 }
 
 } // namespace
--- a/mangospan/jobs/testing/fake_world.cc
+++ b/mangospan/jobs/testing/fake_world.cc
@@ -118,9 +118,15 @@
       const auto estimate = spec.mEstimate.count();
       std::uniform_int_distribution<std::int64_t> actualDuration(estimate / 2,
                                                                  estimate * 2);
-      const milliseconds duration = spec.mLongRunning
-                                      ? kLongRunningDuration
-                                      : milliseconds(actualDuration(mRandom));
+      milliseconds duration = spec.mLongRunning
+                                ? kLongRunningDuration
+                                : milliseconds(actualDuration(mRandom));
+      const auto factor =
+        mRunTimeFactors.find(mSpecs.at(id.mJob.Str()).mQueue.Str());
+      if (factor != mRunTimeFactors.end()) {
+        duration = milliseconds(static_cast<std::int64_t>(
+          static_cast<double>(estimate) * factor->second));
+      }
       const bool willFail = Chance(FailureRateOn(aName));
       const auto after = mFailsAfter.find(aName);
       return fake_work{ willFail && after != mFailsAfter.end() ? after->second
@@ -147,6 +153,7 @@
 fake_world::Elect(time_point aElectedAt)
 {
   scheduler_settings settings;
+  settings.mLearnRunTimes = mLearnsRunTimes;
   mOwner =
     std::make_unique<scheduler>(settings, ownership{ ++mTerm, aElectedAt, {} });
   mOwner->SetCatalog(mCatalog);
@@ -159,6 +166,7 @@
   inherited_roster roster;
   if (!mStoredRoster.empty()) {
     roster.mRunners = DecodeRoster(mStoredRoster).value();
+    roster.mRunTimes = DecodeRunTimes(mStoredRoster).value();
   }
   if (mRosterTerm == mLastOwnerTerm) {
     roster.mWriterEndedBy = mLastOwnerEndedBy;
@@ -419,29 +427,31 @@
   const bool hasRoster = rosterVersion != mOwner->StoredRosterVersion();
   const auto roster =
     hasRoster ? mOwner->Roster(mNow) : std::vector<roster_entry>();
+  const auto runTimes = mOwner->LearnedRunTimes();
   if (texts.empty() && !hasRoster) {
     return;
   }
   mIsWriting = true;
-  Schedule(
-    RandomDelay(), [this, term, texts, rosterVersion, roster, hasRoster] {
-      if (term != mTerm) {
-        return; // the successor's claim has fenced this write
-      }
-      if (hasRoster) {
-        mStoredRoster = EncodeRoster(roster);
-        mRosterTerm = term;
-      }
-      for (const auto& [name, text] : texts) {
-        mStoredJobs[name] = text.second;
-        mStoredStates[name] =
-          DecodeRecord(job_name{ name }, text.second).value().mState;
-        mAccepted.insert(name);
-        if (StateOf(name) == job_state::kCancelled) {
-          mCancelledAt.emplace(name, mNow);
-        }
-      }
-      Schedule(RandomDelay(),
+  Schedule(RandomDelay(),
+           [this, term, texts, rosterVersion, roster, runTimes, hasRoster] {
+             if (term != mTerm) {
+               return; // the successor's claim has fenced this write
+             }
+             if (hasRoster) {
+               mStoredRoster = EncodeRoster(roster, runTimes);
+               mRosterTerm = term;
+             }
+             for (const auto& [name, text] : texts) {
+               mStoredJobs[name] = text.second;
+               mStoredStates[name] =
+                 DecodeRecord(job_name{ name }, text.second).value().mState;
+               mAccepted.insert(name);
+               if (StateOf(name) == job_state::kCancelled) {
+                 mCancelledAt.emplace(name, mNow);
+               }
+             }
+             Schedule(
+               RandomDelay(),
                [this, term, texts, rosterVersion, roster, hasRoster] {
                  mIsWriting = mIsWriting && term != mTerm;
                  NotifyOwner(term, [&](scheduler& aOwner) {
@@ -456,7 +466,7 @@
                    aOwner.OnStored(stored);
                  });
                });
-    });
+           });
 }
 
 void
@@ -514,7 +524,8 @@
 {
   if (mOwner) {
     mOwner->SetMayStart(false);
-    mStoredRoster = EncodeRoster(mOwner->Roster(mNow));
+    mStoredRoster =
+      EncodeRoster(mOwner->Roster(mNow), mOwner->LearnedRunTimes());
     mRosterTerm = mTerm;
     KillOwner(aElectionDelay);
   }
--- a/mangospan/jobs/testing/fake_world.h
+++ b/mangospan/jobs/testing/fake_world.h
@@ -104,6 +104,14 @@
 
   // The operators write another configuration, which holds at once.
   void SetCatalog(const catalog& aCatalog);
+  // Whether later owners learn run times.
+  void SetLearnsRunTimes(bool aLearns) { mLearnsRunTimes = aLearns; }
+  // Runs of the queue's tasks take their estimate times this factor. Those of
+  // other queues take half to twice their estimate.
+  void SetRunTimeFactor(const std::string& aQueue, double aFactor)
+  {
+    mRunTimeFactors[aQueue] = aFactor;
+  }
 
   void RunFor(std::chrono::milliseconds aTime);
 
@@ -229,6 +237,8 @@
   std::map<std::string, double> mFaultyRunners; // probabilities of failure
   std::map<std::string, std::chrono::milliseconds> mFailsAfter; // by runner
   std::map<std::string, std::size_t> mStartsOnRunner;
+  bool mLearnsRunTimes = false;
+  std::map<std::string, double> mRunTimeFactors; // by queue
   std::unique_ptr<scheduler> mOwner;
   std::uint64_t mTerm = 0;
   time_point mConfirmedAt{};
