--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -415,7 +415,7 @@
   if (aQueue.mIsPublic) {
     return { customers::key_verdict::kAccepted, {} };
   }
-  const customers::key_check out =
+  customers::key_check out =
     mKeyGate.Check(aKey, CatalogConfirmedAt(), mClock.Now());
   if (out.mVerdict != customers::key_verdict::kAccepted) {
     mMetrics.Add("mangospan_node_key_refusals_total",
