Nodes learn run times with learn_run_times, and keep them in the roster

The owner passes the setting to its scheduler, writes a summary of what was learned with each roster and reads it after an election, so that a successor does not begin with estimates that mislead. No store call is added. A summary that is missing or damaged is ignored with a log line and leaves the runners of the roster readable. The metric mangospan_node_learned_classes has the number of learned queues and step indexes.

--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -56,6 +56,7 @@
   jobs::scheduler_settings out;
   out.mCustomerRate = { aSettings.mCustomerRateWindow,
                         aSettings.mCustomerRateSlack };
+  out.mLearnRunTimes = aSettings.mLearnRunTimes;
   return out;
 }
 
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -259,6 +259,9 @@
   const jobs::waiting_tasks waiting = mScheduler.WaitingTasks(now, WallNow());
   SetWaitMetrics(waiting);
   SetPauseMetrics();
+  mDeps.mMetrics.Set("mangospan_node_learned_classes",
+                     { { "service", mService.Str() } },
+                     static_cast<double>(mScheduler.CountLearnedClasses()));
   if (waiting.mOldestAge >= kLongWait) {
     LogEvent(log_level::kInfo,
              "task.waits",
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -206,6 +206,8 @@
   void RetryLoad(const error& aError);
   void LoadHostOrders(std::vector<platform::record> aRecords);
   void OnLoaded(const std::vector<platform::record>& aRecords);
+  std::vector<jobs::run_time_summary> LoadRunTimes(
+    const std::string& aRoster) const;
   std::optional<time_point> WriterEndedBy(platform::revision aRoster) const;
   void AddRosterWrite(platform::transaction& aChange,
                       written_records& aWritten);
--- a/mangospan/node/owner_test.cc
+++ b/mangospan/node/owner_test.cc
@@ -97,13 +97,14 @@
     mStore.Put("runners/r1", "{}");
   }
 
-  owner& Start(const std::optional<ended_owner>& aPredecessor = std::nullopt)
+  owner& Start(const std::optional<ended_owner>& aPredecessor = std::nullopt,
+               const jobs::scheduler_settings& aScheduling = {})
   {
     const std::string key = election::TermKey(JobsSubject(kOurs));
     mOwner = std::make_shared<owner>(
       owner_dependencies{ mIo, mClock, mStore, mRunners, mFormat, mMetrics },
       owner_settings{},
-      jobs::scheduler_settings{},
+      aScheduling,
       kOurs,
       owner_record{ 1, "n", "", 0, mStore.Put(key, "1"), {}, {}, aPredecessor },
       [this] {
@@ -324,6 +325,29 @@
               milliseconds(3'000));
 }
 
+// Guards against an owner that forgets what its predecessor has learned, and
+// against a damaged summary that hides the runners of the roster, where runs of
+// the predecessor may live.
+TEST_F(owner_test, LoadsLearnedRunTimesAndIgnoresDamagedOnes)
+{
+  jobs::scheduler_settings learning;
+  learning.mLearnRunTimes = true;
+  jobs::roster_entry entry;
+  entry.mInfo.mName = runner_name{ "lost" };
+  entry.mInfo.mService = kOurs;
+  std::string roster = jobs::EncodeRoster(
+    { entry }, { { jobs::queue_name{ "q" }, 0, 7, { { 24, 1'000 } } } });
+  mStore.Put("mangospan/owned/ours/runners", roster);
+  Start(std::nullopt, learning);
+  EXPECT_EQ(mOwner->Scheduler().CountLearnedClasses(), 1U);
+  mOwner->Stop();
+  roster.replace(roster.find("\"runs\":7"), 8, "\"runs\":{}");
+  mStore.Put("mangospan/owned/ours/runners", roster);
+  Start(std::nullopt, learning);
+  EXPECT_EQ(mOwner->Scheduler().CountLearnedClasses(), 0U);
+  EXPECT_GT(InheritedLease().count(), 0);
+}
+
 TEST_F(owner_test, FleetInstructionsCordonRunnersAndStateReportsThem)
 {
   Start();
--- a/mangospan/node/owner_writes.cc
+++ b/mangospan/node/owner_writes.cc
@@ -77,7 +77,8 @@
   mIsHandingOver = true;
   mScheduler.SetMayStart(false);
   written_roster roster;
-  roster.mText = jobs::EncodeRoster(mScheduler.Roster(mDeps.mClock.Now()));
+  roster.mText = jobs::EncodeRoster(mScheduler.Roster(mDeps.mClock.Now()),
+                                    mScheduler.LearnedRunTimes());
   platform::transaction change = mFence.Begin();
   change.mWrites.push_back({ RosterKey(), roster.mText, std::nullopt });
   mDeps.mStore.Commit(
@@ -172,6 +173,7 @@
         roster.mRunners = std::move(known).assume_value();
         roster.mWriterEndedBy = WriterEndedBy(each.mRevision);
       }
+      roster.mRunTimes = LoadRunTimes(each.mValue);
       continue;
     }
     if (each.mKey.compare(0, jobPrefix.size(), jobPrefix) != 0) {
@@ -201,6 +203,27 @@
   Tick();
 }
 
+// Returns the learned run times in the stored roster; none if they are missing
+// or damaged, which does not affect its runners.
+std::vector<jobs::run_time_summary>
+owner::LoadRunTimes(const std::string& aRoster) const
+{
+  if (!mScheduler.LearnsRunTimes()) {
+    return {};
+  }
+  auto stored = jobs::DecodeRunTimes(aRoster);
+  if (stored.has_error()) {
+    LogError("owner.malformed_run_times", stored.assume_error());
+    return {};
+  }
+  LogEvent(log_level::kInfo,
+           "owner.loaded_run_times",
+           { { "service", mService.Str() },
+             { "classes",
+               static_cast<std::uint64_t>(stored.assume_value().size()) } });
+  return std::move(stored).assume_value();
+}
+
 // Returns by when the owner that has written the roster of this revision had
 // certainly ended, if it was the one before this owner.
 std::optional<time_point>
@@ -331,7 +354,8 @@
   written_roster& roster = aWritten.mRoster;
   roster.mVersion = mScheduler.RosterVersion();
   roster.mRunners = mScheduler.Roster(mDeps.mClock.Now());
-  roster.mText = jobs::EncodeRoster(roster.mRunners);
+  roster.mText =
+    jobs::EncodeRoster(roster.mRunners, mScheduler.LearnedRunTimes());
   aChange.mExpectations.push_back({ RosterKey(), mRosterRevision });
   aChange.mWrites.push_back({ RosterKey(), roster.mText, std::nullopt });
 }
--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -88,6 +88,7 @@
          ReadPositiveMilliseconds),
     Optional("hold_waves_under_load", &s::mHoldWavesUnderLoad),
     Optional("customer_rate_slack", &s::mCustomerRateSlack),
+    Optional("learn_run_times", &s::mLearnRunTimes),
     With("host_lease_ms", &s::mMinOrderGapBetweenOwners, ReadMilliseconds),
   };
   return kFields;
--- a/mangospan/node/settings.h
+++ b/mangospan/node/settings.h
@@ -42,6 +42,9 @@
   // gives for the span, and the slack more.
   std::chrono::milliseconds mCustomerRateWindow{ 5'000 };
   std::size_t mCustomerRateSlack = 20;
+  // Run times are learned from finished runs, and used in place of the callers'
+  // estimates.
+  bool mLearnRunTimes = false;
   // Orders per second that the host service accepts from all nodes together.
   double mHostOrdersPerSecond = 60;
   log_level mLogLevel = log_level::kInfo;
--- a/mangospan/node/settings_test.cc
+++ b/mangospan/node/settings_test.cc
@@ -11,7 +11,7 @@
   "caller_address": "10.1.0.9:8624", "readiness_address": "10.1.0.9:8622",
   "node_address": "10.1.0.9:7060", "operator_address": "",
   "store_address": "10.200.1.7:8621", "host_lease_ms": 2500,
-  "stop_timeout_ms": 6e3
+  "stop_timeout_ms": 6e3, "learn_run_times": true
 })";
 
 TEST(node_settings_test, ParsesCompleteFile)
@@ -23,6 +23,7 @@
             std::chrono::milliseconds(2'500));
   EXPECT_EQ(read.value().mStopTimeout, std::chrono::milliseconds(6'000));
   EXPECT_TRUE(read.value().mOperatorAddress.empty());
+  EXPECT_TRUE(read.value().mLearnRunTimes);
 }
 
 TEST(node_settings_test, ErrorsNameFileAndKey)
@@ -38,6 +39,7 @@
          invalid_setting{ "10.1.0.9:8624", "10.1.0.9", "caller_address" },
          invalid_setting{ "2500", "\"soon\"", "host_lease_ms" },
          invalid_setting{ "6e3", "0", "stop_timeout_ms" },
+         invalid_setting{ "true", "1", "learn_run_times" },
          invalid_setting{ "6e3", "-6000", "stop_timeout_ms" },
          invalid_setting{
            "\"store_address\": \"10.200.1.7:8621\",", "", "store_address" } }) {
