--- a/mangospan/jobs/codec_test.cc
+++ b/mangospan/jobs/codec_test.cc
@@ -24,6 +24,7 @@
   service.mTargetLatency = milliseconds(40);
   job_spec out;
   out.mQueue = queue_name{ "q" };
+  out.mCustomer = customer_name{ "rinks" };
   out.mPayload = "some \"text\"";
   out.mSteps = { batch, service };
   out.mRepetitions = 2;
@@ -40,6 +41,22 @@
   EXPECT_EQ(EncodeSpec(decoded.value()), EncodeSpec(Spec()));
   EXPECT_EQ(decoded.value().mSteps[0].mTaskResources.mGpus, 1);
   EXPECT_EQ(decoded.value().DueAt(1), wall_time(milliseconds(1'734)));
+  EXPECT_EQ(decoded.value().mCustomer.Str(), "rinks");
+}
+
+// Guards against a job of a public queue, or one stored by an earlier version,
+// that can no longer be read, and against one that loses its customer at a
+// takeover.
+TEST(codec_test, CustomerIsStoredOnlyIfThereIsOne)
+{
+  job_spec spec = Spec();
+  const auto record = EncodeRecord(MakeJob(job_name{ "ab" }, spec));
+  EXPECT_EQ(
+    DecodeRecord(job_name{ "ab" }, record).value().mSpec.mCustomer.Str(),
+    "rinks");
+  spec.mCustomer = {};
+  EXPECT_EQ(EncodeSpec(spec).find("customer"), std::string::npos);
+  EXPECT_TRUE(DecodeSpec(EncodeSpec(spec)).value().mCustomer.Empty());
 }
 
 // Guards against an owner that, after it has read a stored record, repeats
--- a/mangospan/node/pool_link_test.cc
+++ b/mangospan/node/pool_link_test.cc
@@ -50,12 +50,52 @@
   EXPECT_TRUE(got.mRunners.at(runner_name{ "b" }).mIsUnschedulable);
 }
 
+// Guards against shares that are lost or mixed up on the way, and against
+// messages of a node of an earlier version, which have no quota.
+TEST(pool_link_test, QuotaRoundTrips)
+{
+  const customer_name first{ "rinks" };
+  const customer_name second{ "trams \"2\"" };
+  pool_instructions sent;
+  sent.mFleetTerm = 7;
+  EXPECT_FALSE(
+    DecodePoolInstructions(Encode(sent)).assume_value().mQuota.has_value());
+  sent.mQuota = { { 7, 31 }, { { first, 9'280 }, { second, 0 } } };
+  const auto told = DecodePoolInstructions(Encode(sent));
+  ASSERT_TRUE(told.has_value() && told.assume_value().mQuota);
+  EXPECT_EQ(told.assume_value().mQuota->mVersion.mFleetTerm, 7U);
+  EXPECT_EQ(told.assume_value().mQuota->mVersion.mSequence, 31U);
+  EXPECT_EQ(told.assume_value().mQuota->mShares, sent.mQuota->mShares);
+
+  pool_state state;
+  EXPECT_TRUE(
+    DecodePoolState(Encode(state)).assume_value().mQuota.mUsage.empty());
+  state.mQuota.mApplied = { 6, 5 };
+  state.mQuota.mUsage = { { first, { 1, 2, 3 } },
+                          { second, { 4, 2'000'000'000, 6 } } };
+  const auto read = DecodePoolState(Encode(state));
+  ASSERT_TRUE(read.has_value());
+  const customers::quota_report& got = read.assume_value().mQuota;
+  EXPECT_EQ(got.mApplied.mFleetTerm, 6U);
+  EXPECT_EQ(got.mApplied.mSequence, 5U);
+  ASSERT_EQ(got.mUsage.size(), 2U);
+  EXPECT_EQ(got.mUsage.at(first).mShare, 1U);
+  EXPECT_EQ(got.mUsage.at(first).mUsed, 2U);
+  EXPECT_EQ(got.mUsage.at(first).mWanted, 3U);
+  EXPECT_EQ(got.mUsage.at(second).mUsed, 2'000'000'000U);
+}
+
 TEST(pool_link_test, MalformedTextsAreRejected)
 {
   for (const char* each : { "", "[]", "{}", R"({"fleet_term":"x"})" }) {
     EXPECT_TRUE(DecodePoolInstructions(each).has_error()) << each;
     EXPECT_TRUE(DecodePoolState(each).has_error()) << each;
   }
+  pool_instructions sent;
+  sent.mQuota = { { 0, 1 }, { { customer_name{ "rinks" }, 5 } } };
+  std::string text = Encode(sent);
+  text.replace(text.find(":5"), 2, ":\"5\"");
+  EXPECT_TRUE(DecodePoolInstructions(text).has_error());
 }
 
 TEST(host_orders_test, OrdersRoundTrip)
