--- a/mangospan/node/testing/virtual_cluster.cc
+++ b/mangospan/node/testing/virtual_cluster.cc
@@ -23,7 +23,6 @@
 constexpr milliseconds kRunnerTimeout{ 800 };
 constexpr milliseconds kTaskDuration{ 400 };
 constexpr milliseconds kCallerTimeout{ 2'500 };
-constexpr const char* kCatalogVersion = "1";
 constexpr double kProcessorCores = 0.25; // of each node's host
 
 job_reply
@@ -269,6 +268,7 @@
     out.mNode = aName;
     out.mNodeAddress = aName;
     out.mProcessorCores = kProcessorCores;
+    out.mKeyRevocationBound = virtual_cluster::kRevocationBound;
     return out;
   }
 
@@ -426,7 +426,7 @@
   : mZones(std::move(aZones))
 {
   mFormat.mCatalog = MakeCatalog(aServices);
-  mStore.Put(mFormat.CatalogKey(), kCatalogVersion);
+  mStore.Put(mFormat.CatalogKey(), std::to_string(mFormat.mCatalog->mVersion));
   for (const std::string& service : aServices) {
     for (const std::string& zone : mZones) {
       AddRunner(service, zone);
@@ -496,6 +496,35 @@
   mStore.Put(mFormat.RunnerPrefix() + name, "{}");
 }
 
+void
+virtual_cluster::SetKeys(const std::vector<std::string>& aKeys)
+{
+  jobs::catalog& changed = *mFormat.mCatalog;
+  const customer_name customer{ "rinks" };
+  changed.mCustomers[customer].mName = customer;
+  changed.mCustomers[customer].mApiKeys = aKeys;
+  for (auto& [queueName, each] : changed.mQueues) {
+    each.mIsPublic = false;
+  }
+  mStore.Put(mFormat.CatalogKey(), std::to_string(++changed.mVersion));
+}
+
+std::map<customers::key_verdict, std::size_t>
+virtual_cluster::CheckKey(const std::string& aZone,
+                          const std::string& aService,
+                          const std::string& aKey) const
+{
+  const jobs::queue_policy& queue =
+    mFormat.mCatalog->mQueues.at(jobs::queue_name{ aService });
+  std::map<customers::key_verdict, std::size_t> out;
+  for (const auto& [address, each] : mNodes) {
+    if (each->mZone == aZone) {
+      ++out[each->Process().CheckKey(queue, aKey).mVerdict];
+    }
+  }
+  return out;
+}
+
 void
 virtual_cluster::SpoilRunner(const std::string& aService,
                              const std::string& aZone)
--- a/mangospan/node/testing/virtual_cluster.h
+++ b/mangospan/node/testing/virtual_cluster.h
@@ -23,6 +23,7 @@
 
 #include "mangospan/base/time.h"
 #include "mangospan/base/timer.h"
+#include "mangospan/customers/key_gate.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/jobs/testing/fake_runner.h"
 #include "mangospan/node/node_process.h"
@@ -53,6 +54,8 @@
   // The least Retry-After that a caller can be given, in whole seconds.
   static constexpr std::chrono::milliseconds kMinRetryAfter{ 1'000 };
   static constexpr std::size_t kNodesPerZone = 2;
+  // The time after which the nodes refuse a revoked key.
+  static constexpr std::chrono::milliseconds kRevocationBound{ 5'000 };
 
   // Each service has one queue of the same name, and a runner in each zone.
   virtual_cluster(std::vector<std::string> aZones,
@@ -78,6 +81,16 @@
   void Restart(const std::string& aNode);
   void Kill(const std::string& aNode);
 
+  // The operators write a configuration in which each queue needs one of these
+  // keys of the only customer. It is confirmed at once.
+  void SetKeys(const std::vector<std::string>& aKeys);
+  // Returns how many nodes of the zone come to each verdict on a call to the
+  // service with the key.
+  std::map<customers::key_verdict, std::size_t> CheckKey(
+    const std::string& aZone,
+    const std::string& aService,
+    const std::string& aKey) const;
+
   // Overwrites the entry of the service's runner in the zone with one that can
   // not be read.
   void SpoilRunner(const std::string& aService, const std::string& aZone);
