Customers: faults found in a review of the decisions

- A gang could pass its customer's cap, since the exception for a single task covered it.
- An owner on the former configuration reports no use of a cap that is new, so another pool could be given all of it: reports name their configuration, and nothing grows before every pool has the version that changed caps last.
- Jobs of public queues went before all jobs of customers, and excess jobs used up the turn of their customer's other jobs.
- The waiting work was added up for each submission to a full pool; now for a refusal only.
- An empty key in the configuration admitted calls without one.

Customers, jobs, adapter and node tests of these parts pass.

--- a/mangospan/customers/admission.cc
+++ b/mangospan/customers/admission.cc
@@ -47,8 +47,9 @@
 
 admission_verdict
 admission::Decide(const customer_name& aCustomer,
-                  const pool_backlog& aBacklog,
-                  time_point aNow)
+                  bool aIsFull,
+                  time_point aNow,
+                  const std::function<pool_backlog()>& aBacklog)
 {
   admission_verdict out;
   if (aCustomer.Empty()) {
@@ -59,9 +60,9 @@
     return out;
   }
   out.mIsExcess = true;
-  if (aBacklog.mIsFull) {
+  if (aIsFull) {
     out.mIsRefused = true;
-    out.mRetryAfter = RetryAfter(aBacklog);
+    out.mRetryAfter = RetryAfter(aBacklog());
   }
   return out;
 }
--- a/mangospan/customers/admission.h
+++ b/mangospan/customers/admission.h
@@ -8,7 +8,7 @@
 #define MANGOSPAN_CUSTOMERS_ADMISSION_H
 
 #include <chrono>
-#include <cstdint>
+#include <functional>
 #include <map>
 
 #include "mangospan/base/time.h"
@@ -17,10 +17,9 @@
 
 namespace mangospan::customers {
 
-// The work of a pool's jobs, in core-seconds, and the cores that serve it.
+// The work of a pool's jobs, and what serves it.
 struct pool_backlog
 {
-  bool mIsFull = false; // ready tasks wait for capacity
   double mWaiting = 0;  // work of tasks that wait, in core-seconds
   double mCapacity = 0; // cores of the pool's runners
 };
@@ -40,10 +39,12 @@
   void SetCustomers(const std::map<customer_name, customer_policy>& aCustomers);
 
   // Decides about a new job, and counts it if it is within its customer's rate.
-  // Jobs without a customer are always taken.
+  // `aIsFull` says whether its tasks would wait. `aBacklog` is called only if
+  // the job is refused. Jobs without a customer are always taken.
   admission_verdict Decide(const customer_name& aCustomer,
-                           const pool_backlog& aBacklog,
-                           time_point aNow);
+                           bool aIsFull,
+                           time_point aNow,
+                           const std::function<pool_backlog()>& aBacklog);
 
 private:
   std::chrono::seconds RetryAfter(const pool_backlog& aBacklog);
--- a/mangospan/customers/admission_test.cc
+++ b/mangospan/customers/admission_test.cc
@@ -15,8 +15,9 @@
 constexpr int kCustomers = 20;
 constexpr int kWeight = 4;
 constexpr int kSlack = 20;
-constexpr pool_backlog kFull{ true, 400, 100 };
-constexpr pool_backlog kRoom{ false, 0, 100 };
+constexpr pool_backlog kBacklog{ 400, 100 };
+constexpr bool kFull = true;
+constexpr bool kRoom = false;
 
 customer_name
 Customer(int aIndex)
@@ -36,6 +37,17 @@
   return out;
 }
 
+admission_verdict
+Decide(admission& aDecisions,
+       const customer_name& aCustomer,
+       bool aIsFull,
+       time_point aNow,
+       const pool_backlog& aBacklog = kBacklog)
+{
+  return aDecisions.Decide(
+    aCustomer, aIsFull, aNow, [&aBacklog] { return aBacklog; });
+}
+
 // Guards against refusals of customers within their rate because of another's
 // excess, and against a customer that gets nothing while it sends too much.
 TEST(admission_test, OnlyTheCustomerAboveItsRateIsRefusedWhileFull)
@@ -47,11 +59,11 @@
   for (int k = 0; k < kSeconds * kWeight; ++k) {
     const time_point now = kStart + k * milliseconds(1'000 / kWeight);
     for (int i = 0; i < kTimesItsRate; ++i) {
-      taken += decisions.Decide(Customer(0), kFull, now).mIsRefused ? 0 : 1;
+      taken += Decide(decisions, Customer(0), kFull, now).mIsRefused ? 0 : 1;
     }
     for (int i = 1; i < kCustomers; ++i) {
       const admission_verdict verdict =
-        decisions.Decide(Customer(i), kFull, now);
+        Decide(decisions, Customer(i), kFull, now);
       ASSERT_FALSE(verdict.mIsRefused || verdict.mIsExcess) << i;
     }
   }
@@ -64,18 +76,18 @@
 {
   admission decisions = AdmissionOfTwenty();
   int within = 0;
-  while (!decisions.Decide(Customer(0), kRoom, kStart).mIsExcess) {
+  while (!Decide(decisions, Customer(0), kRoom, kStart).mIsExcess) {
     ++within;
   }
   EXPECT_EQ(within, 5 * kWeight + kSlack);
-  const admission_verdict taken = decisions.Decide(Customer(0), kRoom, kStart);
+  const admission_verdict taken = Decide(decisions, Customer(0), kRoom, kStart);
   EXPECT_TRUE(taken.mIsExcess && !taken.mIsRefused);
   EXPECT_EQ(taken.mRetryAfter, seconds(0));
   const admission_verdict refused =
-    decisions.Decide(Customer(0), kFull, kStart);
+    Decide(decisions, Customer(0), kFull, kStart);
   EXPECT_TRUE(refused.mIsRefused);
   EXPECT_GE(refused.mRetryAfter, seconds(1));
-  EXPECT_FALSE(decisions.Decide({}, kFull, kStart).mIsRefused);
+  EXPECT_FALSE(Decide(decisions, {}, kFull, kStart).mIsRefused);
 }
 
 // Returns how often each Retry-After occurs among 500 refusals.
@@ -85,7 +97,8 @@
   admission decisions = AdmissionOfTwenty();
   std::map<seconds, int> out;
   for (int i = 0; i < 500 + 5 * kWeight + kSlack; ++i) {
-    const auto verdict = decisions.Decide(Customer(0), aBacklog, kStart);
+    const auto verdict =
+      Decide(decisions, Customer(0), kFull, kStart, aBacklog);
     if (verdict.mIsRefused) {
       ++out[verdict.mRetryAfter];
     }
@@ -97,14 +110,14 @@
 // a Retry-After that does not grow with the waiting work.
 TEST(admission_test, RetryAfterIsSpreadOverTheTimeOfTheBacklog)
 {
-  const auto ofFourSeconds = RetryAfterOf500(kFull);
+  const auto ofFourSeconds = RetryAfterOf500(kBacklog);
   ASSERT_EQ(ofFourSeconds.size(), 5U);
   for (const auto& [delay, count] : ofFourSeconds) {
     EXPECT_NEAR(count, 100, 5) << delay.count();
   }
-  EXPECT_EQ(RetryAfterOf500({ true, 100, 100 }).rbegin()->first, seconds(2));
-  EXPECT_EQ(RetryAfterOf500({ true, 1e9, 100 }).rbegin()->first, seconds(5));
-  EXPECT_EQ(RetryAfterOf500({ true, 1, 0 }).rbegin()->first, seconds(5));
+  EXPECT_EQ(RetryAfterOf500({ 100, 100 }).rbegin()->first, seconds(2));
+  EXPECT_EQ(RetryAfterOf500({ 1e9, 100 }).rbegin()->first, seconds(5));
+  EXPECT_EQ(RetryAfterOf500({ 1, 0 }).rbegin()->first, seconds(5));
 }
 
 } // namespace
--- a/mangospan/customers/key_gate_test.cc
+++ b/mangospan/customers/key_gate_test.cc
@@ -114,6 +114,13 @@
   EXPECT_EQ(Verdict("aaaa"), key_verdict::kAccepted);
 }
 
+// An empty key in the configuration would admit calls without a key.
+TEST_F(key_gate_test, EmptyKeyOfACustomerAdmitsNobody)
+{
+  mGate.SetCustomers(Customers({ { "rinks", { "", "aaaa" } } }));
+  EXPECT_EQ(Verdict(""), key_verdict::kMissingKey);
+}
+
 TEST(key_gate_without_bound_test, KeysStayValidUntilTheChangeArrives)
 {
   manual_clock clock;
--- a/mangospan/customers/key_registry.cc
+++ b/mangospan/customers/key_registry.cc
@@ -44,6 +44,9 @@
   mKeys.clear();
   for (const auto& [customerName, each] : aCustomers) {
     for (const std::string& key : each.mApiKeys) {
+      if (key.empty()) {
+        continue; // a call without a key has no customer
+      }
       mKeys.emplace(Hash(key), registered_key{ key, customerName });
     }
   }
--- a/mangospan/customers/pool_quota.cc
+++ b/mangospan/customers/pool_quota.cc
@@ -56,9 +56,11 @@
 void
 pool_quota::SetCustomers(
   const std::map<customer_name, customer_policy>& aCustomers,
-  std::size_t aPools)
+  std::size_t aPools,
+  std::uint64_t aConfigVersion)
 {
   mGuaranteed = GuaranteedPart(aPools);
+  mConfigVersion = aConfigVersion;
   mCaps.clear();
   for (const auto& [customerName, each] : aCustomers) {
     if (IsLimited(each.mCap)) {
@@ -93,14 +95,15 @@
 bool
 pool_quota::MayStart(const customer_name& aCustomer,
                      const resources& aNeed,
-                     const resources& aUsed) const
+                     const resources& aUsed,
+                     std::size_t aTasks) const
 {
   const auto cap = mCaps.find(aCustomer);
   if (cap == mCaps.end()) {
     return true;
   }
   const cap_part used = PartOf(aUsed, cap->second);
-  if (used == 0 && ShareOf(aCustomer) > kWholeCap / 2) {
+  if (aTasks == 1 && used == 0 && ShareOf(aCustomer) > kWholeCap / 2) {
     return true;
   }
   resources after = aUsed;
@@ -114,6 +117,7 @@
 {
   quota_report out;
   out.mApplied = mInstructions.mVersion;
+  out.mConfigVersion = mCaps.empty() ? 0 : mConfigVersion;
   for (const auto& [customerName, cap] : mCaps) {
     const quota_usage usage{ ShareOf(customerName),
                              PartOf(AmountOf(aUsed, customerName), cap),
--- a/mangospan/customers/pool_quota.h
+++ b/mangospan/customers/pool_quota.h
@@ -4,6 +4,7 @@
 #define MANGOSPAN_CUSTOMERS_POOL_QUOTA_H
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 
 #include "mangospan/customers/customer.h"
@@ -17,9 +18,11 @@
 class pool_quota
 {
 public:
-  // Sets the customers, and the number of pools that share the caps.
+  // Sets the customers of a version of the configuration, and the number of
+  // pools that share the caps.
   void SetCustomers(const std::map<customer_name, customer_policy>& aCustomers,
-                    std::size_t aPools);
+                    std::size_t aPools,
+                    std::uint64_t aConfigVersion = 0);
   // Follows the instructions, unless newer ones were received before.
   void Apply(const quota_instructions& aInstructions);
 
@@ -29,14 +32,15 @@
   bool IsCapped(const customer_name& aCustomer) const;
   // Returns the customer's share in this pool.
   cap_part ShareOf(const customer_name& aCustomer) const;
-  // Returns whether a task that takes `aNeed` may start beside what the
-  // customer uses in this pool. One task may start if the customer uses nothing
-  // and its share is more than half of the cap, however large the task is: it
-  // would never start otherwise, and all other pools together have less than
-  // half.
+  // Returns whether `aTasks` tasks that take `aNeed` together may start beside
+  // what the customer uses in this pool. A single task may start if the
+  // customer uses nothing and its share is more than half of the cap, however
+  // large the task is: it would never start otherwise, and all other pools
+  // together have less than half.
   bool MayStart(const customer_name& aCustomer,
                 const resources& aNeed,
-                const resources& aUsed) const;
+                const resources& aUsed,
+                std::size_t aTasks = 1) const;
 
   quota_report Report(const customer_resources& aUsed,
                       const customer_resources& aWanted) const;
@@ -44,6 +48,7 @@
 private:
   std::map<customer_name, resources> mCaps; // of customers that have one
   cap_part mGuaranteed = 0;
+  std::uint64_t mConfigVersion = 0;
   quota_instructions mInstructions;
 };
 
--- a/mangospan/customers/pool_quota_test.cc
+++ b/mangospan/customers/pool_quota_test.cc
@@ -78,6 +78,8 @@
   quota.Apply(Instructions({ 1, 2 }, 5'001));
   EXPECT_TRUE(quota.MayStart(kRinks, large, {}));
   EXPECT_FALSE(quota.MayStart(kRinks, large, { 1, 0, 0 }));
+  // Several tasks that start together are not one task above the cap.
+  EXPECT_FALSE(quota.MayStart(kRinks, large, {}, 2));
   EXPECT_FALSE(quota.MayStart(kRinks, { 1, 0, 0 }, large));
 }
 
--- a/mangospan/customers/quota.h
+++ b/mangospan/customers/quota.h
@@ -59,6 +59,9 @@
 struct quota_report
 {
   quota_version mApplied; // the instructions that the pool follows
+  // The version of the configuration by which the parts are computed; 0 if it
+  // has no caps.
+  std::uint64_t mConfigVersion = 0;
   std::map<customer_name, quota_usage> mUsage;
 };
 
--- a/mangospan/customers/quota_allocator.cc
+++ b/mangospan/customers/quota_allocator.cc
@@ -26,6 +26,19 @@
   }
 }
 
+void
+quota_allocator::SetCapsVersion(std::uint64_t aConfigVersion)
+{
+  mCapsVersion = aConfigVersion;
+}
+
+// Returns whether the pool's last report tells what it may use.
+bool
+quota_allocator::IsKnown(const pool& aPool) const
+{
+  return aPool.mHasReported && aPool.mConfigVersion >= mCapsVersion;
+}
+
 // Returns the part that the pool may use, as far as it has reported.
 cap_part
 quota_allocator::HeldBy(const pool& aPool, const customer_name& aCustomer) const
@@ -93,7 +106,7 @@
 quota_allocator::FreeFor(const pool& aPool,
                          const customer_name& aCustomer) const
 {
-  if (mKnownPools < mPools.size()) {
+  if (!mAreAllKnown) {
     return 0;
   }
   const auto sum = mTotals.find(aCustomer);
@@ -127,10 +140,14 @@
 quota_allocator::Instruct(const service_name& aPool)
 {
   const auto found = mPools.find(aPool);
-  if (found == mPools.end() || !found->second.mIsKnown) {
+  if (found == mPools.end() || !IsKnown(found->second)) {
     return std::nullopt;
   }
   pool& target = found->second;
+  mAreAllKnown =
+    std::all_of(mPools.begin(), mPools.end(), [this](const auto& aEntry) {
+      return IsKnown(aEntry.second);
+    });
   quota_instructions out;
   bool isChanged = !target.mUnconfirmed.empty();
   for (const auto& [customer, usage] : target.mUsage) {
@@ -162,8 +179,8 @@
                           const quota_report& aReport)
 {
   pool& target = mPools[aPool];
-  mKnownPools += target.mIsKnown ? 0 : 1;
-  target.mIsKnown = true;
+  target.mHasReported = true;
+  target.mConfigVersion = aReport.mConfigVersion;
   SubtractFromTotals(target);
   target.mUsage = aReport.mUsage;
   const bool isConfirmed = aReport.mApplied.mFleetTerm == mFleetTerm &&
--- a/mangospan/customers/quota_allocator.h
+++ b/mangospan/customers/quota_allocator.h
@@ -33,6 +33,11 @@
   // of pools that have a guaranteed part.
   void SetPools(const std::vector<service_name>& aPools, std::size_t aSharing);
 
+  // Sets the version of the configuration that has changed caps last. A pool
+  // that reports by an older one counts as one that has not reported: it may
+  // start any amount by the former caps.
+  void SetCapsVersion(std::uint64_t aConfigVersion);
+
   // Returns the instructions for the pool if its shares have to change.
   std::optional<quota_instructions> Instruct(const service_name& aPool);
   // Notes what the pool has reported, after it has followed the instructions
@@ -42,7 +47,8 @@
 private:
   struct pool
   {
-    bool mIsKnown = false; // it has reported to this allocator
+    bool mHasReported = false;        // to this allocator
+    std::uint64_t mConfigVersion = 0; // of its last report
     std::map<customer_name, quota_usage> mUsage;
     // The largest shares that it was told of and has not confirmed, and the
     // sequence number of the last of these instructions.
@@ -57,6 +63,7 @@
     std::uint64_t mWanted = 0;
   };
 
+  bool IsKnown(const pool& aPool) const;
   cap_part HeldBy(const pool& aPool, const customer_name& aCustomer) const;
   cap_part WantedBy(const pool& aPool, const customer_name& aCustomer) const;
   cap_part FreeFor(const pool& aPool, const customer_name& aCustomer) const;
@@ -68,7 +75,8 @@
   std::uint64_t mSequence = 0;
   cap_part mGuaranteed = 0;
   std::map<service_name, pool> mPools;
-  std::size_t mKnownPools = 0;
+  std::uint64_t mCapsVersion = 0;
+  bool mAreAllKnown = false; // the pools, at the last instructions
   // Kept along, so that the cost of one pool does not grow with their number.
   std::map<customer_name, total> mTotals;
 };
--- a/mangospan/customers/quota_allocator_test.cc
+++ b/mangospan/customers/quota_allocator_test.cc
@@ -27,7 +27,7 @@
               quota_usage aUsage,
               quota_version aApplied = {})
   {
-    mAllocator.OnReport(aPool, { aApplied, { { kRinks, aUsage } } });
+    mAllocator.OnReport(aPool, { aApplied, 0, { { kRinks, aUsage } } });
   }
   void ReportIdlePools()
   {
@@ -141,5 +141,20 @@
   EXPECT_EQ(Told(service_name{ "unknown" }), 0U);
 }
 
+// Guards against a cap that one pool uses by the configuration before, which it
+// can not report, while another is given all of it.
+TEST_F(quota_allocator_test, NothingGrowsBeforeEveryPoolHasTheCaps)
+{
+  mAllocator.SetCapsVersion(7);
+  quota_report current{ {}, 7, { { kRinks, { kGuaranteed, 0, 10'000 } } } };
+  mAllocator.OnReport(kFirst, current);
+  for (const char* each : { "b", "c" }) {
+    mAllocator.OnReport(service_name{ each }, { {}, 7, {} });
+  }
+  EXPECT_FALSE(mAllocator.Instruct(kFirst).has_value());
+  mAllocator.OnReport(service_name{ "d" }, { {}, 7, {} });
+  EXPECT_TRUE(mAllocator.Instruct(kFirst).has_value());
+}
+
 } // namespace
 } // namespace mangospan::customers
--- a/mangospan/jobs/scheduler.cc
+++ b/mangospan/jobs/scheduler.cc
@@ -117,7 +117,8 @@
 scheduler::SetCatalog(catalog aCatalog)
 {
   mCatalog = std::move(aCatalog);
-  mQuota.SetCustomers(mCatalog.mCustomers, mCatalog.CountPools());
+  mQuota.SetCustomers(
+    mCatalog.mCustomers, mCatalog.CountPools(), mCatalog.mVersion);
   mAdmission.SetCustomers(mCatalog.mCustomers);
   mFairOrder.SetCustomers(mCatalog.mCustomers);
 }
@@ -210,16 +211,18 @@
     return { submit_outcome::kRefused, kUnknownQueueRetryAfter };
   }
   const customers::admission_verdict verdict =
-    mAdmission.Decide(aSpec.mCustomer, Backlog(ServiceOf(*queue)), aNow);
+    mAdmission.Decide(aSpec.mCustomer, IsFullFor(aSpec, *queue), aNow, [&] {
+      return Backlog(ServiceOf(*queue));
+    });
   if (verdict.mIsRefused) {
     return { submit_outcome::kRefused, verdict.mRetryAfter, true };
   }
   job newJob = MakeJob(aJob, aSpec);
   newJob.mIsExcess = verdict.mIsExcess;
-  if (!aSpec.mCustomer.Empty()) {
-    newJob.mFairStart = mFairOrder.Enqueue(
-      aSpec.mCustomer, DominantWork(aSpec, ServiceOf(*queue)));
-  }
+  // Excess work takes its turn behind all other and costs the customer none.
+  newJob.mFairStart = mFairOrder.Enqueue(
+    aSpec.mCustomer,
+    verdict.mIsExcess ? 0 : DominantWork(aSpec, ServiceOf(*queue)));
   newJob.mPolicy = *queue;
   newJob.mAcceptedAt = aNow;
   newJob.mAcceptedWallTime = aWall;
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -346,13 +346,16 @@
   void ReleaseAllRuns(runner& aRunner, loss_reason aReason, time_point aNow);
   bool MayStartTask(const task& aTask) const;
   bool MayHoldUnknownRuns(const runner& aRunner, time_point aNow) const;
+  bool IsFullFor(const job_spec& aSpec, const queue_policy& aQueue) const;
   customers::pool_backlog Backlog(const service_name& aService) const;
   double DominantWork(const job_spec& aSpec,
                       const service_name& aService) const;
   customers::customer_resources CustomerUse(time_point aNow) const;
   void AddToCustomerUse(const run& aRun);
-  bool IsWithinQuota(const job& aJob, const resources& aNeed) const;
-  bool MayStartMore(const job& aJob) const;
+  bool IsWithinQuota(const job_spec& aSpec,
+                     const resources& aNeed,
+                     std::size_t aTasks = 1) const;
+  bool MayStartMore(const job_spec& aSpec) const;
   placement_request RequestFor(const job& aJob,
                                const task_id& aTask,
                                time_point aNow) const;
--- a/mangospan/jobs/scheduler_crashes.cc
+++ b/mangospan/jobs/scheduler_crashes.cc
@@ -583,7 +583,7 @@
       if (!crashes.mIsSuspect || aNow < crashes.mNotBefore ||
           !MayStartTask(tasks[i]) ||
           !MustRunAlone(*each.mJob, each.Step(), tasks[i], aNow) ||
-          !IsWithinQuota(*each.mJob, each.Spec().Reservation())) {
+          !IsWithinQuota(each.mJob->mSpec, each.Spec().Reservation())) {
         continue;
       }
       const placement_request request{ each.Spec(), each.Id(i), {}, {} };
--- a/mangospan/jobs/scheduler_customers.cc
+++ b/mangospan/jobs/scheduler_customers.cc
@@ -50,15 +50,20 @@
 
 } // namespace
 
+// Returns whether tasks of such a job would wait: for capacity, or for the
+// quota of its customer.
+bool
+scheduler::IsFullFor(const job_spec& aSpec, const queue_policy& aQueue) const
+{
+  return mServicesWithoutFreeCapacity.count(ServiceOf(aQueue)) > 0 ||
+         !MayStartMore(aSpec);
+}
+
 // Returns what a new job finds before it.
 customers::pool_backlog
 scheduler::Backlog(const service_name& aService) const
 {
   customers::pool_backlog out;
-  out.mIsFull = mServicesWithoutFreeCapacity.count(aService) > 0;
-  if (!out.mIsFull) {
-    return out;
-  }
   for (const auto& [runnerName, each] : mRunners) {
     if (each.mInfo.mService == aService && each.mListed && each.IsAnswering()) {
       out.mCapacity +=
@@ -155,28 +160,33 @@
   }
 }
 
-// Returns whether tasks that take `aNeed` together may start beside what the
-// job's customer had running at the last plan.
+// Returns whether `aTasks` tasks that take `aNeed` together may start beside
+// what the job's customer had running at the last plan.
 bool
-scheduler::IsWithinQuota(const job& aJob, const resources& aNeed) const
+scheduler::IsWithinQuota(const job_spec& aSpec,
+                         const resources& aNeed,
+                         std::size_t aTasks) const
 {
-  const customer_name& customer = aJob.mSpec.mCustomer;
+  const customer_name& customer = aSpec.mCustomer;
   if (customer.Empty() || !mQuota.IsCapped(customer)) {
     return true;
   }
   const auto used = mCustomerUse.find(customer);
-  return mQuota.MayStart(
-    customer, aNeed, used == mCustomerUse.end() ? resources{} : used->second);
+  return mQuota.MayStart(customer,
+                         aNeed,
+                         used == mCustomerUse.end() ? resources{}
+                                                    : used->second,
+                         aTasks);
 }
 
 // Returns whether a further task of the job is within its customer's quota.
 bool
-scheduler::MayStartMore(const job& aJob) const
+scheduler::MayStartMore(const job_spec& aSpec) const
 {
-  const auto& steps = aJob.mSpec.mSteps;
-  return std::any_of(steps.begin(), steps.end(), [&](const step_spec& aStep) {
-    return IsWithinQuota(aJob, aStep.Reservation());
-  });
+  return std::any_of(
+    aSpec.mSteps.begin(), aSpec.mSteps.end(), [&](const step_spec& aStep) {
+      return IsWithinQuota(aSpec, aStep.Reservation());
+    });
 }
 
 customers::quota_report
--- a/mangospan/jobs/scheduler_demand.cc
+++ b/mangospan/jobs/scheduler_demand.cc
@@ -155,7 +155,8 @@
     const job& activeJob = mJobs.at(each);
     const auto found = demands.find(ServiceOf(PolicyOf(activeJob)));
     if (found != demands.end()) {
-      AddDemand(activeJob, MayStartMore(activeJob), aNow, aWall, found->second);
+      AddDemand(
+        activeJob, MayStartMore(activeJob.mSpec), aNow, aWall, found->second);
     }
   }
   std::map<service_name, pool_load> loads;
--- a/mangospan/jobs/scheduler_gangs.cc
+++ b/mangospan/jobs/scheduler_gangs.cc
@@ -103,7 +103,7 @@
   for (std::size_t i = 0; i < tasks.size(); ++i) {
     needed += aCandidate.Spec().Reservation();
   }
-  if (!IsWithinQuota(*aCandidate.mJob, needed)) {
+  if (!IsWithinQuota(aCandidate.mJob->mSpec, needed, tasks.size())) {
     LogWaitingGang(aCandidate, "quota", 0, aNow);
     return;
   }
--- a/mangospan/jobs/scheduler_plan.cc
+++ b/mangospan/jobs/scheduler_plan.cc
@@ -389,7 +389,8 @@
     if (!MayStartTask(tasks[i]) || mustRunAlone) {
       continue;
     }
-    if (!IsWithinQuota(*aCandidate.mJob, aCandidate.Spec().Reservation())) {
+    if (!IsWithinQuota(aCandidate.mJob->mSpec,
+                       aCandidate.Spec().Reservation())) {
       ++overQuota;
       continue;
     }
--- a/mangospan/jobs/scheduler_waits.cc
+++ b/mangospan/jobs/scheduler_waits.cc
@@ -85,7 +85,8 @@
   if (aJob.mSpec.mSteps[aTask.mStep].mGang && !MayStartGang(ofTask.mTasks)) {
     return wait_reason::kGang;
   }
-  if (!IsWithinQuota(aJob, aJob.mSpec.mSteps[aTask.mStep].Reservation())) {
+  if (!IsWithinQuota(aJob.mSpec,
+                     aJob.mSpec.mSteps[aTask.mStep].Reservation())) {
     return wait_reason::kQuota;
   }
   return std::nullopt;
--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -56,6 +56,21 @@
   return std::nullopt;
 }
 
+bool
+HaveSameCaps(const jobs::catalog& aLeft, const jobs::catalog& aRight)
+{
+  const auto haveSameCap = [](const auto& aOne, const auto& aOther) {
+    const resources& one = aOne.second.mCap;
+    const resources& other = aOther.second.mCap;
+    return aOne.first == aOther.first && one.FitsIn(other) && other.FitsIn(one);
+  };
+  return std::equal(aLeft.mCustomers.begin(),
+                    aLeft.mCustomers.end(),
+                    aRight.mCustomers.begin(),
+                    aRight.mCustomers.end(),
+                    haveSameCap);
+}
+
 jobs::maintenance_settings
 MaintenanceSettings(const fleet_controller_settings& aSettings)
 {
@@ -560,8 +575,11 @@
 void
 fleet_controller::SetCatalog(const jobs::catalog& aCatalog)
 {
+  if (!HaveSameCaps(mCatalog, aCatalog)) {
+    mCapsVersion = aCatalog.mVersion;
+  }
   mCatalog = aCatalog;
-  mPoolWatch->SetSharingPools(mCatalog.CountPools());
+  mPoolWatch->SetCaps(mCatalog.CountPools(), mCapsVersion);
 }
 
 const host_entry*
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -142,6 +142,7 @@
   const std::function<bool()> mIsOwner;
   timer mTimer;
   jobs::catalog mCatalog;
+  std::uint64_t mCapsVersion = 0; // of the catalog that has changed caps last
   const std::shared_ptr<pool_watch> mPoolWatch;
   const std::shared_ptr<wave_records> mWaveRecords;
   // Hosts chosen to move whose runner may still get or hold runs.
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -123,8 +123,8 @@
                                 std::string_view aKey) const;
   bool IsStopping() const { return mStopSchedule.has_value(); }
   // Returns whether the load balancer should send callers to this node: it is
-  // not stopping, its catalog is current, at least one owner of jobs has served
-  // recently, and so has every owner that is known.
+  // not stopping, its catalog is current and readable, at least one owner of
+  // jobs has served recently, and so has every owner that is known.
   bool IsReady() const;
   // Returns the state of the node as JSON, for operators.
   std::string DumpState() const;
--- a/mangospan/node/node_process_owners.cc
+++ b/mangospan/node/node_process_owners.cc
@@ -174,7 +174,8 @@
     }
     isAnyOwnerServing = isAnyOwnerServing || isOwnerServing;
   }
-  return !IsStopping() && IsCatalogCurrent() && isAnyOwnerServing;
+  return !IsStopping() && IsCatalogCurrent() && !mIsCatalogOutdated &&
+         isAnyOwnerServing;
 }
 
 http::response
--- a/mangospan/node/pool_link.cc
+++ b/mangospan/node/pool_link.cc
@@ -49,6 +49,7 @@
 constexpr const char* kSequenceKey = "sequence";
 constexpr const char* kSharesKey = "shares";
 constexpr const char* kUsageKey = "usage";
+constexpr const char* kConfigKey = "config";
 
 json
 QuotaToJson(const customers::quota_instructions& aQuota)
@@ -82,6 +83,7 @@
   }
   return { { kTermKey, aReport.mApplied.mFleetTerm },
            { kSequenceKey, aReport.mApplied.mSequence },
+           { kConfigKey, aReport.mConfigVersion },
            { kUsageKey, std::move(usage) } };
 }
 
@@ -91,6 +93,7 @@
   customers::quota_report out;
   out.mApplied = { aValue.at(kTermKey).get<std::uint64_t>(),
                    aValue.at(kSequenceKey).get<std::uint64_t>() };
+  out.mConfigVersion = aValue.at(kConfigKey).get<std::uint64_t>();
   for (const auto& [customer, each] : aValue.at(kUsageKey).items()) {
     out.mUsage.emplace(
       customer_name{ customer },
@@ -162,7 +165,8 @@
             { "accepting", aState.mLoad.mIsAcceptingJobs },
             { "knows_others", aState.mAreUnlistedRunnersIdle },
             { "runners", std::move(runners) } };
-  if (!aState.mQuota.mUsage.empty() || aState.mQuota.mApplied.mSequence > 0) {
+  if (!aState.mQuota.mUsage.empty() || aState.mQuota.mApplied.mSequence > 0 ||
+      aState.mQuota.mConfigVersion > 0) {
     out[kQuotaKey] = ReportToJson(aState.mQuota);
   }
   return out.dump();
--- a/mangospan/node/pool_watch.h
+++ b/mangospan/node/pool_watch.h
@@ -33,8 +33,13 @@
              std::uint64_t aFleetTerm,
              std::function<void()> aOnStateChanged);
 
-  // Sets how many pools share the customers' caps.
-  void SetSharingPools(std::size_t aCount) { mSharingPools = aCount; }
+  // Sets how many pools share the customers' caps, and the version of the
+  // configuration that has changed caps last.
+  void SetCaps(std::size_t aPools, std::uint64_t aVersion)
+  {
+    mSharingPools = aPools;
+    mQuota.SetCapsVersion(aVersion);
+  }
   // Starts an exchange with every owner if the interval has passed.
   void Tick();
   // After this call, no handler is called.
