HTTP server: limits on what clients hold

Cause: a server kept every body that it was sent, up to the limit for one body times the number of connections, and kept up to 80 KB of buffer for each idle connection.

Change: connection_limits has the decisions apart from I/O: bytes of all connections and of one client address, connections of one address, header fields, rate of a body. Memory is admitted before a body is read; when the total is at its limit, the connections with the most bytes, the greatest age and the least progress are closed. Bodies are read in pieces of 16 KB, one for each turn of the event loop. Buffers of idle connections are freed. The server reports the reason of each refusal.

--- a/mangospan/http/internal/session.cc
+++ b/mangospan/http/internal/session.cc
@@ -1,6 +1,7 @@
 #include "mangospan/http/internal/session.h"
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -27,7 +28,8 @@
 constexpr std::string_view kHeaderEnd = "\r\n\r\n";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::size_t kReadChunkBytes = 4096;
-constexpr std::size_t kBodyBufferBytes = std::size_t{ 64 } * 1024;
+// Bounds what one connection's body takes of an iteration of the event loop.
+constexpr std::size_t kBodyReadBytes = std::size_t{ 16 } * 1024;
 // Limits on the input that is read and discarded before a connection is closed;
 // see `CloseGracefully`.
 constexpr std::size_t kDiscardBytes = std::size_t{ 1024 } * 1024;
@@ -54,6 +56,12 @@
   return answer;
 }
 
+std::chrono::milliseconds
+HeaderTimeout(const server_options& aOptions)
+{
+  return std::min(aOptions.mHeaderTimeout, aOptions.mReadTimeout);
+}
+
 bool
 AllowsBody(int aStatus)
 {
@@ -110,7 +118,7 @@
   : mSocket(std::move(aSocket))
   , mTimer(mSocket.get_executor())
   , mContext(std::move(aContext))
-  , mBuffer(mContext->mOptions.mMaxHeaderBytes + kBodyBufferBytes)
+  , mBuffer(mContext->mOptions.mMaxHeaderBytes + 2 * kBodyReadBytes)
 {
   error_type failure;
   const auto remote = mSocket.remote_endpoint(failure);
@@ -126,10 +134,30 @@
   ReadHeader();
 }
 
+limit_reason
+session::Register()
+{
+  const std::string address =
+    mRemoteAddress.substr(0, mRemoteAddress.rfind(':'));
+  const limit_reason reason = mContext->mLedger.CheckConnection(address);
+  if (reason == limit_reason::kNone) {
+    mContext->mLedger.Open(this, address);
+  }
+  return reason;
+}
+
 void
-session::RejectConnection()
+session::RejectConnection(limit_reason aReason)
 {
-  RejectRequest(503, "too-many-connections", "the server has no room");
+  RejectByLimit(aReason);
+}
+
+void
+session::Evict()
+{
+  mContext->Report(limit_reason::kEvicted);
+  ReleaseRequest();
+  Close();
 }
 
 void
@@ -174,6 +202,7 @@
     --mContext->mActiveRequests;
   }
   mTimer.cancel();
+  mContext->mLedger.Close(this);
   error_type ignored;
   mSocket.close(ignored);
   if (mContext->mOnClosed) {
@@ -216,8 +245,14 @@
   mParser.reset();
   mScannedBytes = 0;
   const bool hasBytes = mBuffer.size() > 0;
+  if (!hasBytes && mBuffer.capacity() > kReadChunkBytes) {
+    mBuffer.shrink_to_fit(); // connections that wait hold little
+  }
+  SetHeld(0, false);
+  mBeganAt = boot_clock::now();
+  mProgress = 0;
   mPhase = hasBytes ? phase::kReading : phase::kIdle;
-  StartTimer(hasBytes ? mContext->mOptions.mReadTimeout
+  StartTimer(hasBytes ? HeaderTimeout(mContext->mOptions)
                       : mContext->mOptions.mIdleTimeout);
   if (hasBytes) {
     asio::post(mSocket.get_executor(),
@@ -242,16 +277,18 @@
     if (mTimedOut && mPhase == phase::kIdle && mSocket.available(failure) > 0) {
       ReadHeader(); // a request has arrived while the process was busy
     } else if (mTimedOut && mPhase == phase::kReading) {
-      RejectRequest(408, "request-timeout", "the request came too slowly");
+      RejectByLimit(limit_reason::kSlowHeader);
     } else {
       Close();
     }
     return;
   }
   mBuffer.commit(aSize);
+  mProgress += aSize;
   if (mPhase == phase::kIdle) {
     mPhase = phase::kReading;
-    StartTimer(mContext->mOptions.mReadTimeout);
+    mBeganAt = boot_clock::now();
+    StartTimer(HeaderTimeout(mContext->mOptions));
   }
   const auto data = mBuffer.cdata();
   const std::string_view bytes(static_cast<const char*>(data.data()),
@@ -263,7 +300,12 @@
     return;
   }
   if (bytes.size() >= limit) {
-    RejectRequest(431, "header-too-large", "the header is over its limit");
+    RejectByLimit(limit_reason::kHeaderSize);
+    return;
+  }
+  // The first read is not counted: every connection has room for it.
+  if (bytes.size() >= kReadChunkBytes &&
+      !Admit(bytes.size() + kReadChunkBytes)) {
     return;
   }
   mScannedBytes = bytes.size() - std::min(bytes.size(), kHeaderEnd.size() - 1);
@@ -297,6 +339,12 @@
   // The headers are copied before the body is read, because Beast merges the
   // trailers of a chunked body into the headers. A caller could otherwise forge
   // any header in a trailer.
+  if (std::distance(mParser->get().begin(), mParser->get().end()) >
+      static_cast<std::ptrdiff_t>(
+        mContext->mOptions.mLimits.mMaxHeaderFields)) {
+    RejectByLimit(limit_reason::kHeaderFields);
+    return;
+  }
   mRequest = request{};
   mRequest.mMethod = std::string(mParser->get().method_string());
   mRequest.mTarget = std::string(mParser->get().target());
@@ -314,7 +362,11 @@
   mBuffer.consume(used);
   if (mParser->is_done()) {
     DispatchRequest();
-  } else {
+    return;
+  }
+  const auto length = mParser->content_length();
+  if (Admit(length ? static_cast<std::size_t>(*length) + kBodyReadBytes
+                   : 2 * kBodyReadBytes)) {
     ContinueOrReadBody();
   }
 }
@@ -346,30 +398,101 @@
 void
 session::ReadBody()
 {
-  bhttp::async_read(
-    mSocket,
-    mBuffer,
-    *mParser,
-    [self = shared_from_this()](const error_type& aError, std::size_t) {
-      self->OnBody(aError);
+  mParser->eager(true);
+  StartBodyTimer();
+  if (mBuffer.size() > 0) {
+    OnBodyBytes({}, 0);
+  } else {
+    ReadMoreBody();
+  }
+}
+
+void
+session::ReadMoreBody()
+{
+  if (mBuffer.size() + kBodyReadBytes > mBuffer.max_size()) {
+    // The parser needs more than this for one line: a chunk's extensions or the
+    // trailers are over-long.
+    RejectRequest(400, "malformed-request", "the request is malformed");
+    return;
+  }
+  mSocket.async_read_some(
+    mBuffer.prepare(kBodyReadBytes),
+    [self = shared_from_this()](const error_type& aError, std::size_t aSize) {
+      self->OnBodyBytes(aError, aSize);
     });
 }
 
 void
-session::OnBody(const error_type& aError)
+session::OnBodyBytes(const error_type& aError, std::size_t aSize)
 {
   if (mPhase == phase::kClosed) {
     return;
   }
-  if (!aError) {
+  if (aError && !mTimedOut) {
+    Close(); // the caller has disconnected
+    return;
+  }
+  mBuffer.commit(aSize);
+  mProgress += aSize;
+  if (mTimedOut && !IsBodyInTime()) {
+    RejectByLimit(limit_reason::kSlowBody);
+    return;
+  }
+  if (mBuffer.size() > 0) {
+    error_type failure;
+    mBuffer.consume(mParser->put(mBuffer.data(), failure));
+    if (failure && failure != bhttp::error::need_more) {
+      RespondToParserError(failure);
+      return;
+    }
+  }
+  if (mParser->is_done()) {
     DispatchRequest();
-  } else if (mTimedOut) {
-    RejectRequest(408, "request-timeout", "the request came too slowly");
-  } else {
-    RespondToParserError(aError);
+    return;
+  }
+  // A string that is appended to doubles its capacity.
+  const std::size_t body =
+    mParser->content_length()
+      ? static_cast<std::size_t>(*mParser->content_length())
+      : 2 * mParser->get().body().size();
+  if (Admit(body + mBuffer.size() + kBodyReadBytes)) {
+    ReadMoreBody();
   }
 }
 
+// Called when the timer has expired. Bytes that wait to be read came in time:
+// the process was busy.
+bool
+session::IsBodyInTime()
+{
+  const time_point now = boot_clock::now();
+  if (now >= mBeganAt + mContext->mOptions.mReadTimeout) {
+    return false;
+  }
+  error_type failure;
+  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+    now - mRatePeriodBegan);
+  if (mSocket.available(failure) == 0 &&
+      IsBodyTooSlow(mContext->mOptions.mLimits,
+                    mProgress - mProgressAtPeriodBegin,
+                    elapsed)) {
+    return false;
+  }
+  StartBodyTimer();
+  return true;
+}
+
+void
+session::StartBodyTimer()
+{
+  mRatePeriodBegan = boot_clock::now();
+  mProgressAtPeriodBegin = mProgress;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+    mBeganAt + mContext->mOptions.mReadTimeout - mRatePeriodBegan);
+  StartTimer(std::min(left, mContext->mOptions.mLimits.mBodyRatePeriod));
+}
+
 void
 session::DispatchRequest()
 {
@@ -378,6 +501,9 @@
   mHasHadRequest = true;
   mKeepAlive = mParser->get().keep_alive();
   mRequest.mBody = std::move(mParser->get().body());
+  if (mHeldBytes > 0) {
+    SetHeld(mRequest.mBody.capacity() + mBuffer.capacity(), false);
+  }
   mDispatched = true;
   mDispatchedAt = std::chrono::steady_clock::now();
   ++mContext->mActiveRequests;
@@ -403,9 +529,9 @@
 session::RespondToParserError(const error_type& aError)
 {
   if (aError == bhttp::error::body_limit) {
-    RejectRequest(413, "body-too-large", "the body is over its limit");
+    RejectByLimit(limit_reason::kBodySize);
   } else if (aError == bhttp::error::header_limit) {
-    RejectRequest(431, "header-too-large", "the header is over its limit");
+    RejectByLimit(limit_reason::kHeaderSize);
   } else if (aError.category() ==
                make_error_code(bhttp::error::bad_chunk).category() &&
              aError != bhttp::error::partial_message &&
@@ -420,9 +546,88 @@
 session::RejectRequest(int aStatus, const char* aCode, const char* aMessage)
 {
   mKeepAlive = false;
+  ReleaseRequest();
   Write(RejectionResponse(aStatus, aCode, aMessage));
 }
 
+void
+session::RejectByLimit(limit_reason aReason)
+{
+  mContext->Report(aReason);
+  switch (aReason) {
+    case limit_reason::kHeaderSize:
+    case limit_reason::kHeaderFields:
+      RejectRequest(431, "header-too-large", "the header is over its limit");
+      break;
+    case limit_reason::kBodySize:
+      RejectRequest(413, "body-too-large", "the body is over its limit");
+      break;
+    case limit_reason::kSlowHeader:
+    case limit_reason::kSlowBody:
+      RejectRequest(408, "request-timeout", "the request came too slowly");
+      break;
+    case limit_reason::kTotalMemory:
+    case limit_reason::kAddressMemory:
+      RejectRequest(503, "no-memory", "the server has no room");
+      break;
+    default:
+      RejectRequest(503, "too-many-connections", "the server has no room");
+      break;
+  }
+}
+
+bool
+session::Admit(std::size_t aBytes)
+{
+  limit_reason reason = mContext->mLedger.Check(this, aBytes);
+  if (reason == limit_reason::kTotalMemory) {
+    EvictOthers(aBytes);
+    reason = mContext->mLedger.Check(this, aBytes);
+  }
+  if (reason != limit_reason::kNone) {
+    RejectByLimit(reason);
+    return false;
+  }
+  SetHeld(aBytes, true);
+  return true;
+}
+
+void
+session::EvictOthers(std::size_t aBytes)
+{
+  const std::size_t more = aBytes - std::min(aBytes, mHeldBytes);
+  for (const auto each :
+       mContext->mLedger.ChooseEvicted(this, more, boot_clock::now())) {
+    if (mContext->mEvict) {
+      mContext->mEvict(each);
+    }
+  }
+}
+
+void
+session::ReleaseRequest()
+{
+  if (mDispatched) {
+    return;
+  }
+  mRequest = request{};
+  if (mParser) {
+    std::string().swap(mParser->get().body());
+  }
+  SetHeld(0, false);
+}
+
+void
+session::SetHeld(std::size_t aBytes, bool aIsEvictable)
+{
+  if (aBytes == 0 && mHeldBytes == 0) {
+    return;
+  }
+  mHeldBytes = aBytes;
+  mContext->mLedger.SetHeld(this,
+                            { aBytes, mBeganAt, mProgress, aIsEvictable });
+}
+
 void
 session::Write(response aResponse)
 {
@@ -431,6 +636,15 @@
   const bool isHead = mParser && mParser->get().method() == bhttp::verb::head;
   const unsigned version =
     mParser && mParser->get().version() == 10 ? 10U : 11U;
+  const std::size_t size = aResponse.mBody.size();
+  if (size > kReadChunkBytes || mHeldBytes > 0) {
+    mBeganAt = boot_clock::now();
+    mProgress = 0;
+    if (mContext->mLedger.Check(this, size) == limit_reason::kTotalMemory) {
+      EvictOthers(size);
+    }
+    SetHeld(size, true); // kept also if it does not fit: it exists already
+  }
   mResponse = ToBeast(std::move(aResponse), isHead, version, mKeepAlive);
   bhttp::async_write(
     mSocket,
@@ -451,6 +665,9 @@
     mDispatched = false;
     --mContext->mActiveRequests;
   }
+  if (aError && mTimedOut) {
+    mContext->Report(limit_reason::kSlowReader);
+  }
   // Beast reports end_of_stream after it has written a response whose end is
   // marked by the end of the connection.
   if (aError && aError != bhttp::error::end_of_stream) {
--- a/mangospan/http/internal/session.h
+++ b/mangospan/http/internal/session.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -16,6 +17,8 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "mangospan/base/time.h"
+#include "mangospan/http/connection_limits.h"
 #include "mangospan/http/message.h"
 #include "mangospan/http/server.h"
 
@@ -26,7 +29,21 @@
 // The options, handler and counters that all sessions of a server share.
 struct session_context
 {
+  explicit session_context(server_options aOptions)
+    : mOptions(std::move(aOptions))
+    , mLedger(mOptions.mLimits)
+  {
+  }
+
+  void Report(limit_reason aReason) const
+  {
+    if (mOptions.mOnLimited) {
+      mOptions.mOnLimited(aReason);
+    }
+  }
+
   server_options mOptions;
+  connection_ledger mLedger;
   request_handler mHandler;
   // Number of requests passed to the handler whose response has not been
   // written completely.
@@ -35,6 +52,7 @@
   bool mStopping = false;
   bool mDestroyed = false;
   std::function<void(session*)> mOnClosed; // called when a session closes
+  std::function<void(connection_ledger::connection)> mEvict;
 };
 
 // Reads the requests of one connection in order and writes their responses. The
@@ -47,8 +65,14 @@
 
   // Starts reading requests.
   void Start();
+  // Counts the connection for its address. Returns kNone, or why the address
+  // may not have another one.
+  limit_reason Register();
   // Responds with 503 without reading a request, then closes the connection.
-  void RejectConnection();
+  void RejectConnection(limit_reason aReason);
+  // Closes the connection, whose request was not passed to the handler or whose
+  // response is not read, in favor of others.
+  void Evict();
   // Closes the connection if it is waiting for the first byte of a request and
   // none has arrived. If there was no request yet, waits for one a little.
   void CloseIfIdle();
@@ -75,10 +99,22 @@
   void ParseHeader(std::size_t aSize);
   void ContinueOrReadBody();
   void ReadBody();
-  void OnBody(const error_type& aError);
+  void ReadMoreBody();
+  void OnBodyBytes(const error_type& aError, std::size_t aSize);
+  bool IsBodyInTime();
+  void StartBodyTimer();
   void DispatchRequest();
   void Respond(response aResponse);
   void RejectRequest(int aStatus, const char* aCode, const char* aMessage);
+  // As above, and reports the limit.
+  void RejectByLimit(limit_reason aReason);
+  // Admits that the connection holds `aBytes` until the next call, if need be
+  // by closing others. Returns false if it answered the request with a refusal.
+  bool Admit(std::size_t aBytes);
+  void EvictOthers(std::size_t aBytes);
+  // Frees the request, if it was not passed to the handler.
+  void ReleaseRequest();
+  void SetHeld(std::size_t aBytes, bool aIsEvictable);
   void RespondToParserError(const error_type& aError);
   void Write(response aResponse);
   void OnWritten(const error_type& aError);
@@ -107,6 +143,11 @@
   bool mDispatched = false;
   std::chrono::steady_clock::time_point mDispatchedAt{}; // of the last request
   bool mHasHadRequest = false;
+  time_point mBeganAt{}; // the present request, or its response
+  std::size_t mProgress = 0;
+  time_point mRatePeriodBegan{};
+  std::size_t mProgressAtPeriodBegin = 0;
+  std::size_t mHeldBytes = 0; // as in the ledger
 };
 
 } // namespace mangospan::http::internal
--- a/mangospan/http/server.cc
+++ b/mangospan/http/server.cc
@@ -1,5 +1,6 @@
 #include "mangospan/http/server.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -35,9 +36,8 @@
   impl(asio::io_context& aIo, server_options aOptions, request_handler aHandler)
     : mIo(aIo)
     , mRetryTimer(aIo)
-    , mContext(std::make_shared<internal::session_context>())
+    , mContext(std::make_shared<internal::session_context>(std::move(aOptions)))
   {
-    mContext->mOptions = aOptions;
     mContext->mHandler = std::move(aHandler);
   }
 
@@ -51,6 +51,12 @@
         self->mSessions.erase(aSession);
       }
     };
+    mContext->mEvict =
+      [weak = weak_from_this()](const connection_ledger::connection aSession) {
+        if (const auto self = weak.lock()) {
+          self->Evict(aSession);
+        }
+      };
     Accept();
     return boost::outcome_v2::success();
   }
@@ -81,6 +87,7 @@
     StopAccepting();
     mContext->mDestroyed = true;
     mContext->mOnClosed = nullptr;
+    mContext->mEvict = nullptr;
     for (const auto& each : Sessions()) {
       each->Close();
     }
@@ -110,6 +117,18 @@
     return all;
   }
 
+  void Evict(connection_ledger::connection aSession)
+  {
+    const auto found = std::find_if(
+      mSessions.begin(), mSessions.end(), [aSession](const auto& aEach) {
+        return aEach.first == aSession;
+      });
+    if (found != mSessions.end()) {
+      const auto evicted = found->second; // erased while it closes
+      evicted->Evict();
+    }
+  }
+
   void Accept()
   {
     mAcceptor->async_accept(
@@ -167,14 +186,17 @@
   {
     const std::size_t limit = mContext->mOptions.mMaxConnections;
     if (mSessions.size() >= limit + kMaxRejectedConnections) {
+      mContext->Report(limit_reason::kConnections);
       return; // the socket's destructor closes the connection
     }
-    const bool isFull = mSessions.size() >= limit;
     const auto session =
       std::make_shared<internal::session>(std::move(aSocket), mContext);
+    const limit_reason reason = mSessions.size() >= limit
+                                  ? limit_reason::kConnections
+                                  : session->Register();
     mSessions.emplace(session.get(), session);
-    if (isFull) {
-      session->RejectConnection();
+    if (reason != limit_reason::kNone) {
+      session->RejectConnection(reason);
     } else {
       session->Start();
     }
@@ -194,7 +216,7 @@
 server::server(asio::io_context& aIo,
                server_options aOptions,
                request_handler aHandler)
-  : mImpl(std::make_shared<impl>(aIo, aOptions, std::move(aHandler)))
+  : mImpl(std::make_shared<impl>(aIo, std::move(aOptions), std::move(aHandler)))
 {
 }
 
--- a/mangospan/http/server.h
+++ b/mangospan/http/server.h
@@ -20,6 +20,7 @@
 #include <string_view>
 
 #include "mangospan/base/error.h"
+#include "mangospan/http/connection_limits.h"
 #include "mangospan/http/message.h"
 
 namespace boost::asio {
@@ -35,9 +36,13 @@
   std::size_t mMaxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
   // Further connections are answered with 503 and closed.
   std::size_t mMaxConnections = 4096;
+  std::chrono::milliseconds mHeaderTimeout{ 10'000 };
   std::chrono::milliseconds mReadTimeout{ 10'000 };  // for one request
   std::chrono::milliseconds mIdleTimeout{ 60'000 };  // between requests
   std::chrono::milliseconds mWriteTimeout{ 30'000 }; // for one response
+  connection_limits mLimits;
+  // Called when a client is refused or its connection is closed by a limit.
+  std::function<void(limit_reason)> mOnLimited;
 };
 
 // Sends the response to a request. Must be called exactly once, on the
--- a/mangospan/http/server_test.cc
+++ b/mangospan/http/server_test.cc
@@ -343,6 +343,44 @@
   EXPECT_TRUE(StartsWith(first.ReadUntil("GET||"), "HTTP/1.1 200 "));
 }
 
+// Guards against bodies without their end that take the memory of others.
+TEST_F(http_server, BodyWithoutEndIsClosedWhenAnotherRequestNeedsItsMemory)
+{
+  std::atomic<int> evicted{ 0 };
+  server_options options;
+  options.mLimits.mMaxHeldBytes = 100'000;
+  options.mOnLimited = [&evicted](limit_reason aReason) {
+    evicted += aReason == limit_reason::kEvicted ? 1 : 0;
+  };
+  Start(options);
+  const std::string head =
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n";
+  raw_caller stopped(mPort);
+  stopped.Write(head + std::string(49'999, 'x'));
+  std::this_thread::sleep_for(milliseconds(50)); // until it has been read
+  raw_caller other(mPort);
+  other.Write(head + std::string(50'000, 'y'));
+  EXPECT_TRUE(StartsWith(other.ReadUntil("y|"), "HTTP/1.1 200 "));
+  EXPECT_EQ(stopped.ReadToEnd(), "");
+  EXPECT_EQ(evicted, 1);
+}
+
+TEST_F(http_server, RequestsOverTheMemoryLimitAreRefusedBeforeTheirBody)
+{
+  server_options options;
+  options.mLimits.mMaxHeldBytes = 100'000;
+  options.mLimits.mMaxHeaderFields = 3;
+  Start(options);
+  const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n";
+  const std::string refused =
+    SendAndReadAll(start + "Content-Length: 100000\r\n\r\n");
+  EXPECT_TRUE(StartsWith(refused, "HTTP/1.1 503 ")) << refused;
+  EXPECT_NE(refused.find("Mangospan-Outcome: not-run"), std::string::npos);
+  EXPECT_TRUE(StartsWith(SendAndReadAll(start + "a: 1\r\nb: 2\r\nc: 3\r\n\r\n"),
+                         "HTTP/1.1 431 "));
+  EXPECT_EQ(mRequests, 0);
+}
+
 TEST_F(http_server, StopAcceptingClosesIdleConnectionsAndFinishesActiveRequests)
 {
   Start();
