HTTP server: a connection without a request makes way for another

Cause: clients that only open connections, or stop half-way in a request, kept all others out until their timeouts.

--- a/mangospan/http/internal/session.cc
+++ b/mangospan/http/internal/session.cc
@@ -152,6 +152,14 @@
   RejectByLimit(aReason);
 }
 
+std::optional<time_point>
+session::WaitingSince() const
+{
+  const bool isWaiting =
+    mPhase == phase::kReading || (mPhase == phase::kIdle && !mHasHadRequest);
+  return isWaiting ? std::make_optional(mBeganAt) : std::nullopt;
+}
+
 void
 session::Evict()
 {
--- a/mangospan/http/internal/session.h
+++ b/mangospan/http/internal/session.h
@@ -65,6 +65,9 @@
 
   // Starts reading requests.
   void Start();
+  // Returns since when a request has been incomplete, or the first one has been
+  // awaited; nullopt if neither.
+  std::optional<time_point> WaitingSince() const;
   // Counts the connection for its address. Returns kNone, or why the address
   // may not have another one.
   limit_reason Register();
--- a/mangospan/http/server.cc
+++ b/mangospan/http/server.cc
@@ -129,6 +129,26 @@
     }
   }
 
+  // Closes the connection that has waited longest without a complete request.
+  // Returns false if none has waited for long.
+  bool EvictLongestWaiting()
+  {
+    const time_point latest =
+      boot_clock::now() - mContext->mOptions.mMinWaitBeforeEviction;
+    std::shared_ptr<internal::session> found;
+    for (const auto& [key, each] : mSessions) {
+      const auto since = each->WaitingSince();
+      if (since && *since <= latest &&
+          (!found || *since < *found->WaitingSince())) {
+        found = each;
+      }
+    }
+    if (found) {
+      found->Evict();
+    }
+    return found != nullptr;
+  }
+
   void Accept()
   {
     mAcceptor->async_accept(
@@ -191,9 +211,9 @@
     }
     const auto session =
       std::make_shared<internal::session>(std::move(aSocket), mContext);
-    const limit_reason reason = mSessions.size() >= limit
-                                  ? limit_reason::kConnections
-                                  : session->Register();
+    const bool isFull = mSessions.size() >= limit && !EvictLongestWaiting();
+    const limit_reason reason =
+      isFull ? limit_reason::kConnections : session->Register();
     mSessions.emplace(session.get(), session);
     if (reason != limit_reason::kNone) {
       session->RejectConnection(reason);
--- a/mangospan/http/server.h
+++ b/mangospan/http/server.h
@@ -34,8 +34,11 @@
 {
   std::size_t mMaxHeaderBytes = std::size_t{ 16 } * 1024;
   std::size_t mMaxBodyBytes = std::size_t{ 8 } * 1024 * 1024;
-  // Further connections are answered with 503 and closed.
+  // For a further connection, one is closed that has waited for longer than
+  // `mMinWaitBeforeEviction` without a complete request. If there is none, the
+  // further one is answered with 503 and closed.
   std::size_t mMaxConnections = 4096;
+  std::chrono::milliseconds mMinWaitBeforeEviction{ 3'000 };
   std::chrono::milliseconds mHeaderTimeout{ 10'000 };
   std::chrono::milliseconds mReadTimeout{ 10'000 };  // for one request
   std::chrono::milliseconds mIdleTimeout{ 60'000 };  // between requests
--- a/mangospan/http/server_test.cc
+++ b/mangospan/http/server_test.cc
@@ -343,6 +343,23 @@
   EXPECT_TRUE(StartsWith(first.ReadUntil("GET||"), "HTTP/1.1 200 "));
 }
 
+// Guards against clients that take all connections without a request.
+TEST_F(http_server, ConnectionWithoutRequestIsClosedForAnotherWhenAllAreInUse)
+{
+  server_options options;
+  options.mMaxConnections = 1;
+  options.mMinWaitBeforeEviction = milliseconds(20);
+  Start(options);
+  raw_caller waiting(mPort);
+  waiting.Write("GET / HT");
+  ASSERT_TRUE(Eventually([this] { return mServer->OpenConnections() == 1; }));
+  std::this_thread::sleep_for(milliseconds(50));
+  EXPECT_TRUE(StartsWith(
+    SendAndReadAll("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"),
+    "HTTP/1.1 200 "));
+  EXPECT_EQ(waiting.ReadToEnd(), "");
+}
+
 // Guards against bodies without their end that take the memory of others.
 TEST_F(http_server, BodyWithoutEndIsClosedWhenAnotherRequestNeedsItsMemory)
 {
