Limits on clients at each listener of a node, as settings

Cause: the listeners for readiness checks and for other nodes took bodies of 8 MB on 4,096 connections; a job's body of legal size decoded to many times its size; nothing told the operators which clients do harm.

Clients that meet a limit are counted by listener and reason, and logged once in 10 s for each. Elements and nesting of a body are counted before it is decoded; a body that certainly has few enough is only scanned for brackets and commas.

--- a/mangospan/daemon/operator_endpoint.cc
+++ b/mangospan/daemon/operator_endpoint.cc
@@ -19,12 +19,15 @@
 constexpr std::string_view kTestPrefix = "/test/";
 
 http::server_options
-ServerOptions()
+ServerOptions(const http::connection_limits& aLimits,
+              std::function<void(http::limit_reason)> aOnLimited)
 {
   http::server_options options;
   options.mMaxBodyBytes =
     std::size_t{ 64 } * 1024;   // only test switches carry a body
   options.mMaxConnections = 32; // a few operators and scrapers
+  options.mLimits = aLimits;
+  options.mOnLimited = std::move(aOnLimited);
   return options;
 }
 
@@ -42,14 +45,17 @@
 
 } // namespace
 
-operator_endpoint::operator_endpoint(boost::asio::io_context& aIo,
-                                     metrics& aMetrics,
-                                     operator_handlers aHandlers)
+operator_endpoint::operator_endpoint(
+  boost::asio::io_context& aIo,
+  metrics& aMetrics,
+  operator_handlers aHandlers,
+  const http::connection_limits& aLimits,
+  std::function<void(http::limit_reason)> aOnLimited)
   : mMetrics(aMetrics)
   , mHandlers(std::move(aHandlers))
   , mServer(
       aIo,
-      ServerOptions(),
+      ServerOptions(aLimits, std::move(aOnLimited)),
       [this](const http::request& aRequest, const http::responder& aRespond) {
         aRespond(Answer(aRequest));
       })
--- a/mangospan/daemon/operator_endpoint.h
+++ b/mangospan/daemon/operator_endpoint.h
@@ -36,7 +36,9 @@
 public:
   operator_endpoint(boost::asio::io_context& aIo,
                     metrics& aMetrics,
-                    operator_handlers aHandlers);
+                    operator_handlers aHandlers,
+                    const http::connection_limits& aLimits = {},
+                    std::function<void(http::limit_reason)> aOnLimited = {});
 
   // As http::server::Listen.
   status Listen(std::string_view aAddress);
--- a/mangospan/http/connection_limits.cc
+++ b/mangospan/http/connection_limits.cc
@@ -36,6 +36,8 @@
       return "header_fields";
     case limit_reason::kBodySize:
       return "body_size";
+    case limit_reason::kJsonSize:
+      return "json_size";
     case limit_reason::kSlowHeader:
       return "slow_header";
     case limit_reason::kSlowBody:
--- a/mangospan/http/connection_limits.h
+++ b/mangospan/http/connection_limits.h
@@ -44,6 +44,7 @@
   kHeaderSize,
   kHeaderFields,
   kBodySize,
+  kJsonSize, // of a body, by its decoder
   kSlowHeader,
   kSlowBody,
   kSlowReader,
--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -9,6 +9,7 @@
 
 #include "mangospan/base/log.h"
 #include "mangospan/jobs/codec.h"
+#include "mangospan/json/size_check.h"
 
 namespace mangospan::node {
 
@@ -23,6 +24,9 @@
 constexpr const char* kYieldPath = "/mangospan/v1/yield";
 constexpr const char* kServiceHeader = "Mangospan-Service";
 constexpr milliseconds kExchangeTimeout{ 600 };
+// Of a body from another node. A forwarded job has each field of each step, and
+// instructions name runners; both stay far below.
+constexpr mangospan::json::size_limits kBodyLimits{ 200'000, 32 };
 constexpr const char* kTimeoutHeader = "Mangospan-Patience-Ms";
 // Added to the timeout of a forwarded call, so that an answer that the owner
 // gives at the end of the timeout still arrives.
@@ -299,6 +303,10 @@
   } else if (aRequest.mMethod == "DELETE") {
     aService.Cancel(job, timeout, answer);
   } else if (aRequest.mMethod == "POST") {
+    if (!mangospan::json::IsWithin(aRequest.mBody, kBodyLimits)) {
+      aRespond(http::JsonResponse(413, R"({"message":"too many elements"})"));
+      return;
+    }
     auto spec = jobs::DecodeSpec(aRequest.mBody);
     if (spec.has_error()) {
       aRespond(ErrorResponse(400, spec.assume_error()));
@@ -380,6 +388,10 @@
           const pool_exchanger& aExchange,
           const http::responder& aRespond)
 {
+  if (!mangospan::json::IsWithin(aRequest.mBody, kBodyLimits)) {
+    aRespond(http::JsonResponse(413, "{}"));
+    return;
+  }
   const auto instructions = DecodePoolInstructions(aRequest.mBody);
   if (instructions.has_error()) {
     LogError("pool.malformed", instructions.assume_error());
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -9,6 +9,7 @@
 
 #include "mangospan/base/log.h"
 #include "mangospan/node/job_http.h"
+#include "mangospan/node/listener_options.h"
 #include "mangospan/node/state_dump.h"
 
 namespace mangospan::node {
@@ -93,6 +94,7 @@
   , mSettings(std::move(aSettings))
   , mPorts(aPorts)
   , mMetrics(aMetrics)
+  , mLimitedClients(aClock, aMetrics, "mangospan_node_limited_clients_total")
   , mStore(aIo, aPorts.mStore, [this] { OnStoreAnswersAgain(); })
   , mKeyGate(KeyGateSettings(mSettings), std::random_device()())
   , mCheckTimer(aIo)
@@ -104,15 +106,19 @@
 status
 node_process::Start()
 {
+  http::server_options readiness = ReadinessListener(mSettings);
+  readiness.mOnLimited = mLimitedClients.Observer("readiness");
   mReadinessServer = std::make_unique<http::server>(
     mIo,
-    http::server_options{},
+    std::move(readiness),
     [this](const http::request&, const http::responder& aRespond) {
       aRespond(AnswerReadiness());
     });
+  http::server_options nodes = NodeListener(mSettings);
+  nodes.mOnLimited = mLimitedClients.Observer("nodes");
   mNodeServer = std::make_unique<http::server>(
     mIo,
-    http::server_options{},
+    std::move(nodes),
     [this](const http::request& aRequest, const http::responder& aRespond) {
       ServeNode(aRequest, aRespond);
     });
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -20,6 +20,7 @@
 #include "mangospan/base/time.h"
 #include "mangospan/base/timer.h"
 #include "mangospan/customers/key_gate.h"
+#include "mangospan/daemon/limited_clients.h"
 #include "mangospan/daemon/metrics.h"
 #include "mangospan/http/server.h"
 #include "mangospan/node/caller_patience.h"
@@ -75,6 +76,9 @@
   {
     return { mReadinessServer.get(), mNodeServer.get() };
   }
+  // Returns the count of clients that met a limit of one of the node's
+  // listeners.
+  daemon::limited_clients& LimitedClients() { return mLimitedClients; }
   // Returns whether the hand-over of a stop has ended.
   bool IsHandedOver() const { return mIsHandedOver; }
 
@@ -182,6 +186,7 @@
   const node_settings mSettings;
   const node_ports mPorts;
   daemon::metrics& mMetrics;
+  daemon::limited_clients mLimitedClients;
   monitored_store mStore; // all parts of the node use it
   std::shared_ptr<mirror> mOperatorMirror;
   std::shared_ptr<mirror> mElectionMirror;
--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -59,6 +59,18 @@
   return boost::outcome_v2::success();
 }
 
+status
+ReadPositiveCount(const nlohmann::json& aValue,
+                  const json::location& aWhere,
+                  std::size_t& aInto)
+{
+  BOOST_OUTCOME_TRY(json::ReadValue(aValue, aWhere, aInto));
+  if (aInto == 0) {
+    return json::Refuse(aWhere, "must be 1 or more");
+  }
+  return boost::outcome_v2::success();
+}
+
 const json::field_table<node_settings>&
 Fields()
 {
@@ -80,6 +92,26 @@
     Optional("processor_share", &s::mProcessorCores),
     Optional("max_body_bytes", &s::mMaxBodyBytes),
     Optional("max_connections", &s::mMaxConnections),
+    With("caller_memory_bytes", &s::mCallerMemoryBytes, ReadPositiveCount),
+    With(
+      "readiness_memory_bytes", &s::mReadinessMemoryBytes, ReadPositiveCount),
+    With("node_memory_bytes", &s::mNodeMemoryBytes, ReadPositiveCount),
+    With("operator_memory_bytes", &s::mOperatorMemoryBytes, ReadPositiveCount),
+    With("max_readiness_connections",
+         &s::mMaxReadinessConnections,
+         ReadPositiveCount),
+    With("max_node_connections", &s::mMaxNodeConnections, ReadPositiveCount),
+    Optional("caller_memory_bytes_per_address",
+             &s::mCallerMemoryBytesPerAddress),
+    Optional("max_connections_per_address", &s::mMaxConnectionsPerAddress),
+    With("max_header_fields", &s::mMaxHeaderFields, ReadPositiveCount),
+    Optional("min_body_bytes_per_s", &s::mMinBodyBytesPerSecond),
+    With("body_rate_period_ms", &s::mBodyRatePeriod, ReadPositiveMilliseconds),
+    With("header_timeout_ms", &s::mHeaderTimeout, ReadPositiveMilliseconds),
+    With("write_timeout_ms", &s::mWriteTimeout, ReadPositiveMilliseconds),
+    With("idle_timeout_ms", &s::mIdleTimeout, ReadPositiveMilliseconds),
+    With("max_json_elements", &s::mMaxJsonElements, ReadPositiveCount),
+    With("max_json_depth", &s::mMaxJsonDepth, ReadPositiveCount),
     With("stop_timeout_ms", &s::mStopTimeout, ReadPositiveMilliseconds),
     With(
       "key_revocation_ms", &s::mKeyRevocationBound, ReadPositiveMilliseconds),
--- a/mangospan/node/settings.h
+++ b/mangospan/node/settings.h
@@ -28,6 +28,27 @@
   // Limits of the server for callers: bytes of a request body, connections.
   std::size_t mMaxBodyBytes = std::size_t{ 256 } * 1024;
   std::size_t mMaxConnections = 1'500;
+  // What the clients of each listener hold in memory. The sum is what a node
+  // of 160 MB has left.
+  std::size_t mCallerMemoryBytes = std::size_t{ 24 } * 1024 * 1024;
+  std::size_t mReadinessMemoryBytes = std::size_t{ 2 } * 1024 * 1024;
+  std::size_t mNodeMemoryBytes = std::size_t{ 32 } * 1024 * 1024;
+  std::size_t mOperatorMemoryBytes = std::size_t{ 16 } * 1024 * 1024;
+  std::size_t mMaxReadinessConnections = 1'000;
+  std::size_t mMaxNodeConnections = 500;
+  // For one address of callers; 0 for no limit.
+  std::size_t mCallerMemoryBytesPerAddress = 0;
+  std::size_t mMaxConnectionsPerAddress = 0;
+  // Of requests at each listener.
+  std::size_t mMaxHeaderFields = 256;
+  std::size_t mMinBodyBytesPerSecond = 256;
+  std::chrono::milliseconds mBodyRatePeriod{ 5'000 };
+  std::chrono::milliseconds mHeaderTimeout{ 10'000 };
+  std::chrono::milliseconds mWriteTimeout{ 10'000 };
+  std::chrono::milliseconds mIdleTimeout{ 20'000 }; // not of other nodes
+  // Of a job's JSON: 1,000 steps of all fields and some dependencies fit.
+  std::size_t mMaxJsonElements = 30'000;
+  std::size_t mMaxJsonDepth = 32;
   std::chrono::milliseconds mStopTimeout{ 6'000 };
   // Minimum time that the host service requires, for the same host, between the
   // orders of one fleet controller and those of the next.
--- a/mangospan/node/settings_test.cc
+++ b/mangospan/node/settings_test.cc
@@ -11,7 +11,8 @@
   "caller_address": "10.1.0.9:8624", "readiness_address": "10.1.0.9:8622",
   "node_address": "10.1.0.9:7060", "operator_address": "",
   "store_address": "10.200.1.7:8621", "host_lease_ms": 2500,
-  "stop_timeout_ms": 6e3, "learn_run_times": true, "key_revocation_ms": 5000,
+  "stop_timeout_ms": 6e3, "max_json_depth": 16, "header_timeout_ms": 4100,
+  "learn_run_times": true, "key_revocation_ms": 5000,
   "customer_rate_window_ms": 4000, "customer_rate_slack": 7
 })";
 
@@ -57,6 +58,8 @@
          invalid_setting{ "2500", "\"soon\"", "host_lease_ms" },
          invalid_setting{ "6e3", "0", "stop_timeout_ms" },
          invalid_setting{ "true", "1", "learn_run_times" },
+         invalid_setting{ "16", "0", "max_json_depth" },
+         invalid_setting{ "4100", "0", "header_timeout_ms" },
          invalid_setting{ "6e3", "-6000", "stop_timeout_ms" },
          invalid_setting{ "5000", "0", "key_revocation_ms" },
          invalid_setting{ "5000", "\"5 s\"", "key_revocation_ms" },
