--- a/mangospan/http/server_fuzz_test.cc
+++ b/mangospan/http/server_fuzz_test.cc
@@ -73,7 +73,8 @@
     testing::mutator mutate(seed);
     std::string bytes;
     for (const std::string& each : kRequests) {
-      bytes = mutate(each + bytes);
+      bytes.insert(0, each);
+      bytes = mutate(bytes);
     }
     Exchange(io, tested.Port(), bytes);
     Exchange(io, tested.Port(), mutate(kRequests[seed % std::size(kRequests)]));
--- a/mangospan/http/server_test.cc
+++ b/mangospan/http/server_test.cc
@@ -86,7 +86,7 @@
   // The responder of "/later" is stored in `mDeferredResponders` instead of
   // being called. "/large" is answered with 32 MiB, and "/close" with
   // "Connection: close".
-  void Start(server_options aOptions = {})
+  void Start(const server_options& aOptions = {})
   {
     mServer.emplace(
       mIo, aOptions, [this](const request& aRequest, responder aRespond) {
