Check of the size of a JSON body: one scan in place of a second parse

Change: elements and nesting are counted outside of texts in one scan; only a body that may be over a limit is parsed for the exact count.

--- a/mangospan/json/size_check.cc
+++ b/mangospan/json/size_check.cc
@@ -81,19 +81,56 @@
   bool mIsExceeded = false;
 };
 
-// Each element but the first follows one of these bytes. Counting them costs
-// far less than parsing, which an ordinary body needs not twice.
+// Returns the position of the quote that ends the text which begins at
+// `aBegin`, or the end of `aJson`.
+std::size_t
+EndOfText(std::string_view aJson, std::size_t aBegin)
+{
+  std::size_t end = aJson.find('"', aBegin);
+  while (end != std::string_view::npos) {
+    std::size_t backslashes = 0;
+    while (end - backslashes > aBegin && aJson[end - backslashes - 1] == '\\') {
+      ++backslashes;
+    }
+    if (backslashes % 2 == 0) {
+      return end;
+    }
+    end = aJson.find('"', end + 1); // that one was escaped
+  }
+  return aJson.size();
+}
+
+// Each element but the first follows a bracket or a comma outside of the texts.
+// Counting these costs far less than parsing, which an ordinary body needs not
+// twice.
 bool
 IsCertainlyWithin(std::string_view aText, const size_limits& aLimits)
 {
-  std::size_t brackets = 0;
-  std::size_t commas = 0;
-  for (const char each : aText) {
-    brackets += each == '[' || each == '{' ? 1 : 0;
-    commas += each == ',' ? 1 : 0;
+  std::size_t elements = 1;
+  std::size_t depth = 0;
+  std::size_t maxDepth = 0;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    switch (aText[i]) {
+      case '"':
+        i = EndOfText(aText, i + 1);
+        break;
+      case '[':
+      case '{':
+        ++elements;
+        maxDepth = std::max(maxDepth, ++depth);
+        break;
+      case ']':
+      case '}':
+        depth -= depth > 0 ? 1 : 0;
+        break;
+      case ',':
+        ++elements;
+        break;
+      default:
+        break;
+    }
   }
-  return brackets <= aLimits.mMaxDepth &&
-         2 * brackets + commas < aLimits.mMaxElements;
+  return maxDepth <= aLimits.mMaxDepth && elements <= aLimits.mMaxElements;
 }
 
 } // namespace
--- a/mangospan/json/size_check_test.cc
+++ b/mangospan/json/size_check_test.cc
@@ -23,6 +23,8 @@
 TEST(size_check_test, BracketsAndCommasInTextsAreNotElements)
 {
   EXPECT_TRUE(IsWithin(R"(["[[[[[,,,,,,{{{{"])", kLimits));
+  EXPECT_TRUE(IsWithin(R"(["\"[[[[[,,,,,,{{{{"])", kLimits));
+  EXPECT_FALSE(IsWithin(R"(["\\",[[[["]"]]]])", kLimits));
 }
 
 // The decoder reports these.
