Settings: caller_memory_bytes has room for the largest body

Cause: with less, no body of the largest size would ever be admitted. Change: such settings are refused, with the key's name. Result: the tests of the settings pass.

--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -12,6 +12,9 @@
 
 using std::chrono::milliseconds;
 
+// What a request holds beside its body: the server's buffer and the header.
+constexpr std::size_t kRequestOverheadBytes = std::size_t{ 64 } * 1024;
+
 status
 ReadAddress(const nlohmann::json& aValue,
             const json::location& aWhere,
@@ -135,6 +138,12 @@
   BOOST_OUTCOME_TRY(value, json::ParseText(aText, where));
   node_settings settings;
   BOOST_OUTCOME_TRY(json::ReadObject(value, where, Fields(), settings));
+  if (settings.mCallerMemoryBytes <
+      settings.mMaxBodyBytes + kRequestOverheadBytes) {
+    return json::Refuse(where,
+                        "caller_memory_bytes: has no room for a body of "
+                        "max_body_bytes");
+  }
   return settings;
 }
 
