Revert "Maintenance waves wait while pools lack hosts, as far as their time allows"

Nobody is served better: the hosts that the wave doesn't take come back to pools whose hosts are all in use anyway.

--- a/mangospan/jobs/maintenance_planner.cc
+++ b/mangospan/jobs/maintenance_planner.cc
@@ -245,22 +245,6 @@
   }
 }
 
-// Returns whether the wave can wait until pools have hosts enough: the rounds
-// that the remaining hosts take, and one more, end in time.
-bool
-maintenance_planner::MayHold(const wave& aWave,
-                             const wave_counts& aCounts,
-                             time_point aNow) const
-{
-  if (!mSettings.mHoldUnderLoad || !mIsShortOfHosts) {
-    return false;
-  }
-  const std::size_t rounds =
-    (aCounts.mPending.size() + aWave.mMaxDown - 1) / aWave.mMaxDown + 1;
-  return aNow + static_cast<int>(rounds) * mSettings.mHostTime <
-         aWave.mCompleteBy;
-}
-
 void
 maintenance_planner::BeginDraining(std::uint64_t aNumber,
                                    wave& aWave,
@@ -269,10 +253,9 @@
                                    maintenance_decision& aDecision) const
 {
   std::sort(aCounts.mPending.begin(), aCounts.mPending.end());
-  const bool isHeld = MayHold(aWave, aCounts, aNow);
   for (const auto& [cost, host] : aCounts.mPending) {
-    const bool isAtLimit = isHeld || aCounts.mDown + aCounts.mDraining >=
-                                       aWave.mMaxDown + mSettings.mDrainAhead;
+    const bool isAtLimit = aCounts.mDown + aCounts.mDraining >=
+                           aWave.mMaxDown + mSettings.mDrainAhead;
     if (isAtLimit && !IsUnsettled(aNumber, host)) {
       continue;
     }
--- a/mangospan/jobs/maintenance_planner.h
+++ b/mangospan/jobs/maintenance_planner.h
@@ -86,13 +86,6 @@
   // maintenance for this long is lost: it is not down for its maintenance. Must
   // be longer than an order without a result may take to be executed.
   std::chrono::milliseconds mLostAfter{ 5'000 };
-  // While pools lack hosts, a wave drains no further ones as long as it has
-  // time left for that.
-  bool mHoldUnderLoad = false;
-  // For how long a host is out of use for its maintenance: until it is drained,
-  // until it is back, and until its runner is in use again. Used to tell
-  // whether a wave has time left.
-  std::chrono::milliseconds mHostTime{ 6'000 };
 };
 
 // Plans maintenance waves: drains the hosts of each wave and orders them down
@@ -131,9 +124,6 @@
                               time_point aListedAt,
                               time_point aNow);
 
-  // Sets whether any pool has fewer hosts than its load requires.
-  void SetShortOfHosts(bool aIsShort) { mIsShortOfHosts = aIsShort; }
-
   // Uncordons the hosts that are draining and not yet ordered down. The next
   // Decide() may drain them again. For use while no order can be sent.
   void StopDraining();
@@ -226,9 +216,6 @@
                         time_point aNow,
                         wave_counts& aCounts,
                         maintenance_decision& aDecision) const;
-  bool MayHold(const wave& aWave,
-               const wave_counts& aCounts,
-               time_point aNow) const;
   void BeginDraining(std::uint64_t aNumber,
                      wave& aWave,
                      time_point aNow,
@@ -244,7 +231,6 @@
   std::map<std::uint64_t, wave> mWaves;
   // Orders of an earlier owner that may still be executed.
   std::set<std::pair<std::uint64_t, host_name>> mUnsettledOrders;
-  bool mIsShortOfHosts = false;
 };
 
 } // namespace mangospan::jobs
--- a/mangospan/jobs/maintenance_planner_test.cc
+++ b/mangospan/jobs/maintenance_planner_test.cc
@@ -319,33 +319,5 @@
   }
 }
 
-// Load pattern: a pool lacks hosts for some seconds while a wave with much time
-// left would take as many as it may.
-TEST(maintenance_planner_test, WaveWaitsWhilePoolsLackHostsIfItHasTime)
-{
-  maintenance_settings settings;
-  settings.mHoldUnderLoad = true;
-  maintenance_planner planner(settings);
-  const auto hosts = Hosts(6);
-  planner.AddWave(1, hosts, kStart + seconds(40), 3);
-  planner.SetShortOfHosts(true);
-  EXPECT_TRUE(planner.Decide(Views(hosts), kStart, kStart).mCordoned.empty());
-  planner.SetShortOfHosts(false);
-  EXPECT_FALSE(planner.Decide(Views(hosts), kStart, kStart).mCordoned.empty());
-}
-
-// A wave that waited for too long would be late.
-TEST(maintenance_planner_test, WaveGoesOnWithoutTimeToWait)
-{
-  maintenance_settings settings;
-  settings.mHoldUnderLoad = true;
-  maintenance_planner planner(settings);
-  const auto hosts = Hosts(6);
-  planner.AddWave(1, hosts, kStart + seconds(40), 3);
-  planner.SetShortOfHosts(true);
-  const time_point late = kStart + seconds(40) - 3 * settings.mHostTime;
-  EXPECT_FALSE(planner.Decide(Views(hosts), late, late).mCordoned.empty());
-}
-
 } // namespace
 } // namespace mangospan::jobs
--- a/mangospan/jobs/pool_autoscaler.cc
+++ b/mangospan/jobs/pool_autoscaler.cc
@@ -90,10 +90,6 @@
   autoscaling_state state = AssessPools(aLoads, aHosts, aReservedHosts);
   ComputeRequiredHosts(aLoads, state);
   FillDeficits(state);
-  mIsShortOfHosts = std::any_of(
-    state.mPools.begin(), state.mPools.end(), [](const auto& aEntry) {
-      return aEntry.second.mHostCount < aEntry.second.mRequiredHosts;
-    });
   if (!aSparePool.Empty()) {
     ReleaseIdleHosts(aSparePool, aNow, state);
   }
--- a/mangospan/jobs/pool_autoscaler.h
+++ b/mangospan/jobs/pool_autoscaler.h
@@ -79,10 +79,6 @@
   // Forgets the pending move of the host, because it was not executed.
   void OnMoveNotExecuted(const host_name& aHost);
 
-  // Returns whether any pool had fewer hosts than its load requires after the
-  // last decision, hosts that move to it included.
-  bool IsShortOfHosts() const { return mIsShortOfHosts; }
-
   // Returns the hosts that are being moved. They must get no new runs.
   std::set<host_name> MovingHosts() const;
 
@@ -127,7 +123,6 @@
                             const resources& aHostCapacity) const;
 
   const autoscaler_settings mSettings;
-  bool mIsShortOfHosts = false;
   std::map<host_name, pending_move> mPendingMoves;
   std::map<host_name, time_point> mIdleSince;
 };
--- a/mangospan/node/fleet_controller.cc
+++ b/mangospan/node/fleet_controller.cc
@@ -71,14 +71,6 @@
                     haveSameCap);
 }
 
-jobs::maintenance_settings
-MaintenanceSettings(const fleet_controller_settings& aSettings)
-{
-  jobs::maintenance_settings out;
-  out.mHoldUnderLoad = aSettings.mHoldWavesUnderLoad;
-  return out;
-}
-
 } // namespace
 
 fleet_controller::fleet_controller(fleet_controller_dependencies aDependencies,
@@ -98,7 +90,7 @@
                                             [this] { OnPoolStateChanged(); }))
   , mWaveRecords(
       std::make_shared<wave_records>(mDeps.mStore, mDeps.mFormat, mTermFence))
-  , mMaintenancePlanner(MaintenanceSettings(aSettings))
+  , mMaintenancePlanner(jobs::maintenance_settings{})
   , mAutoscaler(jobs::autoscaler_settings{})
 {
 }
@@ -466,7 +458,6 @@
     }
   }
   const std::vector<jobs::host_view> views = HostViews();
-  mMaintenancePlanner.SetShortOfHosts(mAutoscaler.IsShortOfHosts());
   const jobs::maintenance_decision maintenance =
     mMaintenancePlanner.Decide(views, mListedAt, now);
   AddPendingMoves(mAutoscaler.Decide(PoolLoads(),
--- a/mangospan/node/fleet_controller.h
+++ b/mangospan/node/fleet_controller.h
@@ -50,8 +50,6 @@
   // controller still fit.
   std::size_t mMaxOrdersPerSecond = 60;
   std::chrono::milliseconds mTickInterval{ 60 };
-  // As `jobs::maintenance_settings::mHoldUnderLoad`.
-  bool mHoldWavesUnderLoad = false;
 };
 
 // Objects that the controller uses. The references must outlive the controller.
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -36,7 +36,6 @@
 {
   fleet_controller_settings out;
   out.mMinOrderGapBetweenOwners = aSettings.mMinOrderGapBetweenOwners;
-  out.mHoldWavesUnderLoad = aSettings.mHoldWavesUnderLoad;
   out.mMaxOrdersPerSecond =
     static_cast<std::size_t>(kHostOrderShare * aSettings.mHostOrdersPerSecond);
   return out;
--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -121,7 +121,6 @@
     With("customer_rate_window_ms",
          &s::mCustomerRateWindow,
          ReadPositiveMilliseconds),
-    Optional("hold_waves_under_load", &s::mHoldWavesUnderLoad),
     Optional("customer_rate_slack", &s::mCustomerRateSlack),
     Optional("learn_run_times", &s::mLearnRunTimes),
     With("host_lease_ms", &s::mMinOrderGapBetweenOwners, ReadMilliseconds),
--- a/mangospan/node/settings.h
+++ b/mangospan/node/settings.h
@@ -57,8 +57,6 @@
   // A revoked API key is refused everywhere once its revocation is this old; 0
   // if the deployment states no bound.
   std::chrono::milliseconds mKeyRevocationBound{ 0 };
-  // Maintenance waves wait while pools lack hosts, as far as their time allows.
-  bool mHoldWavesUnderLoad = false;
   // In any span of this length a customer is owed as many jobs as its weight
   // gives for the span, and the slack more.
   std::chrono::milliseconds mCustomerRateWindow{ 5'000 };
