Read-through: faults and words that a newcomer stumbled on

- A response in the making counted as without progress, so readers of large responses were closed before clients that withhold a body.
- A connection of an address over its own limit could close another client's.
- The settings check of caller_memory_bytes left out that a chunked body takes twice its size.
- Work of a job handed in to a pool without hosts was charged as if a host had nothing.
- A configuration whose version is not higher cleared the mark of an unreadable one.
- Bodies of too many elements from other nodes left no log line.
- "Entitled to" in place of "owed", and comments that reflow had broken.

--- a/mangospan/customers/admission.cc
+++ b/mangospan/customers/admission.cc
@@ -11,9 +11,9 @@
 // Refused callers return within this time however long the backlog is, since
 // work that waits for longer is of no use to them.
 constexpr seconds kMaxRetryAfter{ 5 };
-// Multiples of this number, modulo 1, are spread evenly, however many there
-// are.
-constexpr double kGoldenRatio = 0.6180339887498949;
+// The fractional parts of the multiples of this number are spread evenly,
+// however many there are.
+constexpr double kInverseGoldenRatio = 0.6180339887498949;
 
 } // namespace
 
@@ -39,7 +39,7 @@
                            : static_cast<double>(kMaxRetryAfter.count());
   const double spread =
     std::min(drained, static_cast<double>(kMaxRetryAfter.count() - 1));
-  mPosition += kGoldenRatio;
+  mPosition += kInverseGoldenRatio;
   mPosition -= mPosition >= 1 ? 1 : 0;
   return seconds(1) +
          seconds(static_cast<std::int64_t>(mPosition * (1 + spread)));
--- a/mangospan/customers/admission.h
+++ b/mangospan/customers/admission.h
@@ -1,9 +1,9 @@
 // Decides which new jobs of customers are taken while a pool is full.
 //
 // Customers compete for too little capacity when one of them sends several
-// times what it is owed. Its excess jobs would delay those of all others. So
-// excess jobs are taken only while the pool has room, and refused at once
-// otherwise. Pure: the caller passes the time.
+// times what it is entitled to. Its excess jobs would delay those of all
+// others. So excess jobs are taken only while the pool has room, and refused at
+// once otherwise. Pure: the caller passes the time.
 #ifndef MANGOSPAN_CUSTOMERS_ADMISSION_H
 #define MANGOSPAN_CUSTOMERS_ADMISSION_H
 
--- a/mangospan/customers/customer.h
+++ b/mangospan/customers/customer.h
@@ -16,8 +16,8 @@
   customer_name mName;
   std::vector<std::string> mApiKeys; // any of them identifies the customer
   int mPriority = 0;
-  // The jobs per second that the customer is owed, and its share of a pool that
-  // is full, in proportion to the weights of the others.
+  // The jobs per second that the customer is entitled to, and its share of a
+  // pool that is full, in proportion to the weights of the others.
   double mWeight = 0;
   // What the customer's tasks may reserve at the same time, on the runners of
   // all services together. An amount of 0 is not limited.
--- a/mangospan/customers/rate_meter.h
+++ b/mangospan/customers/rate_meter.h
@@ -1,4 +1,4 @@
-// Tells which jobs of a customer are within the rate that it is owed.
+// Tells which jobs of a customer are within the rate that it is entitled to.
 #ifndef MANGOSPAN_CUSTOMERS_RATE_METER_H
 #define MANGOSPAN_CUSTOMERS_RATE_METER_H
 
@@ -21,7 +21,7 @@
 };
 
 // Counts the jobs of each customer over a sliding window. Only jobs within the
-// rate count, so a customer that sends far too many is still owed its rate.
+// rate count, so a customer that sends far too many still gets its rate.
 class rate_meter
 {
 public:
--- a/mangospan/daemon/limited_clients.h
+++ b/mangospan/daemon/limited_clients.h
@@ -1,8 +1,7 @@
 // Counts and logs the clients that a listener's limits have refused or closed.
 //
-//   limited_clients limited(clock, metrics,
-//   "mangospan_node_limited_clients_total"); options.mOnLimited =
-//   limited.Observer("callers");
+//   limited_clients limited(clock, metrics, "limited_clients_total");
+//   options.mOnLimited = limited.Observer("callers");
 #ifndef MANGOSPAN_DAEMON_LIMITED_CLIENTS_H
 #define MANGOSPAN_DAEMON_LIMITED_CLIENTS_H
 
--- a/mangospan/http/internal/session.cc
+++ b/mangospan/http/internal/session.cc
@@ -344,15 +344,15 @@
     RespondToParserError(failure);
     return;
   }
-  // The headers are copied before the body is read, because Beast merges the
-  // trailers of a chunked body into the headers. A caller could otherwise forge
-  // any header in a trailer.
   if (std::distance(mParser->get().begin(), mParser->get().end()) >
       static_cast<std::ptrdiff_t>(
         mContext->mOptions.mLimits.mMaxHeaderFields)) {
     RejectByLimit(limit_reason::kHeaderFields);
     return;
   }
+  // The headers are copied before the body is read, because Beast merges the
+  // trailers of a chunked body into the headers. A caller could otherwise forge
+  // any header in a trailer.
   mRequest = request{};
   mRequest.mMethod = std::string(mParser->get().method_string());
   mRequest.mTarget = std::string(mParser->get().target());
@@ -647,7 +647,7 @@
   const std::size_t size = aResponse.mBody.size();
   if (size > kReadChunkBytes || mHeldBytes > 0) {
     mBeganAt = boot_clock::now();
-    mProgress = 0;
+    mProgress = size; // of a response only the age counts
     if (mContext->mLedger.Check(this, size) == limit_reason::kTotalMemory) {
       EvictOthers(size);
     }
--- a/mangospan/http/server.cc
+++ b/mangospan/http/server.cc
@@ -211,9 +211,12 @@
     }
     const auto session =
       std::make_shared<internal::session>(std::move(aSocket), mContext);
-    const bool isFull = mSessions.size() >= limit && !EvictLongestWaiting();
-    const limit_reason reason =
-      isFull ? limit_reason::kConnections : session->Register();
+    // An address over its own limit must not cost another client's connection.
+    limit_reason reason = session->Register();
+    if (reason == limit_reason::kNone && mSessions.size() >= limit &&
+        !EvictLongestWaiting()) {
+      reason = limit_reason::kConnections;
+    }
     mSessions.emplace(session.get(), session);
     if (reason != limit_reason::kNone) {
       session->RejectConnection(reason);
--- a/mangospan/jobs/ranking.h
+++ b/mangospan/jobs/ranking.h
@@ -37,9 +37,8 @@
 // 3. the lateness of the job; `kOnTime` for a long-running step;
 // 4. the priority of the queue, of which 0 is the highest;
 // 5. true if the job is too late and no task of it has started yet;
-// 6. the place of a job that has not started in the fair order of the
-// customers;
-//    0 for one that has, since it would hold what it has got for nothing;
+// 6. the virtual start time, in the fair order of the customers, of a job that
+//    has not started; 0 for one that has, since it holds capacity already;
 // 7. the deadline of the job's objective.
 using rank = std::tuple<bool, bool, lateness, int, bool, double, time_point>;
 
--- a/mangospan/jobs/run_time_model.cc
+++ b/mangospan/jobs/run_time_model.cc
@@ -15,7 +15,7 @@
 // hold all ratios beyond them, which are 1/64 and 64.
 constexpr double kBucketsPerDoubling = 4;
 constexpr std::size_t kBucketOfOne = ratio_histogram::kBuckets / 2;
-// The estimate counts as much as so many runs at first, and loses this part of
+// The estimate weighs as much as so many runs at first, and keeps this part of
 // its weight with every run.
 constexpr double kPriorRuns = 3;
 constexpr double kPriorKept = 0.93;
--- a/mangospan/jobs/scheduler.h
+++ b/mangospan/jobs/scheduler.h
@@ -85,7 +85,7 @@
   std::chrono::milliseconds mQuarantineTime{ 4'000 };
   // The time for which the record of a job is kept after the job has ended.
   std::chrono::milliseconds mEndedJobRetention{ 150'000 };
-  // How many jobs customers are owed.
+  // How many jobs customers are entitled to.
   customers::rate_settings mCustomerRate;
   // Run times are learned from finished runs, and used in place of the callers'
   // estimates.
--- a/mangospan/jobs/scheduler_customers.cc
+++ b/mangospan/jobs/scheduler_customers.cc
@@ -99,16 +99,20 @@
     }
   }
   const auto part = [](std::int64_t aAmount, std::int64_t aOfHost) {
-    return static_cast<double>(aAmount) /
-           static_cast<double>(std::max<std::int64_t>(aOfHost, 1));
+    // Without a known host the work is not charged.
+    return aOfHost > 0
+             ? static_cast<double>(aAmount) / static_cast<double>(aOfHost)
+             : 0;
   };
   double work = 0;
-  for (const step_spec& each : aSpec.mSteps) {
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    const step_spec& each = aSpec.mSteps[i];
     const double dominant =
-      std::max(part(each.mTaskResources.mCpu, host.mCpu),
-               part(each.mTaskResources.mMemoryMb, host.mMemoryMb));
+      std::max({ part(each.mTaskResources.mCpu, host.mCpu),
+                 part(each.mTaskResources.mMemoryMb, host.mMemoryMb),
+                 part(each.mTaskResources.mGpus, host.mGpus) });
     work += dominant * static_cast<double>(each.mTaskCount) *
-            std::chrono::duration<double>(each.mEstimate).count();
+            std::chrono::duration<double>(RunTimes().Mean(aSpec, i)).count();
   }
   return work;
 }
--- a/mangospan/node/job_http.cc
+++ b/mangospan/node/job_http.cc
@@ -110,6 +110,16 @@
          });
 }
 
+void
+LogTooManyElements(const char* aStep, const http::request& aRequest)
+{
+  LogError("request.too_many_elements",
+           { error_code::kInvalidArgument,
+             aStep,
+             aRequest.mRemoteAddress,
+             std::to_string(aRequest.mBody.size()) + " bytes" });
+}
+
 milliseconds
 TimeoutOf(const http::request& aRequest)
 {
@@ -304,6 +314,7 @@
     aService.Cancel(job, timeout, answer);
   } else if (aRequest.mMethod == "POST") {
     if (!mangospan::json::IsWithin(aRequest.mBody, kBodyLimits)) {
+      LogTooManyElements("job.decode_spec", aRequest);
       aRespond(http::JsonResponse(413, R"({"message":"too many elements"})"));
       return;
     }
@@ -389,7 +400,8 @@
           const http::responder& aRespond)
 {
   if (!mangospan::json::IsWithin(aRequest.mBody, kBodyLimits)) {
-    aRespond(http::JsonResponse(413, "{}"));
+    LogTooManyElements("pool.decode_instructions", aRequest);
+    aRespond(http::JsonResponse(413, R"({"message":"too many elements"})"));
     return;
   }
   const auto instructions = DecodePoolInstructions(aRequest.mBody);
--- a/mangospan/node/node_process.cc
+++ b/mangospan/node/node_process.cc
@@ -330,15 +330,19 @@
   auto decoded = mPorts.mFormat.DecodeCatalog(aRecord.mValue);
   if (decoded.has_error()) {
     LogError("config.malformed", decoded.assume_error());
-    mIsCatalogOutdated = true;
+    mIsNewestCatalogUnreadable = true;
     return;
   }
-  mIsCatalogOutdated = false;
   const time_point decodedAt = mClock.Now();
   jobs::catalog next = std::move(decoded).assume_value();
   if (mCatalog && next.mVersion <= mCatalog->mVersion) {
+    LogEvent(log_level::kWarning,
+             "config.ignored",
+             { { "version", next.mVersion },
+               { "present_version", mCatalog->mVersion } });
     return;
   }
+  mIsNewestCatalogUnreadable = false;
   mCatalog = std::make_unique<jobs::catalog>(std::move(next));
   mKeyGate.SetCustomers(mCatalog->mCustomers);
   for (const auto& [queueName, each] : mCatalog->mQueues) {
@@ -409,7 +413,7 @@
 node_process::CatalogConfirmedAt() const
 {
   const bool isKnown =
-    mCatalog && mOperatorMirror->IsSynced() && !mIsCatalogOutdated;
+    mCatalog && mOperatorMirror->IsSynced() && !mIsNewestCatalogUnreadable;
   return isKnown ? std::make_optional(mOperatorMirror->ConfirmedAt())
                  : std::nullopt;
 }
@@ -444,7 +448,7 @@
     LogEvent(canAccept ? log_level::kInfo : log_level::kWarning,
              canAccept ? "keys.checked" : "keys.not_checked",
              { { "config_age_ms", CountMilliseconds(CatalogAge()) },
-               { "unreadable", mIsCatalogOutdated } });
+               { "unreadable", mIsNewestCatalogUnreadable } });
   }
 }
 
--- a/mangospan/node/node_process.h
+++ b/mangospan/node/node_process.h
@@ -201,8 +201,8 @@
   customers::key_gate mKeyGate;
   // Whether the operators' newest catalog could not be read, so that the
   // present one is an older one.
-  bool mIsCatalogOutdated = false;
-  bool mCouldAcceptKeys = false; // at the last report
+  bool mIsNewestCatalogUnreadable = false;
+  std::optional<bool> mCouldAcceptKeys; // at the last report
   std::map<std::string, wave_request> mWaves;
   timer mCheckTimer;
   unavailable_job_service mUnavailableJobs{ UnavailableReply() };
--- a/mangospan/node/node_process_owners.cc
+++ b/mangospan/node/node_process_owners.cc
@@ -174,7 +174,7 @@
     }
     isAnyOwnerServing = isAnyOwnerServing || isOwnerServing;
   }
-  return !IsStopping() && IsCatalogCurrent() && !mIsCatalogOutdated &&
+  return !IsStopping() && IsCatalogCurrent() && !mIsNewestCatalogUnreadable &&
          isAnyOwnerServing;
 }
 
--- a/mangospan/node/settings.cc
+++ b/mangospan/node/settings.cc
@@ -137,8 +137,9 @@
   BOOST_OUTCOME_TRY(value, json::ParseText(aText, where));
   node_settings settings;
   BOOST_OUTCOME_TRY(json::ReadObject(value, where, Fields(), settings));
+  // A body in chunks may take twice its size while it is read.
   if (settings.mCallerMemoryBytes <
-      settings.mMaxBodyBytes + kRequestOverheadBytes) {
+      2 * settings.mMaxBodyBytes + kRequestOverheadBytes) {
     return json::Refuse(where,
                         "caller_memory_bytes: has no room for a body of "
                         "max_body_bytes");
--- a/mangospan/node/settings.h
+++ b/mangospan/node/settings.h
@@ -57,8 +57,8 @@
   // A revoked API key is refused everywhere once its revocation is this old; 0
   // if the deployment states no bound.
   std::chrono::milliseconds mKeyRevocationBound{ 0 };
-  // In any span of this length a customer is owed as many jobs as its weight
-  // gives for the span, and the slack more.
+  // In any span of this length a customer is entitled to as many jobs as its
+  // weight gives for the span, and the slack more.
   std::chrono::milliseconds mCustomerRateWindow{ 5'000 };
   std::size_t mCustomerRateSlack = 20;
   // Run times are learned from finished runs, and used in place of the callers'
