Shares of the customers' caps: metrics, log lines and dump for operators

Cause: an owner starts tasks by its share of each customer's cap, and operators saw nothing of the share, nor which customers it holds back.

Change: once a second an owner sets mangospan_node_customer_share and mangospan_node_customer_used (32 customers with a label of their own in a term, the sum of the rest as "other", 0 if no longer reported), and logs customer.limited and customer.unlimited at each change. Whether a customer is limited comes from the wait reasons of its tasks (waiting_tasks), since the numbers alone do not tell it: what unreached runners may hold counts as used, but not as wanted. The state dump lists the customers of the last report with share, used and wanted. Without caps there are no lines, series or entries. testing::OneQueue is now declared for tests that extend the configuration.

--- a/mangospan/jobs/scheduler_waits.cc
+++ b/mangospan/jobs/scheduler_waits.cc
@@ -147,6 +147,9 @@
     const auto age = std::chrono::duration_cast<milliseconds>(
       aNow - std::min(aNow, WaitingSince(aJob, ofTasks, ofTasks.mTasks[i])));
     ++aWaiting.mCounts[reason.value_or(wait_reason::kCapacity)];
+    if (reason == wait_reason::kQuota) {
+      aWaiting.mLimitedByQuota.insert(aJob.mSpec.mCustomer);
+    }
     if (aWaiting.mOldest.mJob.Empty() || age > aWaiting.mOldestAge) {
       aWaiting.mOldest = id;
       aWaiting.mOldestAge = age;
--- a/mangospan/jobs/waiting_tasks.h
+++ b/mangospan/jobs/waiting_tasks.h
@@ -6,8 +6,10 @@
 #include <chrono>
 #include <cstddef>
 #include <map>
+#include <set>
 #include <string>
 
+#include "mangospan/base/identity.h"
 #include "mangospan/jobs/orders.h"
 
 namespace mangospan::jobs {
@@ -42,6 +44,7 @@
 struct waiting_tasks
 {
   std::map<wait_reason, std::size_t> mCounts;
+  std::set<customer_name> mLimitedByQuota; // have tasks counted as kQuota
   // The task that has waited longest, why, and for how long; of use only if
   // `mCounts` is not empty.
   task_id mOldest;
--- a/mangospan/node/owner.cc
+++ b/mangospan/node/owner.cc
@@ -75,6 +75,7 @@
   }
   mIsStopped = true;
   SetWaitMetrics({});
+  SetQuotaMetrics({});
   SetOverloadMetric(nanoseconds(0));
   mRunnerMirror->Stop();
   mTickTimer.cancel();
@@ -247,6 +248,36 @@
   set("refused", counts.mRefused);
 }
 
+void
+owner::SetQuotaMetrics(const customers::quota_report& aReport)
+{
+  for (const auto& [label, usage] : mUsageByLabel.Update(aReport)) {
+    const daemon::metric_labels labels{ { "service", mService.Str() },
+                                        { "customer", label } };
+    mDeps.mMetrics.Set("mangospan_node_customer_share", labels, usage.mShare);
+    mDeps.mMetrics.Set("mangospan_node_customer_used", labels, usage.mUsed);
+  }
+}
+
+// Reports what the customers with caps have, and which of them the quota starts
+// or ends to hold back.
+void
+owner::ReportQuota(const jobs::waiting_tasks& aWaiting, time_point aNow)
+{
+  mLastQuota = mScheduler.ReportQuota(aNow, WallNow());
+  SetQuotaMetrics(mLastQuota);
+  for (const customers::quota_change& each :
+       mQuotaChanges.Update(mLastQuota, aWaiting.mLimitedByQuota)) {
+    LogEvent(log_level::kInfo,
+             each.mIsLimited ? "customer.limited" : "customer.unlimited",
+             { { "service", mService.Str() },
+               { "customer", each.mCustomer.Str() },
+               { "share", customers::Fraction(each.mUsage.mShare) },
+               { "used", customers::Fraction(each.mUsage.mUsed) },
+               { "wanted", customers::Fraction(each.mUsage.mWanted) } });
+  }
+}
+
 // Reports why ready tasks wait, and how many runners were kept from them.
 void
 owner::ReportWaits()
@@ -259,6 +290,7 @@
   const jobs::waiting_tasks waiting = mScheduler.WaitingTasks(now, WallNow());
   SetWaitMetrics(waiting);
   SetPauseMetrics();
+  ReportQuota(waiting, now);
   mDeps.mMetrics.Set("mangospan_node_learned_classes",
                      { { "service", mService.Str() } },
                      static_cast<double>(mScheduler.CountLearnedClasses()));
--- a/mangospan/node/owner.h
+++ b/mangospan/node/owner.h
@@ -20,6 +20,7 @@
 
 #include "mangospan/base/time.h"
 #include "mangospan/base/timer.h"
+#include "mangospan/customers/quota_changes.h"
 #include "mangospan/jobs/answer_times.h"
 #include "mangospan/jobs/scheduler.h"
 #include "mangospan/node/election.h"
@@ -143,6 +144,9 @@
   result<pool_state> Exchange(const pool_instructions& aInstructions);
 
   const jobs::scheduler& Scheduler() const { return mScheduler; }
+  // Returns what the customers with caps had, used and wanted at most a second
+  // ago.
+  const customers::quota_report& LastQuotaReport() const { return mLastQuota; }
 
 private:
   // What a caller has asked for.
@@ -218,6 +222,8 @@
   void Plan();
   void ReportWaits();
   void SetPauseMetrics();
+  void ReportQuota(const jobs::waiting_tasks& aWaiting, time_point aNow);
+  void SetQuotaMetrics(const customers::quota_report& aReport);
   void ReportOverload();
   void SetOverloadMetric(std::chrono::nanoseconds aLongestWait);
   void SetWaitMetrics(const jobs::waiting_tasks& aWaiting);
@@ -283,6 +289,9 @@
   time_point mNextProgressWriteAt{};
   time_point mLastPlanAt{};
   time_point mNextWaitReportAt{};
+  customers::quota_report mLastQuota;
+  customers::quota_changes mQuotaChanges;
+  customers::usage_by_label mUsageByLabel;
   time_point mTickDueAt{};
   time_point mWriteDueAt{};
   time_point mLastFullWriteAt{};
--- a/mangospan/node/state_dump.cc
+++ b/mangospan/node/state_dump.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "mangospan/customers/quota_changes.h"
+
 namespace mangospan::node {
 
 using nlohmann::json;
@@ -48,6 +50,19 @@
   }
 }
 
+json
+DumpCustomers(const customers::quota_report& aReport)
+{
+  json out = json::object();
+  for (const auto& [customerName, each] : aReport.mUsage) {
+    out[customerName.Str()] = { { "share", customers::Fraction(each.mShare) },
+                                { "used", customers::Fraction(each.mUsed) },
+                                { "wanted",
+                                  customers::Fraction(each.mWanted) } };
+  }
+  return out;
+}
+
 json
 DumpPartition(const partition& aPartition, time_point aNow)
 {
@@ -70,6 +85,10 @@
   }
   out["runners"] = std::move(runners);
   out["jobs"] = std::move(jobs);
+  const auto& report = aPartition.LocalOwner()->LastQuotaReport();
+  if (!report.mUsage.empty()) {
+    out["customers"] = DumpCustomers(report);
+  }
   return out;
 }
 
--- a/mangospan/node/state_dump.h
+++ b/mangospan/node/state_dump.h
@@ -6,6 +6,7 @@
 #include <nlohmann/json_fwd.hpp>
 
 #include "mangospan/base/time.h"
+#include "mangospan/customers/quota.h"
 #include "mangospan/node/partition.h"
 
 namespace mangospan::node {
@@ -15,8 +16,13 @@
 void
 AddOwner(const election& aElection, const char* aKey, nlohmann::json& aInto);
 
+// Returns what each customer of the report has, uses and wants; 1 is its whole
+// cap.
+nlohmann::json
+DumpCustomers(const customers::quota_report& aReport);
+
 // Returns the owner of the partition and, if this node is the owner, its
-// runners and jobs.
+// runners and jobs, and the customers with caps.
 nlohmann::json
 DumpPartition(const partition& aPartition, time_point aNow);
 
--- a/mangospan/node/testing/lone_owner.cc
+++ b/mangospan/node/testing/lone_owner.cc
@@ -12,20 +12,6 @@
 constexpr milliseconds kStep{ 1 };
 constexpr milliseconds kMaxCallTime{ 3'000 }; // of the store, to its timeout
 
-jobs::catalog
-OneQueue()
-{
-  jobs::queue_policy policy;
-  policy.mName = lone_owner::kQueue;
-  policy.mService = lone_owner::kService;
-  jobs::catalog out;
-  out.mVersion = 1;
-  out.mQueues.emplace(policy.mName, policy);
-  out.mServices.emplace(policy.mService,
-                        jobs::service_policy{ policy.mService, false });
-  return out;
-}
-
 } // namespace
 
 const service_name lone_owner::kService{ "ours" };
@@ -59,6 +45,20 @@
 {
 }
 
+jobs::catalog
+OneQueue()
+{
+  jobs::queue_policy policy;
+  policy.mName = lone_owner::kQueue;
+  policy.mService = lone_owner::kService;
+  jobs::catalog out;
+  out.mVersion = 1;
+  out.mQueues.emplace(policy.mName, policy);
+  out.mServices.emplace(policy.mService,
+                        jobs::service_policy{ policy.mService, false });
+  return out;
+}
+
 jobs::job_spec
 OneTask()
 {
--- a/mangospan/node/testing/lone_owner.h
+++ b/mangospan/node/testing/lone_owner.h
@@ -34,6 +34,10 @@
             poll_handler aHandler) override;
 };
 
+// The configuration with only the owner's queue and service.
+jobs::catalog
+OneQueue();
+
 // A job of one short task for the owner's queue.
 jobs::job_spec
 OneTask();
@@ -54,6 +58,7 @@
   // When the owner began to load.
   time_point StartedAt() const { return mStartedAt; }
   owner& Owner() { return *mOwner; }
+  const daemon::metrics& Metrics() const { return mMetrics; }
   virtual_store& Store() { return mStore; }
   virtual_store_client& Client() { return mClient; }
 
