--- a/mangospan/customers/quota_schedules_test.cc
+++ b/mangospan/customers/quota_schedules_test.cc
@@ -186,6 +186,7 @@
     }
     mControllers.push_back(std::make_shared<fake_controller>(++mTerms));
     std::vector<service_name> pools;
+    pools.reserve(kPools);
     for (int p = 0; p < kPools; ++p) {
       pools.push_back(Pool(p));
     }
