--- a/review/standins-3/case_11.cc
+++ b/review/standins-3/case_11.cc
@@ -99,6 +99,7 @@
 OfCrowd(int aNumber)
 {
   job_truth out = Ordinary(aNumber, 100);
+  out.mSpecification = "of the crowd";
   step_truth step;
   step.mCount = kUnits;
   step.mMilliseconds = 100;
--- a/review/standins-3/nodes.cc
+++ b/review/standins-3/nodes.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iostream>
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/prctl.h>
@@ -18,20 +19,32 @@
 
 namespace {
 
-// A port of loopback that is free now.
+// A loopback address of this process, so that cases beside it have others.
+std::uint32_t
+OwnAddress()
+{
+  constexpr std::uint32_t kBegin = 0x7F400001; // 127.64.0.1
+  constexpr std::uint32_t kProcesses = 16'384;
+  return kBegin + (static_cast<std::uint32_t>(::getpid()) % kProcesses) * 4;
+}
+
+// A port of that address which is free now.
 std::string
 FreeAddress()
 {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address{};
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl(OwnAddress());
   static_cast<void>(
     ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address));
   socklen_t size = sizeof address;
   ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
   ::close(descriptor);
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  std::array<char, INET_ADDRSTRLEN> text{};
+  ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size());
+  return std::string(text.data()) + ":" +
+         std::to_string(ntohs(address.sin_port));
 }
 
 int
--- a/review/standins-3/store.cc
+++ b/review/standins-3/store.cc
@@ -209,18 +209,22 @@
 {
   const std::string prefix = aRequest.mQuery.at("prefix");
   const auto after = aRequest.mQuery.find("after");
+  constexpr std::size_t kMaxItems = 500;
+  constexpr std::size_t kMaxBytes = 1'000'000;
   json items = json::array();
+  std::size_t bytes = 0;
   bool more = false;
   for (const auto& [key, each] : mItems) {
     if (key.compare(0, prefix.size(), prefix) != 0 ||
         (after != aRequest.mQuery.end() && key <= after->second)) {
       continue;
     }
-    if (items.size() == 500) {
+    if (items.size() == kMaxItems || bytes > kMaxBytes) {
       more = true;
       break;
     }
     items.push_back(Encode(key, each));
+    bytes += items.back().at("value").get_ref<const std::string&>().size();
   }
   return {
     200,
