--- a/review/standins-3/fleet.cc
+++ b/review/standins-3/fleet.cc
@@ -461,20 +461,53 @@
     if (mIsOver) {
       return;
     }
-    runner& back = *mRunners.at(id);
-    back.mBorn = UnixMilliseconds();
-    back.mBootAt = Now();
-    back.mFence = 0;
-    back.mLeaseUntil = 0;
-    back.mIsUp = true;
-    back.mServer->Start();
-    mMachines.at(back.mMachine).mState = "up";
-    mStore.Put("servers/" + id, back.Entry());
-    mRecord.Add("runner " + id + " is back, born " +
-                std::to_string(back.mBorn));
+    Reboot(*mRunners.at(id));
+    mStore.Put("servers/" + id, mRunners.at(id)->Entry());
   }).detach();
 }
 
+void
+fleet::Reboot(runner& aRunner)
+{
+  aRunner.mBorn = UnixMilliseconds();
+  aRunner.mBootAt = Now();
+  aRunner.mFence = 0;
+  aRunner.mLeaseUntil = 0;
+  aRunner.mIsUp = true;
+  aRunner.mServer->Start();
+  mMachines.at(aRunner.mMachine).mState = "up";
+  mRecord.Add("runner " + aRunner.mId + " is back, born " +
+              std::to_string(aRunner.mBorn) + ", kind " + aRunner.mLabels[0]);
+}
+
+void
+fleet::CrashBehindCut(const std::string& aMachine,
+                      milliseconds aDown,
+                      milliseconds aCut,
+                      const std::vector<std::string>& aLabels)
+{
+  std::string id;
+  {
+    const std::lock_guard lock(mMutex);
+    machine& crashed = mMachines.at(aMachine);
+    id = crashed.mRunner;
+    mRecord.Add("runner " + id + " is cut off from the store");
+    EndRunner(crashed, "crash");
+    crashed.mState = "down";
+  }
+  std::this_thread::sleep_for(aDown);
+  {
+    const std::lock_guard lock(mMutex);
+    mRunners.at(id)->mLabels = aLabels;
+    mMachines.at(aMachine).mLabels = aLabels;
+    Reboot(*mRunners.at(id));
+  }
+  std::this_thread::sleep_for(aCut - aDown);
+  const std::lock_guard lock(mMutex);
+  mStore.Put("servers/" + id, mRunners.at(id)->Entry());
+  mRecord.Add("runner " + id + " reaches the store again");
+}
+
 void
 fleet::SetCut(const std::string& aMachine, bool aIsCut)
 {
--- a/review/standins-3/platform.h
+++ b/review/standins-3/platform.h
@@ -234,6 +234,13 @@
   // The runner of the machine ends at once; it is back after `aDown` under the
   // same id, as another boot, or stays away.
   void Crash(const std::string& aMachine, std::optional<milliseconds> aDown);
+  // The runner is cut off from the store, not from the nodes. Behind the cut it
+  // crashes, and is back after `aDown` under the same id, as another boot of
+  // another kind. Its entry says so once the cut has healed after `aCut`.
+  void CrashBehindCut(const std::string& aMachine,
+                      milliseconds aDown,
+                      milliseconds aCut,
+                      const std::vector<std::string>& aLabels);
   // No node reaches it; it runs on, and writes to the store or not.
   void SetCut(const std::string& aMachine, bool aIsCut);
   runner* RunnerOf(const std::string& aMachine);
@@ -268,6 +275,7 @@
               std::uint64_t aFence);
   void StartRunner(machine& aMachine);
   void EndRunner(machine& aMachine, const char* aWhy);
+  void Reboot(runner& aRunner);
   void OnStart(runner& aRunner, const json& aBody);
   void OnEnd(runner& aRunner, const run& aRun, const std::string& aHow);
   void OnNoted(const ended_run& aEnd);
